--- /dev/null
+++ b/Interface/peer.thrift
@@ -0,0 +1,84 @@
+namespace cpp sesame.wire
+
+/** A statement about one entry node or backend server, spread by piggybacking. */
+struct Rumour {
+  /** Kind of statement: see RumourKind in Core/rumour.h. */
+  1: i32 kind
+  2: string subject
+  3: i64 incarnation
+  /** Kind-specific text: address and zone of a node, fingerprint of a request. */
+  4: string detail
+}
+
+/** Direct probe. The answer is an Ack. */
+struct Ping {
+  1: i64 sequence
+}
+
+/** Asks the receiver to probe another node on behalf of the sender. */
+struct PingRequest {
+  1: i64 sequence
+  2: string target
+}
+
+/** Asks for the fleet document if the receiver has a newer one than haveVersion. */
+struct FleetQuery {
+  1: i64 haveVersion
+}
+
+/** One open request that a leaving node passes to a peer. */
+struct OpenRequest {
+  1: string requestId
+  2: string account
+  3: string model
+  4: i32 rank
+  5: binary body
+  6: i64 deliveredTokens
+  7: string engine
+  8: i32 attempt
+}
+
+struct Handover {
+  1: list<OpenRequest> requests
+}
+
+/** Exactly one of the request fields is set. */
+struct PeerRequest {
+  1: optional Ping ping
+  2: optional PingRequest pingRequest
+  3: optional FleetQuery fleetQuery
+  4: optional Handover handover
+  /** Rumours and the configuration version ride on every request. */
+  10: list<Rumour> rumours
+  11: i64 fleetVersion
+  12: i64 incarnation
+  13: bool storeReachable
+}
+
+struct PeerAnswer {
+  1: bool alive
+  2: optional binary fleetDocument
+  3: i32 acceptedRequests
+  10: list<Rumour> rumours
+  11: i64 fleetVersion
+  12: i64 incarnation
+  13: bool storeReachable
+}
+
+/** A serialised PeerRequest or PeerAnswer with its authentication code. */
+struct SealedMessage {
+  1: string sender
+  2: i64 sentAtMillis
+  3: binary body
+  /** HMAC-SHA-256 over sender, sentAtMillis and body under the deployment's peer key. */
+  4: binary authenticationCode
+}
+
+exception PeerRefused {
+  1: i32 code
+  2: string reason
+}
+
+service Peer {
+  SealedMessage exchange(1: SealedMessage message) throws (1: PeerRefused refused)
+}
--- /dev/null
+++ b/Source/Adapter/sesameadapter.h
@@ -0,0 +1,4 @@
+#pragma once
+
+//! Public header of the sesameadapter library.
+#include "Adapter/systemclock.h"
--- /dev/null
+++ b/Source/Core/sesamecore.h
@@ -0,0 +1,8 @@
+#pragma once
+
+//! Public header of the sesamecore library: the decision code, free of sockets, threads and clocks.
+
+#include "Core/invariant.h"
+#include "Core/lastreason.h"
+#include "Core/ports.h"
+#include "Core/resultcode.h"
--- /dev/null
+++ b/Source/Node/sesamenode.h
@@ -0,0 +1,4 @@
+#pragma once
+
+//! Public header of the sesamenode library.
+#include "Node/nodeversion.h"
--- /dev/null
+++ b/StandIns/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
