--- a/Source/Adapter/sesameadapter.h
+++ b/Source/Adapter/sesameadapter.h
@@ -1,4 +1,10 @@
 #pragma once
 
 //! Public header of the sesameadapter library.
+#include "Adapter/backendclient.h"
+#include "Adapter/httpclient.h"
+#include "Adapter/httpmessage.h"
+#include "Adapter/httpserver.h"
+#include "Adapter/json.h"
+#include "Adapter/log.h"
 #include "Adapter/systemclock.h"
