--- /dev/null
+++ b/Source/Node/streambuffer.cpp
@@ -0,0 +1,57 @@
+#include "Node/streambuffer.h"
+
+#include <utility>
+
+namespace sesame {
+
+namespace {
+constexpr std::size_t unreadLimitBytes = 65'536;
+} // namespace
+
+bool StreamBuffer::write(std::string_view text)
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, [this] {
+        return m_closed || m_text.size() < unreadLimitBytes;
+    });
+    if (m_closed)
+        return false;
+    m_text.append(text);
+    m_changed.notify_all();
+    return true;
+}
+
+void StreamBuffer::finish()
+{
+    const std::lock_guard lock(m_mutex);
+    m_finished = true;
+    m_changed.notify_all();
+}
+
+std::optional<std::string> StreamBuffer::read(std::chrono::milliseconds wait)
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait_for(lock, wait, [this] {
+        return m_finished || m_closed || !m_text.empty();
+    });
+    if (m_text.empty() && (m_finished || m_closed))
+        return std::nullopt;
+    std::string text = std::exchange(m_text, {});
+    m_changed.notify_all();
+    return text;
+}
+
+void StreamBuffer::close()
+{
+    const std::lock_guard lock(m_mutex);
+    m_closed = true;
+    m_changed.notify_all();
+}
+
+bool StreamBuffer::isClosed() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_closed;
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Node/workerpool.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace sesame {
+
+struct WorkerPoolOptions
+{
+    std::size_t maxThreads = 1024;
+};
+
+/*!
+    Runs tasks on threads that are started when needed and kept. Tasks may block on backend
+    servers, so the pool has as many threads as there were tasks at one moment.
+*/
+class WorkerPool
+{
+public:
+    using Task = std::function<void()>;
+
+    explicit WorkerPool(const WorkerPoolOptions &options);
+    ~WorkerPool();
+    WorkerPool(const WorkerPool &) = delete;
+    WorkerPool &operator=(const WorkerPool &) = delete;
+
+    /*!
+        Queues \a task. It waits if all threads are busy and no more may be started.
+    */
+    void submit(Task task);
+
+    /*!
+        Finishes the queued tasks and ends the threads.
+    */
+    void stop();
+
+private:
+    void run();
+
+    const WorkerPoolOptions m_options;
+    std::mutex m_mutex;
+    std::condition_variable m_wakeUp;
+    std::deque<Task> m_tasks;
+    std::vector<std::thread> m_threads;
+    std::size_t m_idleThreads = 0;
+    bool m_stopping = false;
+};
+
+} // namespace sesame
