--- /dev/null
+++ b/Source/Node/guarded.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <mutex>
+#include <utility>
+
+namespace sesame {
+
+/*!
+    A value with the mutex that guards it. The value is only reachable while locked.
+*/
+template <typename T>
+class Guarded
+{
+public:
+    /*!
+        Holds the lock for as long as it lives.
+    */
+    class Access
+    {
+    public:
+        explicit Access(Guarded &owner) : m_lock(owner.m_mutex), m_value(&owner.m_value) { }
+        T *operator->() const { return m_value; }
+        T &operator*() const { return *m_value; }
+
+    private:
+        std::unique_lock<std::mutex> m_lock;
+        T *m_value;
+    };
+
+    template <typename... Arguments>
+    explicit Guarded(Arguments &&...arguments) : m_value(std::forward<Arguments>(arguments)...)
+    {
+    }
+
+    Access lock() { return Access(*this); }
+
+private:
+    std::mutex m_mutex;
+    T m_value;
+};
+
+} // namespace sesame
