Read fleet files and node settings, keep and publish the fleet document

Every fault is reported with file, line, key, value found and values allowed, so that one run of check is enough. The numeric settings are tables that the parser and the exceptions share.

The version is stored inside the document. The object version of the store was ruled out, because it goes back when the store is restored from an older copy.

--- /dev/null
+++ b/Source/Core/fleetexceptions.cpp
@@ -0,0 +1,171 @@
+#include "Core/fleetexceptions.h"
+
+#include "Core/fleetfields.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace sesame {
+
+namespace {
+
+constexpr std::string_view zoneScope = "zone:";
+constexpr std::string_view keysAllowed
+        = "defaults.KEY, ranks.RANK.KEY, account.share, route.timeout_ms, route.rank, model.rank";
+
+// Nodes must agree on these: shards are found by hash, claims are dropped by age, and the
+// capacity limit is one number for the fleet.
+constexpr std::array<std::string_view, 2> fleetOnlyKeys {"defaults.capacity_limit",
+                                                         "defaults.claim_retention_hours"};
+// A change would look for existing claims in other shards and run a call a second time.
+constexpr std::string_view fixedKey = "defaults.claim_shards";
+
+std::optional<double> parseNumber(std::string_view text, NumberKind kind)
+{
+    if (kind == NumberKind::Boolean) {
+        if (text != "true" && text != "false")
+            return std::nullopt;
+        return text == "true" ? 1.0 : 0.0;
+    }
+    double value = 0.0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (ec != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    if (kind == NumberKind::Integer && value != static_cast<double>(static_cast<long>(value)))
+        return std::nullopt;
+    return value;
+}
+
+template <typename T>
+std::optional<ExceptionFault> setNumber(std::span<const NumberField<T>> fields,
+                                        std::string_view key, std::string_view value, T &target)
+{
+    std::string names;
+    for (const NumberField<T> &field : fields) {
+        names += (names.empty() ? "" : ", ") + std::string(field.key);
+        if (field.key != key)
+            continue;
+        const std::optional<double> n = parseNumber(value, field.kind);
+        if (!n || !(*n >= field.minimum && *n <= field.maximum)) {
+            std::string allowed = describeRange(field.kind, field.minimum, field.maximum);
+            return ExceptionFault {.member = "value", .allowed = std::move(allowed)};
+        }
+        field.set(target, *n);
+        return std::nullopt;
+    }
+    return ExceptionFault {.member = "key", .allowed = "one of " + names};
+}
+
+std::optional<ExceptionFault> setRank(std::string_view value, Rank &target)
+{
+    for (const auto &[name, rank] : rankNames()) {
+        if (name == value) {
+            target = rank;
+            return std::nullopt;
+        }
+    }
+    return ExceptionFault {.member = "value", .allowed = "urgent, standard or batch"};
+}
+
+/*!
+    Returns the entry of \a entries whose \a name member follows \a prefix in \a scope.
+*/
+template <typename T>
+T *findScope(std::vector<T> &entries, std::string T::*name, std::string_view scope,
+             std::string_view prefix)
+{
+    if (!scope.starts_with(prefix))
+        return nullptr;
+    const std::string_view wanted = scope.substr(prefix.size());
+    const auto it = std::find_if(entries.begin(), entries.end(),
+                                 [&](const T &entry) { return entry.*name == wanted; });
+    return it == entries.end() ? nullptr : &*it;
+}
+
+std::optional<ExceptionFault> checkWideScope(const FleetConfig &config,
+                                             const FleetException &exception)
+{
+    if (exception.key == fixedKey)
+        return ExceptionFault {.member = "key", .allowed = "any other key; it must never change"};
+    if (exception.scope == "fleet")
+        return std::nullopt;
+    if (std::find(fleetOnlyKeys.begin(), fleetOnlyKeys.end(), exception.key) != fleetOnlyKeys.end())
+        return ExceptionFault {.member = "scope", .allowed = "\"fleet\" for this key"};
+    for (const std::string &zone : config.zones) {
+        if (exception.scope == std::string(zoneScope) + zone)
+            return std::nullopt;
+    }
+    return ExceptionFault {.member = "scope", .allowed = "\"fleet\" or \"zone:NAME\" of a zone"};
+}
+
+std::optional<ExceptionFault> applyWide(FleetConfig &config, const FleetException &exception)
+{
+    constexpr std::string_view defaultsPrefix = "defaults.";
+    if (auto fault = checkWideScope(config, exception))
+        return fault;
+    std::string_view key = exception.key;
+    if (key.starts_with(defaultsPrefix))
+        return setNumber(defaultFields(), key.substr(defaultsPrefix.size()), exception.value,
+                         config.defaults);
+    for (const auto &[name, rank] : rankNames()) {
+        const std::string prefix = "ranks." + std::string(name) + ".";
+        if (key.starts_with(prefix))
+            return setNumber(rankFields(), key.substr(prefix.size()), exception.value,
+                             config.ranks[static_cast<std::size_t>(rank)]);
+    }
+    return ExceptionFault {.member = "key", .allowed = std::string(keysAllowed)};
+}
+
+} // namespace
+
+std::optional<ExceptionFault> applyException(FleetConfig &config, const FleetException &exception)
+{
+    const std::string_view key = exception.key;
+    if (key == "account.share") {
+        auto *account = findScope(config.accounts, &Account::name, exception.scope, "account:");
+        if (!account)
+            return ExceptionFault {.member = "scope", .allowed = "\"account:NAME\" of an account"};
+        return setNumber(accountFields(), "share", exception.value, *account);
+    }
+    if (key == "route.timeout_ms" || key == "route.rank") {
+        auto *route = findScope(config.routes, &Route::prefix, exception.scope, "route:");
+        if (!route)
+            return ExceptionFault {.member = "scope", .allowed = "\"route:PREFIX\" of a route"};
+        if (key == "route.rank")
+            return setRank(exception.value, route->rank);
+        return setNumber(routeFields(), "timeout_ms", exception.value, *route);
+    }
+    if (key == "model.rank") {
+        auto *model = findScope(config.models, &Model::name, exception.scope, "model:");
+        if (!model)
+            return ExceptionFault {.member = "scope", .allowed = "\"model:NAME\" of a model"};
+        return setRank(exception.value, model->rank);
+    }
+    return applyWide(config, exception);
+}
+
+FleetConfig applyExceptions(FleetConfig config, std::string_view zone)
+{
+    const std::vector<FleetException> exceptions = config.exceptions;
+    for (const FleetException &exception : exceptions) {
+        const std::string_view scope = exception.scope;
+        if (!scope.starts_with(zoneScope) || scope.substr(zoneScope.size()) == zone)
+            applyException(config, exception);
+    }
+    return config;
+}
+
+std::uint32_t effectiveCapacityLimit(const FleetConfig &config)
+{
+    return applyExceptions(config, {}).defaults.capacityLimit;
+}
+
+double sumOfFloors(const FleetConfig &config)
+{
+    double sum = 0.0;
+    for (const RankPolicy &policy : config.ranks)
+        sum += policy.floorShare;
+    return sum;
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Core/fleetfile.cpp
@@ -0,0 +1,325 @@
+#include "Core/fleetfile.h"
+
+#include "Core/fleetexceptions.h"
+#include "Core/fleetfields.h"
+#include "Core/tomlreader.h"
+
+#include <algorithm>
+
+namespace sesame {
+
+namespace {
+
+constexpr std::size_t sha256HexLength = 64;
+constexpr std::array<std::pair<std::string_view, BackendKind>, 2> kindNames {{
+        {"model_engine", BackendKind::ModelEngine},
+        {"service", BackendKind::Service},
+}};
+constexpr std::array<std::pair<std::string_view, Fencing>, 2> fencingNames {{
+        {"checked", Fencing::Checked},
+        {"ignored", Fencing::Ignored},
+}};
+
+std::string quote(std::string_view text)
+{
+    return "\"" + std::string(text) + "\"";
+}
+
+template <typename T>
+std::string joinNames(const std::vector<T> &entries, std::string T::*name)
+{
+    std::string result;
+    for (const T &entry : entries)
+        result += (result.empty() ? "" : ", ") + entry.*name;
+    return result.empty() ? "none declared" : result;
+}
+
+template <typename T>
+const T *findName(const std::vector<T> &entries, std::string T::*name, std::string_view wanted)
+{
+    const auto it = std::find_if(entries.begin(), entries.end(),
+                                 [&](const T &entry) { return entry.*name == wanted; });
+    return it == entries.end() ? nullptr : &*it;
+}
+
+/*!
+    Reads the sections in the order in which later ones refer to earlier ones.
+*/
+class FleetFileReader
+{
+public:
+    FleetFileReader(const toml::table &root, ErrorSink sink)
+        : m_root(root, {}, sink), m_sink(sink)
+    {
+    }
+
+    FleetConfig read()
+    {
+        readFleet();
+        readDefaults();
+        readRanks();
+        readBackendClasses();
+        readAccounts();
+        readModels();
+        readRoutes();
+        readExceptions();
+        m_root.finish();
+        return std::move(m_config);
+    }
+
+private:
+    /*!
+        Calls \a readEntry with a reader of each table of the array \a key.
+    */
+    template <typename F>
+    void readEach(std::string_view key, F readEntry)
+    {
+        std::size_t index = 0;
+        for (const toml::table *table : m_root.tables(key)) {
+            const std::string path = std::string(key) + "[" + std::to_string(index++) + "].";
+            TomlReader reader(*table, path, m_sink);
+            readEntry(reader);
+            reader.finish();
+        }
+    }
+
+    template <typename T>
+    void requireUnique(TomlReader &reader, std::string_view key, const std::vector<T> &entries,
+                       std::string T::*name, const std::string &value)
+    {
+        if (!value.empty() && findName(entries, name, value))
+            reader.report(key, quote(value) + " a second time", "each only once");
+    }
+
+    void readFleet()
+    {
+        const toml::table *table = m_root.table("fleet");
+        if (!table)
+            return;
+        TomlReader reader(*table, "fleet.", m_sink);
+        m_config.name = reader.text("name");
+        for (std::string &zone : reader.texts("zones")) {
+            const auto &zones = m_config.zones;
+            if (std::find(zones.begin(), zones.end(), zone) != zones.end())
+                reader.report("zones", quote(zone) + " a second time", "each zone only once");
+            else
+                m_config.zones.push_back(std::move(zone));
+        }
+        reader.finish();
+    }
+
+    void readDefaults()
+    {
+        const toml::table *table = m_root.table("defaults");
+        if (!table)
+            return;
+        TomlReader reader(*table, "defaults.", m_sink);
+        reader.numbers(defaultFields(), m_config.defaults);
+        reader.finish();
+    }
+
+    void readRanks()
+    {
+        const toml::table *table = m_root.table("ranks");
+        if (!table)
+            return;
+        TomlReader reader(*table, "ranks.", m_sink);
+        for (const auto &[name, rank] : rankNames()) {
+            const toml::table *policy = reader.table(name);
+            if (!policy)
+                continue;
+            TomlReader inner(*policy, "ranks." + std::string(name) + ".", m_sink);
+            inner.numbers(rankFields(), m_config.ranks[static_cast<std::size_t>(rank)]);
+            inner.finish();
+        }
+        if (sumOfFloors(m_config) >= 1.0)
+            m_root.report("ranks", "floor_share values that add up to 1 or more",
+                          "a sum below 1");
+        reader.finish();
+    }
+
+    void readBackendClasses()
+    {
+        readEach("backend_class", [this](TomlReader &reader) {
+            BackendClass entry;
+            entry.name = reader.text("name");
+            requireUnique(reader, "name", m_config.backendClasses, &BackendClass::name, entry.name);
+            entry.kind = reader.choice<BackendKind>("kind", kindNames, entry.kind);
+            entry.fencing = reader.choice<Fencing>("fencing", fencingNames, entry.fencing);
+            const bool service = entry.kind == BackendKind::Service;
+            entry.service = reader.text("service", service);
+            if (!service && !entry.service.empty())
+                reader.report("service", quote(entry.service), "only with kind = \"service\"");
+            reader.numbers(backendClassFields(), entry);
+            m_config.backendClasses.push_back(std::move(entry));
+        });
+    }
+
+    void readAccounts()
+    {
+        readEach("account", [this](TomlReader &reader) {
+            Account entry;
+            entry.name = reader.text("name");
+            requireUnique(reader, "name", m_config.accounts, &Account::name, entry.name);
+            entry.keySha256 = reader.text("key_sha256");
+            const auto isHex = [](char c) {
+                return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+            };
+            const std::string &hash = entry.keySha256;
+            if (!hash.empty()
+                && (hash.size() != sha256HexLength
+                    || !std::all_of(hash.begin(), hash.end(), isHex)))
+                reader.report("key_sha256", "another text", "64 lower-case hexadecimal digits");
+            requireUnique(reader, "key_sha256", m_config.accounts, &Account::keySha256, hash);
+            readAccountRanks(reader, entry);
+            reader.numbers(accountFields(), entry);
+            m_config.accounts.push_back(std::move(entry));
+        });
+    }
+
+    static void readAccountRanks(TomlReader &reader, Account &entry)
+    {
+        for (const std::string &name : reader.texts("ranks")) {
+            const std::optional<Rank> rank = parseRank(name);
+            const bool known
+                    = rank && std::count(entry.ranks.begin(), entry.ranks.end(), *rank) > 0;
+            if (!rank)
+                reader.report("ranks", quote(name), "urgent, standard, batch");
+            else if (known)
+                reader.report("ranks", quote(name) + " a second time", "each rank only once");
+            else
+                entry.ranks.push_back(*rank);
+        }
+    }
+
+    void readModels()
+    {
+        readEach("model", [this](TomlReader &reader) {
+            Model entry;
+            entry.name = reader.text("name");
+            requireUnique(reader, "name", m_config.models, &Model::name, entry.name);
+            entry.rank = reader.choice<Rank>("rank", rankNames(), entry.rank);
+            entry.backendClasses = reader.texts("backend_classes");
+            for (const std::string &name : entry.backendClasses) {
+                const auto *found
+                        = findName(m_config.backendClasses, &BackendClass::name, name);
+                if (!found)
+                    reader.report("backend_classes", quote(name),
+                                  "a declared backend class: "
+                                          + joinNames(m_config.backendClasses,
+                                                      &BackendClass::name));
+                else if (found->kind != BackendKind::ModelEngine)
+                    reader.report("backend_classes", quote(name) + " of kind service",
+                                  "classes of kind model_engine");
+            }
+            m_config.models.push_back(std::move(entry));
+        });
+    }
+
+    void readRoutes()
+    {
+        readEach("route", [this](TomlReader &reader) {
+            Route entry;
+            entry.prefix = reader.text("prefix");
+            if (!entry.prefix.empty() && entry.prefix.front() != '/')
+                reader.report("prefix", quote(entry.prefix), "a path that starts with \"/\"");
+            requireUnique(reader, "prefix", m_config.routes, &Route::prefix, entry.prefix);
+            entry.service = reader.text("service");
+            if (!entry.service.empty()
+                && !findName(m_config.backendClasses, &BackendClass::service, entry.service))
+                reader.report("service", quote(entry.service),
+                              "the service of a declared backend class");
+            entry.rank = reader.choice<Rank>("rank", rankNames(), entry.rank);
+            entry.idempotent
+                    = reader.number("idempotent", NumberKind::Boolean, 0, 1, true).value_or(0) != 0;
+            entry.statusLookup = reader.text("status_lookup", false);
+            const std::string &lookup = entry.statusLookup;
+            if (!lookup.empty()
+                && (lookup.front() != '/' || lookup.find("{key}") == std::string::npos))
+                reader.report("status_lookup", quote(lookup),
+                              "a path that starts with \"/\" and contains \"{key}\"");
+            reader.numbers(routeFields(), entry);
+            m_config.routes.push_back(std::move(entry));
+        });
+    }
+
+    void readExceptions()
+    {
+        readEach("exception", [this](TomlReader &reader) {
+            FleetException entry;
+            entry.key = reader.text("key");
+            entry.scope = reader.text("scope");
+            entry.value = reader.scalar("value");
+            entry.reason = reader.text("reason", false);
+            const bool blank = entry.reason.find_first_not_of(" \t") == std::string::npos;
+            if (blank)
+                reader.report("reason", "no reason", "a text that states the reason",
+                              ResultCode::ExceptionReasonMissing);
+            if (!entry.key.empty() && !entry.scope.empty())
+                checkException(reader, entry);
+            m_config.exceptions.push_back(std::move(entry));
+        });
+        for (const std::string &zone : m_config.zones) {
+            if (sumOfFloors(applyExceptions(m_config, zone)) >= 1.0)
+                m_root.report("exception", "floor_share values that add up to 1 or more in " + zone,
+                              "a sum below 1");
+        }
+    }
+
+    void checkException(TomlReader &reader, const FleetException &entry)
+    {
+        FleetConfig trial = m_config;
+        const std::optional<ExceptionFault> fault = applyException(trial, entry);
+        if (fault) {
+            const std::string_view member = fault->member;
+            const std::string &value = member == "key" ? entry.key
+                    : member == "scope"                ? entry.scope
+                                                       : entry.value;
+            reader.report(member, quote(value), fault->allowed);
+        } else if (trial.defaults.capacityLimit < m_config.defaults.capacityLimit) {
+            reader.report("value", quote(entry.value),
+                          "at least the default, " + std::to_string(m_config.defaults.capacityLimit),
+                          ResultCode::CapacityLimitLowered);
+        }
+    }
+
+    TomlReader m_root;
+    ErrorSink m_sink;
+    FleetConfig m_config;
+};
+
+} // namespace
+
+std::optional<FleetConfig> parseFleetFile(std::string_view text, std::string_view fileName,
+                                          std::vector<SettingsError> &errors)
+{
+    const std::size_t before = errors.size();
+    const ErrorSink sink {.file = fileName, .errors = errors};
+    const std::optional<toml::table> root = parseToml(text, sink);
+    if (!root)
+        return std::nullopt;
+    FleetConfig config = FleetFileReader(*root, sink).read();
+    if (errors.size() > before)
+        return std::nullopt;
+    return config;
+}
+
+std::string_view toString(Rank rank)
+{
+    for (const auto &[name, value] : rankNames()) {
+        if (value == rank)
+            return name;
+    }
+    return "unknown";
+}
+
+std::optional<Rank> parseRank(std::string_view text)
+{
+    for (const auto &[name, value] : rankNames()) {
+        if (name == text)
+            return value;
+    }
+    return std::nullopt;
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Core/fleetkeeper.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "Core/fleetconfig.h"
+#include "Core/fleetdocument.h"
+#include "Core/ports.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sesame {
+
+enum class Confirmation : std::uint8_t {
+    Confirmed, //!< The store, or a peer that reaches it, was reached recently.
+    Unconfirmed, //!< Peers were reached recently, and none of them reaches the store.
+    Isolated //!< Neither the store nor a peer was reached recently.
+};
+
+std::string_view toString(Confirmation confirmation);
+
+enum class OfferResult : std::uint8_t {
+    Adopted,
+    AlreadyInForce,
+    Older, //!< The offered version is lower than the one in force.
+    Diverged, //!< The version in force was offered with another content.
+    Invalid //!< Not a fleet document, or its file has errors.
+};
+
+enum class FleetSource : std::uint8_t { Store, Peer };
+
+struct FleetKeeperOptions
+{
+    std::string zone; //!< Zone of the node; selects the exceptions that hold for it.
+    //! How long a contact counts. Three peers' probe rounds fit into it.
+    Duration freshness = std::chrono::seconds(4);
+};
+
+/*!
+    Holds the fleet document in force on one node and judges whether it is confirmed.
+
+    The version and the capacity limit never decrease. Not thread-safe.
+*/
+class FleetKeeper
+{
+public:
+    explicit FleetKeeper(FleetKeeperOptions options);
+
+    /*!
+        Puts the document \a stored in force if its version is higher than the one in force.
+        A document that is older or diverged is kept out; if it came from the store, an alarm
+        is raised, because then the store was restored from an older copy.
+    */
+    OfferResult offer(std::string_view stored, FleetSource source);
+
+    /*!
+        Records that a read of the store succeeded or failed at \a now. A read that found no
+        document counts as success.
+    */
+    void recordStore(Timestamp now, bool reachable);
+
+    /*!
+        Records a message from \a peer with the version in force there and whether the peer
+        reaches the store.
+    */
+    void recordPeer(Timestamp now, std::string_view peer, std::uint64_t version,
+                    bool storeReachable);
+
+    /*!
+        Drops \a peer, which left the fleet or was declared dead.
+    */
+    void forgetPeer(std::string_view peer);
+
+    Confirmation confirmation(Timestamp now) const;
+
+    /*!
+        Returns whether new requests may be accepted. The answer is no without a document, while
+        the node is isolated, and after a start until the node has asked the store or learned
+        from a peer, and has adopted the highest version it heard of.
+    */
+    bool mayServe(Timestamp now);
+
+    /*!
+        Returns the peer to ask for its document: the one with the highest version, if that is
+        higher than the version in force and the peer was heard recently.
+    */
+    std::optional<std::string> peerToPull(Timestamp now) const;
+
+    /*!
+        Returns the stored form to write back if the store holds the lower version
+        \a storeVersion (0: none). The write must be conditional on the object version that
+        was read together with \a storeVersion.
+    */
+    std::optional<std::string> documentToRestore(std::uint64_t storeVersion) const;
+
+    /*!
+        Returns the version in force, 0 before the first document.
+    */
+    std::uint64_t fleetVersion() const { return m_document.version; }
+
+    std::uint32_t capacityLimit() const { return m_document.capacityLimit; }
+
+    /*!
+        Returns the configuration in force with the exceptions of the node's zone applied, or
+        nullptr before the first document. The object never changes.
+    */
+    std::shared_ptr<const FleetConfig> config() const { return m_config; }
+
+    /*!
+        Returns the document in force as it is stored, empty before the first one.
+    */
+    const std::string &storedDocument() const { return m_stored; }
+
+    /*!
+        Returns the text of the last alarm and forgets it. Repetitions are not reported again.
+    */
+    std::optional<std::string> takeAlarm();
+
+private:
+    struct PeerView
+    {
+        Timestamp heard;
+        std::uint64_t version = 0;
+        bool storeReachable = false;
+    };
+
+    bool isFresh(Timestamp heard, Timestamp now) const;
+    void raiseAlarm(std::string text);
+    OfferResult refuse(const FleetDocument &offered, FleetSource source);
+    OfferResult adopt(FleetDocument offered);
+
+    FleetKeeperOptions m_options;
+    FleetDocument m_document;
+    std::string m_stored;
+    std::shared_ptr<const FleetConfig> m_config;
+    std::optional<Timestamp> m_storeReached;
+    bool m_storeReachable = false;
+    std::map<std::string, PeerView, std::less<>> m_peers;
+    bool m_started = false; //!< Set by the first time that mayServe() held.
+    std::string m_alarm;
+    std::string m_lastAlarm;
+};
+
+} // namespace sesame
