Add the model engine stand-in

Tokens are a pure function of prompt and index, so a test can compare an answer byte by byte however often the request moved. max_tokens bounds the newly generated tokens, as in the published chat protocol; bounding the whole answer was ruled out, because a node tested against that would send wrong limits to real engines. A cancelled unknown request id is remembered, since "started":false must stay true if the request arrives later.

--- /dev/null
+++ b/StandIns/enginehandler.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Adapter/httpmessage.h"
+#include "enginescheduler.h"
+
+#include <atomic>
+
+namespace sesame {
+
+/*!
+    Answers the model engine's HTTP interface.
+*/
+class EngineHandler
+{
+public:
+    explicit EngineHandler(const ModelEngineOptions &options)
+        : m_options(options), m_models(options.models), m_scheduler(options)
+    {
+    }
+
+    HttpResponse handle(const HttpRequest &request);
+
+private:
+    HttpResponse complete(const HttpRequest &request);
+    HttpResponse streamRequest(const HttpRequest &request);
+    HttpResponse streamResponse(const EngineStreamPtr &stream, std::uint64_t from);
+    HttpResponse wholeResponse(const EngineStreamPtr &stream);
+    HttpResponse reportLoad();
+    HttpResponse reportCacheEvents(const HttpRequest &request);
+    HttpResponse exportState(const HttpRequest &request);
+    HttpResponse importState(const HttpRequest &request);
+    HttpResponse takeOrder(const HttpRequest &request);
+    HttpResponse control(const HttpRequest &request);
+    HttpResponse reportExecutions();
+    bool servesModel(const std::string &model);
+
+    const ModelEngineOptions m_options;
+    std::mutex m_ordersMutex; //!< Guards the members up to m_highestFencing.
+    std::vector<std::string> m_models;
+    std::string m_role;
+    std::int64_t m_highestFencing = 0;
+    std::atomic<bool> m_leaving {false};
+    std::atomic<std::uint64_t> m_nextId {1};
+    EngineScheduler m_scheduler;
+};
+
+} // namespace sesame
--- /dev/null
+++ b/StandIns/enginescheduler.cpp
@@ -0,0 +1,262 @@
+#include "enginescheduler.h"
+
+#include "Adapter/systemclock.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <unistd.h>
+
+namespace sesame {
+
+namespace {
+
+constexpr int crashExitCode = 70;
+constexpr std::size_t cancelledLimit = 4096;
+constexpr Duration longestSleep = std::chrono::milliseconds(200);
+
+Timestamp now()
+{
+    return SystemClock().now();
+}
+
+Duration toDuration(double millis)
+{
+    return Duration(static_cast<Duration::rep>(millis * 1000.0));
+}
+
+} // namespace
+
+EngineScheduler::EngineScheduler(const ModelEngineOptions &options)
+    : m_options(options), m_cache(options.cacheBlocks), m_thread([this] { run(); })
+{
+}
+
+EngineScheduler::~EngineScheduler()
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    m_thread.join();
+}
+
+bool EngineScheduler::submit(const EngineStreamPtr &stream)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (m_cancelledKeys.contains(stream->key) || m_cancelledIds.contains(stream->key.first))
+        return false;
+    if (!m_streams.emplace(stream->key, stream).second)
+        return false;
+    stream->idleSince = now();
+    m_queues[std::min<std::size_t>(stream->priority, m_queues.size() - 1)].push_back(stream);
+    m_wake.notify_all();
+    return true;
+}
+
+EngineStreamPtr EngineScheduler::find(const std::string &id, std::optional<std::uint64_t> attempt)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (attempt) {
+        const auto it = m_streams.find({id, *attempt});
+        return it == m_streams.end() ? nullptr : it->second;
+    }
+    auto it = m_streams.upper_bound({id, UINT64_MAX});
+    if (it == m_streams.begin() || (--it)->first.first != id)
+        return nullptr;
+    return it->second;
+}
+
+void EngineScheduler::attach(const EngineStreamPtr &stream)
+{
+    const std::scoped_lock lock(m_mutex);
+    ++stream->readers;
+}
+
+void EngineScheduler::detach(const EngineStreamPtr &stream)
+{
+    const std::scoped_lock lock(m_mutex);
+    --stream->readers;
+    stream->idleSince = now();
+}
+
+EngineRead EngineScheduler::read(const EngineStreamPtr &stream, std::uint64_t index, Duration wait)
+{
+    std::unique_lock lock(m_mutex);
+    stream->changed.wait_for(lock, wait, [&] {
+        return stream->next > index || !isOpen(stream->state);
+    });
+    if (stream->next > index)
+        return {.status = EngineRead::Status::Token,
+                .token = tokenAt(stream->prompt.hash, index)};
+    if (stream->state == EngineStreamState::Finished)
+        return {.status = EngineRead::Status::Finished, .token = {}};
+    const bool open = isOpen(stream->state);
+    return {.status = open ? EngineRead::Status::Waiting : EngineRead::Status::Lost, .token = {}};
+}
+
+CancelResult EngineScheduler::cancel(const std::string &id, std::optional<std::uint64_t> attempt)
+{
+    const std::scoped_lock lock(m_mutex);
+    CancelResult result = CancelResult::Unknown;
+    for (auto it = m_streams.lower_bound({id, 0}); it != m_streams.end(); ++it) {
+        if (it->first.first != id)
+            break;
+        if (attempt && it->first.second != *attempt)
+            continue;
+        const EngineStreamPtr stream = it->second;
+        const bool started = stream->state != EngineStreamState::Queued || stream->prefilled;
+        if (isOpen(stream->state))
+            finish(stream, EngineStreamState::Cancelled);
+        if (result != CancelResult::AfterStart)
+            result = started ? CancelResult::AfterStart : CancelResult::BeforeStart;
+    }
+    if (result != CancelResult::Unknown)
+        return result;
+    if (m_cancelledKeys.size() + m_cancelledIds.size() >= cancelledLimit)
+        return CancelResult::Unknown;
+    if (attempt)
+        m_cancelledKeys.emplace(id, *attempt);
+    else
+        m_cancelledIds.insert(id);
+    return CancelResult::BeforeStart;
+}
+
+bool EngineScheduler::stopForExport(const EngineStreamPtr &stream)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (!isOpen(stream->state))
+        return false;
+    finish(stream, EngineStreamState::Exported);
+    return true;
+}
+
+EngineLoad EngineScheduler::load()
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_load;
+}
+
+std::vector<CacheEvent> EngineScheduler::cacheEventsAfter(std::uint64_t after)
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_cache.eventsAfter(after, now() - m_options.cacheEventDelay);
+}
+
+std::map<std::string, std::uint64_t> EngineScheduler::executions()
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_executions;
+}
+
+std::pair<std::uint64_t, std::uint64_t> EngineScheduler::prefillCounts()
+{
+    const std::scoped_lock lock(m_mutex);
+    return {m_computedTokens, m_cachedTokens};
+}
+
+void EngineScheduler::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        const Timestamp time = now();
+        produceDue(time);
+        startQueued(time);
+        if (time >= m_nextSweep)
+            expireAbandoned(time);
+        Timestamp until = time + longestSleep;
+        if (!m_running.empty())
+            until = std::min(until, m_running.begin()->first);
+        m_wake.wait_until(lock, until);
+    }
+}
+
+void EngineScheduler::startQueued(Timestamp now)
+{
+    for (auto &queue : m_queues) {
+        while (!queue.empty() && m_running.size() < m_options.slots) {
+            const EngineStreamPtr stream = queue.front();
+            queue.pop_front();
+            start(stream, now);
+        }
+    }
+}
+
+void EngineScheduler::start(const EngineStreamPtr &stream, Timestamp now)
+{
+    // The process must die as a real crash does, without closing its connections in order.
+    if (stream->prompt.crashes)
+        _exit(crashExitCode);
+    stream->state = EngineStreamState::Running;
+    if (!stream->prefilled)
+        ++m_executions[stream->key.first];
+    const Duration prefill = prefillTime(*stream, now);
+    m_running.emplace(now + prefill + toDuration(m_options.tokenMillis), stream);
+}
+
+Duration EngineScheduler::prefillTime(const EngineStream &stream, Timestamp now)
+{
+    const std::size_t hits = m_cache.use(stream.prompt.blocks, now);
+    if (stream.prefilled)
+        return Duration::zero();
+    const std::uint64_t cached = hits * cacheBlockTokens;
+    const std::uint64_t computed = stream.prompt.tokens - std::min(cached, stream.prompt.tokens);
+    m_cachedTokens += cached;
+    m_computedTokens += computed;
+    return toDuration(static_cast<double>(computed) * 1000.0 / m_options.prefillTokensPerSecond);
+}
+
+void EngineScheduler::produceDue(Timestamp now)
+{
+    while (!m_running.empty() && m_running.begin()->first <= now) {
+        const auto node = m_running.extract(m_running.begin());
+        const EngineStreamPtr &stream = node.mapped();
+        if (stream->next < stream->end)
+            ++stream->next;
+        if (stream->next >= stream->end) {
+            stream->state = EngineStreamState::Finished;
+            stream->idleSince = now;
+        } else {
+            m_running.emplace(node.key() + toDuration(m_options.tokenMillis), stream);
+        }
+        stream->changed.notify_all();
+    }
+}
+
+void EngineScheduler::expireAbandoned(Timestamp now)
+{
+    constexpr Duration sweepInterval = std::chrono::milliseconds(100);
+    m_nextSweep = now + sweepInterval;
+    if (now - m_load.time >= m_options.loadLag) {
+        m_load.queued = 0;
+        for (const auto &queue : m_queues)
+            m_load.queued += queue.size();
+        m_load.running = m_running.size();
+        m_load.time = now;
+    }
+    // A stream whose first reader has not attached yet is not abandoned.
+    constexpr Duration attachTime = std::chrono::seconds(1);
+    std::vector<EngineStreamPtr> abandoned;
+    for (const auto &[key, stream] : m_streams) {
+        if (stream->readers == 0 && now - stream->idleSince > stream->keep + attachTime)
+            abandoned.push_back(stream);
+    }
+    for (const EngineStreamPtr &stream : abandoned) {
+        if (isOpen(stream->state))
+            finish(stream, EngineStreamState::Cancelled);
+        m_streams.erase(stream->key);
+    }
+}
+
+void EngineScheduler::finish(const EngineStreamPtr &stream, EngineStreamState state)
+{
+    for (auto &queue : m_queues)
+        std::erase(queue, stream);
+    std::erase_if(m_running, [&stream](const auto &entry) { return entry.second == stream; });
+    stream->state = state;
+    stream->idleSince = now();
+    stream->changed.notify_all();
+    m_wake.notify_all();
+}
+
+} // namespace sesame
--- /dev/null
+++ b/StandIns/enginescheduler.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "enginestream.h"
+#include "modelengine.h"
+#include "prefixcache.h"
+
+#include <array>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <thread>
+
+namespace sesame {
+
+/*!
+    What GET /v1/load publishes, taken at \c time.
+*/
+struct EngineLoad
+{
+    std::size_t queued = 0;
+    std::size_t running = 0;
+    Timestamp time;
+};
+
+enum class CancelResult { Unknown, BeforeStart, AfterStart };
+
+/*!
+    The next token of a stream, or why there is none.
+*/
+struct EngineRead
+{
+    enum class Status { Token, Waiting, Finished, Lost } status = Status::Waiting;
+    std::string token;
+};
+
+/*!
+    Continuous batching: at most the configured number of requests run at once, the others
+    wait by priority, and each running request yields one token per interval after prefill.
+*/
+class EngineScheduler
+{
+public:
+    explicit EngineScheduler(const ModelEngineOptions &options);
+    ~EngineScheduler();
+    EngineScheduler(const EngineScheduler &) = delete;
+    EngineScheduler &operator=(const EngineScheduler &) = delete;
+
+    /*!
+        Queues \a stream. Returns false if its key is in use or was cancelled before it came.
+    */
+    bool submit(const EngineStreamPtr &stream);
+
+    /*!
+        Returns stream \a id of \a attempt, or of the newest attempt if none is given.
+    */
+    EngineStreamPtr find(const std::string &id, std::optional<std::uint64_t> attempt);
+
+    void attach(const EngineStreamPtr &stream);
+    void detach(const EngineStreamPtr &stream);
+
+    /*!
+        Waits up to \a wait for token \a index of \a stream.
+    */
+    EngineRead read(const EngineStreamPtr &stream, std::uint64_t index, Duration wait);
+
+    /*!
+        Cancels \a id. An unknown request is remembered and refused if it arrives later, so
+        that the answer "not started" stays true.
+    */
+    CancelResult cancel(const std::string &id, std::optional<std::uint64_t> attempt);
+
+    /*!
+        Stops \a stream so that its state can be exported. Returns false if it has ended.
+    */
+    bool stopForExport(const EngineStreamPtr &stream);
+
+    EngineLoad load();
+    std::vector<CacheEvent> cacheEventsAfter(std::uint64_t after);
+
+    /*!
+        Returns how often each request id was started.
+    */
+    std::map<std::string, std::uint64_t> executions();
+
+    /*!
+        Returns the number of prompt tokens that were computed and that came from the cache.
+    */
+    std::pair<std::uint64_t, std::uint64_t> prefillCounts();
+
+private:
+    using Schedule = std::multimap<Timestamp, EngineStreamPtr>;
+
+    void run();
+    void startQueued(Timestamp now);
+    void start(const EngineStreamPtr &stream, Timestamp now);
+    void produceDue(Timestamp now);
+    void expireAbandoned(Timestamp now);
+    void finish(const EngineStreamPtr &stream, EngineStreamState state);
+    Duration prefillTime(const EngineStream &stream, Timestamp now);
+
+    const ModelEngineOptions m_options;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    bool m_stopping = false;
+    std::map<EngineStreamKey, EngineStreamPtr> m_streams;
+    std::array<std::deque<EngineStreamPtr>, 3> m_queues;
+    Schedule m_running; //!< By the time of the next token.
+    std::set<EngineStreamKey> m_cancelledKeys;
+    std::set<std::string> m_cancelledIds;
+    PrefixCache m_cache;
+    EngineLoad m_load;
+    Timestamp m_nextSweep;
+    std::map<std::string, std::uint64_t> m_executions;
+    std::uint64_t m_computedTokens = 0;
+    std::uint64_t m_cachedTokens = 0;
+    std::thread m_thread;
+};
+
+} // namespace sesame
--- /dev/null
+++ b/StandIns/enginetokens.cpp
@@ -0,0 +1,103 @@
+#include "enginetokens.h"
+
+#include "Adapter/json.h"
+
+#include <xxhash.h>
+
+#include <array>
+
+namespace sesame {
+
+namespace {
+
+constexpr std::array<std::string_view, 16> syllables {"ba", "de", "fi", "go", "hu", "ka",
+                                                      "le", "mi", "no", "pu", "ra", "se",
+                                                      "ti", "vo", "wu", "za"};
+constexpr std::uint64_t syllableMask = syllables.size() - 1;
+constexpr unsigned syllableBits = 4;
+constexpr unsigned lengthShift = 60;
+constexpr std::string_view blanks = " \t\r\n";
+
+template <typename Visitor>
+void visitWords(std::string_view text, const Visitor &visit)
+{
+    std::size_t begin = text.find_first_not_of(blanks);
+    while (begin != std::string_view::npos) {
+        const std::size_t end = std::min(text.find_first_of(blanks, begin), text.size());
+        visit(text.substr(begin, end - begin));
+        begin = text.find_first_not_of(blanks, end);
+    }
+}
+
+std::vector<std::uint64_t> hashBlocks(std::string_view text)
+{
+    std::vector<std::uint64_t> blocks;
+    std::string block;
+    std::size_t words = 0;
+    visitWords(text, [&](std::string_view word) {
+        block.append(word).push_back(' ');
+        if (++words % cacheBlockTokens != 0)
+            return;
+        const std::uint64_t previous = blocks.empty() ? 0 : blocks.back();
+        blocks.push_back(XXH64(block.data(), block.size(), previous));
+        block.clear();
+    });
+    return blocks;
+}
+
+} // namespace
+
+std::uint64_t countWords(std::string_view text)
+{
+    std::uint64_t n = 0;
+    visitWords(text, [&n](std::string_view) { ++n; });
+    return n;
+}
+
+EnginePrompt readPrompt(const json_t *body)
+{
+    const json_t *messages = json_object_get(body, "messages");
+    const std::size_t count = json_array_size(messages);
+    std::string text;
+    EnginePrompt prompt;
+    for (std::size_t n = 0; n < count; ++n) {
+        const json_t *message = json_array_get(messages, n);
+        const std::string role = jsonString(message, "role");
+        const std::string content = jsonString(message, "content");
+        const bool last = n + 1 == count;
+        if (last && role == "assistant" && jsonBool(body, "continue_final_message")) {
+            prompt.startIndex = countWords(content);
+            prompt.hash = XXH64(text.data(), text.size(), 0);
+            text.append(content);
+            break;
+        }
+        text.append(role).append("\n").append(content).append("\n");
+        prompt.hash = XXH64(text.data(), text.size(), 0);
+    }
+    prompt.tokens = countWords(text);
+    prompt.blocks = hashBlocks(text);
+    prompt.crashes = text.find("CRASH-ENGINE") != std::string::npos;
+    return prompt;
+}
+
+std::string tokenAt(std::uint64_t hash, std::uint64_t index)
+{
+    std::uint64_t bits = XXH64(&index, sizeof(index), hash);
+    const std::uint64_t length = 1 + (bits >> lengthShift) % 3;
+    std::string token;
+    for (std::uint64_t n = 0; n < length; ++n) {
+        token.append(syllables[bits & syllableMask]);
+        bits >>= syllableBits;
+    }
+    return token.append(" ");
+}
+
+std::string tokenText(std::uint64_t hash, std::uint64_t from, std::uint64_t to)
+{
+    std::string text;
+    for (std::uint64_t n = from; n < to; ++n)
+        text.append(tokenAt(hash, n));
+    return text;
+}
+
+} // namespace sesame
--- /dev/null
+++ b/StandIns/enginetokens.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <jansson.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sesame {
+
+constexpr std::size_t cacheBlockTokens = 16;
+
+/*!
+    The parts of a chat request that decide the stand-in's answer.
+*/
+struct EnginePrompt
+{
+    std::uint64_t hash = 0; //!< Of all messages but a continued last assistant message.
+    std::uint64_t startIndex = 0; //!< Word count of the continued message, else 0.
+    std::uint64_t tokens = 0; //!< Words of all messages, including the continued one.
+    std::vector<std::uint64_t> blocks; //!< Chained hashes of full blocks of cacheBlockTokens words.
+    bool crashes = false; //!< A message contains "CRASH-ENGINE".
+};
+
+/*!
+    Reads \a body's "messages" and "continue_final_message".
+*/
+EnginePrompt readPrompt(const json_t *body);
+
+/*!
+    Returns the number of words in \a text.
+*/
+std::uint64_t countWords(std::string_view text);
+
+/*!
+    Returns answer token \a index for the prompt with \a hash: a short word and a space.
+*/
+std::string tokenAt(std::uint64_t hash, std::uint64_t index);
+
+/*!
+    Returns tokens \a from up to but excluding \a to as one text.
+*/
+std::string tokenText(std::uint64_t hash, std::uint64_t from, std::uint64_t to);
+
+} // namespace sesame
--- a/StandIns/main.cpp
+++ b/StandIns/main.cpp
@@ -1,4 +1,75 @@
-int main()
+#include "Core/lastreason.h"
+#include "modelengine.h"
+#include "termination.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include <array>
+#include <cstdio>
+
+ABSL_FLAG(std::string, address, "127.0.0.1:9000", "IP:PORT to listen on");
+ABSL_FLAG(std::string, instance, "engine", "instance id of this process");
+ABSL_FLAG(std::uint64_t, incarnation, 1, "incarnation of this process");
+ABSL_FLAG(std::uint32_t, slots, 8, "engine: requests that run at once");
+ABSL_FLAG(double, token_ms, 20.0, "engine: milliseconds between tokens of a stream");
+ABSL_FLAG(double, prefill_tokens_per_s, 8000.0, "engine: prompt tokens computed per second");
+ABSL_FLAG(std::vector<std::string>, models, {}, "engine: models served, all if empty");
+ABSL_FLAG(std::uint32_t, cache_blocks, 4096, "engine: prompt blocks kept in the prefix cache");
+ABSL_FLAG(std::uint32_t, load_lag_ms, 200, "engine: age that a load report can reach");
+ABSL_FLAG(std::uint32_t, cache_event_delay_ms, 500, "engine: delay of cache events");
+ABSL_FLAG(std::string, fencing, "checked", "engine: checked or ignored fencing numbers in orders");
+
+namespace {
+
+using namespace sesame;
+
+constexpr int usageError = 2;
+
+int runEngineCommand(const Endpoint &address)
 {
-    return 0;
+    return runModelEngine(
+            {.address = address,
+             .slots = absl::GetFlag(FLAGS_slots),
+             .tokenMillis = absl::GetFlag(FLAGS_token_ms),
+             .prefillTokensPerSecond = absl::GetFlag(FLAGS_prefill_tokens_per_s),
+             .instance = absl::GetFlag(FLAGS_instance),
+             .incarnation = absl::GetFlag(FLAGS_incarnation),
+             .models = absl::GetFlag(FLAGS_models),
+             .cacheBlocks = absl::GetFlag(FLAGS_cache_blocks),
+             .loadLag = std::chrono::milliseconds(absl::GetFlag(FLAGS_load_lag_ms)),
+             .cacheEventDelay = std::chrono::milliseconds(absl::GetFlag(FLAGS_cache_event_delay_ms)),
+             .checksFencing = absl::GetFlag(FLAGS_fencing) == "checked"});
+}
+
+struct Command
+{
+    std::string_view name;
+    int (*run)(const Endpoint &address);
+};
+
+constexpr std::array commands {
+        Command {"engine", runEngineCommand},
+};
+
+} // namespace
+
+int main(int argc, char *argv[])
+{
+    const std::vector<char *> words = absl::ParseCommandLine(argc, argv);
+    const std::string_view name = words.size() > 1 ? words[1] : "";
+    const auto address = endpointFromText(absl::GetFlag(FLAGS_address));
+    if (!address) {
+        std::fprintf(stderr, "--address: %s\n", lastReason().text.c_str());
+        return usageError;
+    }
+    for (const Command &command : commands) {
+        if (command.name == name)
+            return command.run(*address);
+    }
+    std::fprintf(stderr, "usage: sesamestandins COMMAND [--address IP:PORT] ...; commands:");
+    for (const Command &command : commands)
+        std::fprintf(stderr, " %.*s", static_cast<int>(command.name.size()), command.name.data());
+    std::fprintf(stderr, "\n");
+    return usageError;
 }
--- /dev/null
+++ b/StandIns/modelengine.cpp
@@ -0,0 +1,28 @@
+#include "modelengine.h"
+
+#include "Adapter/httpserver.h"
+#include "Core/lastreason.h"
+#include "enginehandler.h"
+#include "termination.h"
+
+#include <cstdio>
+
+namespace sesame {
+
+int runModelEngine(const ModelEngineOptions &options)
+{
+    blockTerminationSignals();
+    EngineHandler handler(options);
+    constexpr std::size_t importLimitBytes = 16U << 20U;
+    const auto server = HttpServer::start(
+            {.address = options.address, .bodyLimitBytes = importLimitBytes},
+            [&handler](const HttpRequest &request) { return handler.handle(request); });
+    if (!server) {
+        std::fprintf(stderr, "%s\n", lastReason().text.c_str());
+        return 1;
+    }
+    waitForTermination();
+    return 0;
+}
+
+} // namespace sesame
--- /dev/null
+++ b/StandIns/modelengine.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Core/nodesettings.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sesame {
+
+struct ModelEngineOptions
+{
+    Endpoint address;
+    std::size_t slots = 8;
+    double tokenMillis = 20.0; //!< Interval between tokens of one stream.
+    double prefillTokensPerSecond = 8000.0;
+    std::string instance = "engine";
+    std::uint64_t incarnation = 1;
+    std::vector<std::string> models; //!< Empty: every model is served.
+    std::size_t cacheBlocks = 4096;
+    std::chrono::milliseconds loadLag {200}; //!< Age that a load report can reach.
+    std::chrono::milliseconds cacheEventDelay {500};
+    bool checksFencing = true;
+};
+
+/*!
+    Serves the model engine's interface until SIGTERM or SIGINT. Returns the exit code.
+*/
+int runModelEngine(const ModelEngineOptions &options);
+
+} // namespace sesame
--- /dev/null
+++ b/StandIns/prefixcache.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Core/ports.h"
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace sesame {
+
+struct CacheEvent
+{
+    std::uint64_t sequence = 0;
+    bool added = true;
+    std::uint64_t block = 0;
+    Timestamp time;
+};
+
+/*!
+    Prompt blocks that the engine stand-in keeps, least recently used out first, and the
+    events that announce changes.
+*/
+class PrefixCache
+{
+public:
+    explicit PrefixCache(std::size_t capacity) : m_capacity(capacity) { }
+
+    /*!
+        Returns how many leading \a blocks are cached, then adds all of them.
+    */
+    std::size_t use(std::span<const std::uint64_t> blocks, Timestamp now);
+
+    /*!
+        Returns events after sequence \a after that happened before \a until. Every 17th
+        event is left out, because engines publish events with gaps.
+    */
+    std::vector<CacheEvent> eventsAfter(std::uint64_t after, Timestamp until) const;
+
+private:
+    void touch(std::uint64_t block, Timestamp now);
+    void record(bool added, std::uint64_t block, Timestamp now);
+
+    std::size_t m_capacity;
+    std::list<std::uint64_t> m_recent; //!< Most recently used first.
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> m_positions;
+    std::deque<CacheEvent> m_events;
+    std::uint64_t m_sequence = 0;
+};
+
+} // namespace sesame
