--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -8,3 +8,6 @@
 #include "Core/nodesettings.h"
 #include "Core/ports.h"
 #include "Core/resultcode.h"
+#include "Core/resumetoken.h"
+#include "Core/sseparser.h"
+#include "Core/streamsession.h"
--- a/StandIns/enginehandler.cpp
+++ b/StandIns/enginehandler.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint64_t defaultMaxTokens = 128;
+constexpr std::uint64_t defaultMaxTokens = 256;
 constexpr std::uint64_t tokenLimit = 100'000;
 // Writing a comment while nothing is ready shows whether the reader is still connected.
 constexpr Duration commentInterval = std::chrono::seconds(1);
@@ -45,11 +45,10 @@
 std::string chunkText(const EngineStream &stream, std::uint64_t index, const std::string &token)
 {
     const bool last = index + 1 == stream.end;
-    const JsonPtr chunk(json_pack("{s:s,s:s,s:s,s:[{s:i,s:{s:s},s:s?}]}", "id",
-                                  stream.key.first.c_str(), "object", "chat.completion.chunk",
-                                  "model", stream.model.c_str(), "choices", "index", 0, "delta",
-                                  "content", token.c_str(), "finish_reason",
-                                  last ? "stop" : nullptr));
+    const JsonPtr chunk(json_pack(
+            "{s:s,s:s,s:s,s:[{s:i,s:{s:s},s:s?}]}", "id", stream.key.first.c_str(), "object",
+            "chat.completion.chunk", "model", stream.model.c_str(), "choices", "index", 0, "delta",
+            "content", token.c_str(), "finish_reason", last ? "stop" : nullptr));
     return "id: " + std::to_string(index) + "\ndata: " + dumpJson(chunk.get()) + "\n\n";
 }
 
@@ -144,8 +143,8 @@
     const std::string model = jsonString(body.get(), "model");
     if (!servesModel(model))
         return errorResponse(404, "model not loaded");
-    const EngineStreamPtr stream
-            = readChat(request, body.get(), "local-" + std::to_string(m_nextId++));
+    const EngineStreamPtr stream = readChat(request, body.get(),
+                                            "local-" + std::to_string(m_nextId++));
     m_scheduler.attach(stream);
     if (!m_scheduler.submit(stream))
         return errorResponse(409, "request id and attempt are in use or cancelled");
@@ -182,8 +181,14 @@
     return {.status = 200,
             .headers = {{"Content-Type", "text/event-stream"}},
             .body = {},
-            .reader = [reader] { return reader->read(); },
-            .closed = [this, stream] { m_scheduler.detach(stream); }};
+            .reader =
+                    [reader] {
+                        return reader->read();
+                    },
+            .closed =
+                    [this, stream] {
+                        m_scheduler.detach(stream);
+                    }};
 }
 
 HttpResponse EngineHandler::wholeResponse(const EngineStreamPtr &stream)
@@ -199,20 +204,19 @@
     const std::string text = tokenText(stream->prompt.hash, from, stream->end);
     const auto promptTokens = static_cast<json_int_t>(stream->prompt.tokens);
     const auto answerTokens = static_cast<json_int_t>(stream->end - from);
-    const JsonPtr body(json_pack("{s:s,s:s,s:s,s:[{s:i,s:{s:s,s:s},s:s}],s:{s:I,s:I}}", "id",
-                                 stream->key.first.c_str(), "object", "chat.completion", "model",
-                                 stream->model.c_str(), "choices", "index", 0, "message", "role",
-                                 "assistant", "content", text.c_str(), "finish_reason", "stop",
-                                 "usage", "prompt_tokens", promptTokens, "completion_tokens",
-                                 answerTokens));
+    const JsonPtr body(json_pack(
+            "{s:s,s:s,s:s,s:[{s:i,s:{s:s,s:s},s:s}],s:{s:I,s:I}}", "id", stream->key.first.c_str(),
+            "object", "chat.completion", "model", stream->model.c_str(), "choices", "index", 0,
+            "message", "role", "assistant", "content", text.c_str(), "finish_reason", "stop",
+            "usage", "prompt_tokens", promptTokens, "completion_tokens", answerTokens));
     return jsonResponse(200, body.get());
 }
 
 HttpResponse EngineHandler::reportLoad()
 {
     const EngineLoad load = m_scheduler.load();
-    const auto age
-            = std::chrono::duration_cast<std::chrono::milliseconds>(SystemClock().now() - load.time);
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(SystemClock().now()
+                                                                           - load.time);
     const JsonPtr models(json_array());
     {
         const std::scoped_lock lock(m_ordersMutex);
@@ -264,9 +268,8 @@
             static_cast<json_int_t>(stream->prompt.startIndex), "tokens",
             static_cast<json_int_t>(stream->prompt.tokens), "next",
             static_cast<json_int_t>(stream->next), "end", static_cast<json_int_t>(stream->end),
-            "model", stream->model.c_str(), "priority",
-            static_cast<json_int_t>(stream->priority), "keep",
-            static_cast<json_int_t>(stream->keep.count()), "blocks", blocks.get()));
+            "model", stream->model.c_str(), "priority", static_cast<json_int_t>(stream->priority),
+            "keep", static_cast<json_int_t>(stream->keep.count()), "blocks", blocks.get()));
     HttpResponse response = jsonResponse(200, body.get());
     response.headers = {{"Content-Type", "application/octet-stream"}};
     return response;
--- a/StandIns/enginescheduler.cpp
+++ b/StandIns/enginescheduler.cpp
@@ -27,7 +27,9 @@
 } // namespace
 
 EngineScheduler::EngineScheduler(const ModelEngineOptions &options)
-    : m_options(options), m_cache(options.cacheBlocks), m_thread([this] { run(); })
+    : m_options(options), m_cache(options.cacheBlocks), m_thread([this] {
+          run();
+      })
 {
 }
 
@@ -87,8 +89,7 @@
         return stream->next > index || !isOpen(stream->state);
     });
     if (stream->next > index)
-        return {.status = EngineRead::Status::Token,
-                .token = tokenAt(stream->prompt.hash, index)};
+        return {.status = EngineRead::Status::Token, .token = tokenAt(stream->prompt.hash, index)};
     if (stream->state == EngineStreamState::Finished)
         return {.status = EngineRead::Status::Finished, .token = {}};
     const bool open = isOpen(stream->state);
@@ -252,7 +253,9 @@
 {
     for (auto &queue : m_queues)
         std::erase(queue, stream);
-    std::erase_if(m_running, [&stream](const auto &entry) { return entry.second == stream; });
+    std::erase_if(m_running, [&stream](const auto &entry) {
+        return entry.second == stream;
+    });
     stream->state = state;
     stream->idleSince = now();
     stream->changed.notify_all();
--- a/StandIns/enginetokens.cpp
+++ b/StandIns/enginetokens.cpp
@@ -50,7 +50,9 @@
 std::uint64_t countWords(std::string_view text)
 {
     std::uint64_t n = 0;
-    visitWords(text, [&n](std::string_view) { ++n; });
+    visitWords(text, [&n](std::string_view) {
+        ++n;
+    });
     return n;
 }
 
--- a/StandIns/main.cpp
+++ b/StandIns/main.cpp
@@ -28,18 +28,18 @@
 
 int runEngineCommand(const Endpoint &address)
 {
-    return runModelEngine(
-            {.address = address,
-             .slots = absl::GetFlag(FLAGS_slots),
-             .tokenMillis = absl::GetFlag(FLAGS_token_ms),
-             .prefillTokensPerSecond = absl::GetFlag(FLAGS_prefill_tokens_per_s),
-             .instance = absl::GetFlag(FLAGS_instance),
-             .incarnation = absl::GetFlag(FLAGS_incarnation),
-             .models = absl::GetFlag(FLAGS_models),
-             .cacheBlocks = absl::GetFlag(FLAGS_cache_blocks),
-             .loadLag = std::chrono::milliseconds(absl::GetFlag(FLAGS_load_lag_ms)),
-             .cacheEventDelay = std::chrono::milliseconds(absl::GetFlag(FLAGS_cache_event_delay_ms)),
-             .checksFencing = absl::GetFlag(FLAGS_fencing) == "checked"});
+    return runModelEngine({.address = address,
+                           .slots = absl::GetFlag(FLAGS_slots),
+                           .tokenMillis = absl::GetFlag(FLAGS_token_ms),
+                           .prefillTokensPerSecond = absl::GetFlag(FLAGS_prefill_tokens_per_s),
+                           .instance = absl::GetFlag(FLAGS_instance),
+                           .incarnation = absl::GetFlag(FLAGS_incarnation),
+                           .models = absl::GetFlag(FLAGS_models),
+                           .cacheBlocks = absl::GetFlag(FLAGS_cache_blocks),
+                           .loadLag = std::chrono::milliseconds(absl::GetFlag(FLAGS_load_lag_ms)),
+                           .cacheEventDelay = std::chrono::milliseconds(
+                                   absl::GetFlag(FLAGS_cache_event_delay_ms)),
+                           .checksFencing = absl::GetFlag(FLAGS_fencing) == "checked"});
 }
 
 struct Command
--- a/StandIns/modelengine.cpp
+++ b/StandIns/modelengine.cpp
@@ -16,7 +16,9 @@
     constexpr std::size_t importLimitBytes = 16U << 20U;
     const auto server = HttpServer::start(
             {.address = options.address, .bodyLimitBytes = importLimitBytes},
-            [&handler](const HttpRequest &request) { return handler.handle(request); });
+            [&handler](const HttpRequest &request) {
+                return handler.handle(request);
+            });
     if (!server) {
         std::fprintf(stderr, "%s\n", lastReason().text.c_str());
         return 1;
