--- a/Source/Adapter/httpserver.cpp
+++ b/Source/Adapter/httpserver.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <cstring>
 #include <utility>
 
@@ -118,6 +119,21 @@
     return U_CALLBACK_COMPLETE;
 }
 
+using ActiveCount = std::atomic<std::size_t>;
+
+void *countStart(void *count, const char *uri)
+{
+    ++*static_cast<ActiveCount *>(count);
+    return ulfius_uri_logger(nullptr, uri);
+}
+
+void countEnd(void *count, MHD_Connection *connection, void **context,
+              MHD_RequestTerminationCode code)
+{
+    mhd_request_completed(nullptr, connection, context, code);
+    --*static_cast<ActiveCount *>(count);
+}
+
 void initializeLibrary()
 {
     static const int result = ulfius_global_init();
@@ -132,6 +148,7 @@
     sockaddr_in address {};
     _u_instance instance {};
     bool running = false;
+    ActiveCount activeRequests {0};
 };
 
 std::optional<HttpServer> HttpServer::start(const HttpServerOptions &options, Handler handler)
@@ -150,11 +167,11 @@
     instance->max_post_body_size = options.bodyLimitBytes + 1;
     instance->check_utf8 = 0;
     ulfius_set_default_endpoint(instance, &dispatch, &state->handler);
-    const auto completed = reinterpret_cast<intptr_t>(&mhd_request_completed);
-    const auto logger = reinterpret_cast<intptr_t>(&ulfius_uri_logger);
+    const auto completed = reinterpret_cast<intptr_t>(&countEnd);
+    const auto logger = reinterpret_cast<intptr_t>(&countStart);
     std::array<MHD_OptionItem, 9> items {{
-            {MHD_OPTION_NOTIFY_COMPLETED, completed, nullptr},
-            {MHD_OPTION_URI_LOG_CALLBACK, logger, nullptr},
+            {MHD_OPTION_NOTIFY_COMPLETED, completed, &state->activeRequests},
+            {MHD_OPTION_URI_LOG_CALLBACK, logger, &state->activeRequests},
             {MHD_OPTION_SOCK_ADDR, 0, &state->address},
             {MHD_OPTION_CONNECTION_TIMEOUT, static_cast<intptr_t>(options.idleTimeoutSeconds),
              nullptr},
@@ -195,6 +212,11 @@
     stop();
 }
 
+std::size_t HttpServer::activeRequests() const
+{
+    return m_state ? m_state->activeRequests.load() : 0;
+}
+
 void HttpServer::stop()
 {
     if (!m_state || !m_state->running)
--- a/Source/Adapter/httpserver.h
+++ b/Source/Adapter/httpserver.h
@@ -35,6 +35,11 @@
     HttpServer &operator=(HttpServer &&other) noexcept;
     ~HttpServer();
 
+    /*!
+        Returns the number of requests whose answer is not completely sent.
+    */
+    std::size_t activeRequests() const;
+
     /*!
         Closes the listening socket and all connections.
     */
--- a/Source/Node/chatrequest.cpp
+++ b/Source/Node/chatrequest.cpp
@@ -3,11 +3,8 @@
 #include "Adapter/json.h"
 #include "Core/lastreason.h"
 
-#include <xxhash.h>
-
-#include <array>
+#include <algorithm>
 #include <cctype>
-#include <cstdio>
 
 namespace sesame {
 
@@ -66,16 +63,18 @@
     return request;
 }
 
-std::string makeEngineBody(const ChatRequest &request, std::string_view prefix,
-                           std::int64_t keepSeconds)
+std::string makeEngineBody(const ChatRequest &request, const Continuation &start,
+                           std::chrono::seconds keep)
 {
     const JsonPtr root = parseJson(request.body);
     json_object_set_new(root.get(), "stream", json_true());
-    json_object_set_new(root.get(), "keep_seconds", json_integer(keepSeconds));
-    if (!prefix.empty()) {
+    json_object_set_new(root.get(), "keep_seconds", json_integer(keep.count()));
+    const std::int64_t rest = request.maxTokens - static_cast<std::int64_t>(start.tokens);
+    json_object_set_new(root.get(), "max_tokens", json_integer(std::max<std::int64_t>(rest, 1)));
+    if (!start.text.empty()) {
         json_t *message = json_object();
         json_object_set_new(message, "role", json_string("assistant"));
-        json_object_set_new(message, "content", json_stringn(prefix.data(), prefix.size()));
+        json_object_set_new(message, "content", json_stringn(start.text.data(), start.text.size()));
         json_array_append_new(json_object_get(root.get(), "messages"), message);
         json_object_set_new(root.get(), "continue_final_message", json_true());
     }
@@ -94,15 +93,4 @@
     return n;
 }
 
-std::string makeFingerprint(std::string_view account, std::string_view body)
-{
-    const XXH64_hash_t seed = XXH3_64bits(account.data(), account.size());
-    const XXH128_hash_t hash = XXH3_128bits_withSeed(body.data(), body.size(), seed);
-    std::array<char, 33> buf {};
-    std::snprintf(buf.data(), buf.size(), "%016llx%016llx",
-                  static_cast<unsigned long long>(hash.high64),
-                  static_cast<unsigned long long>(hash.low64));
-    return std::string(buf.data());
-}
-
 } // namespace sesame
--- a/Source/Node/chatrequest.h
+++ b/Source/Node/chatrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,20 +28,24 @@
 std::optional<ChatRequest> parseChatRequest(std::string_view body);
 
 /*!
-    Returns the JSON text that asks a backend server to run \a request and to go on after
-    \a prefix. The server keeps the stream for \a keepSeconds after a lost connection.
+    Where an engine goes on with a request that another attempt has partly answered.
 */
-std::string makeEngineBody(const ChatRequest &request, std::string_view prefix,
-                           std::int64_t keepSeconds);
+struct Continuation
+{
+    std::string_view text; //!< Text that the caller already has.
+    std::uint64_t tokens = 0; //!< Number of its tokens.
+};
 
 /*!
-    Returns a rough number of tokens in \a text; a word counts as one.
+    Returns the JSON text that asks a backend server to run \a request from \a start on. The
+    server keeps the stream for \a keep after a lost connection.
 */
-std::int64_t estimateTokens(std::string_view text);
+std::string makeEngineBody(const ChatRequest &request, const Continuation &start,
+                           std::chrono::seconds keep);
 
 /*!
-    Returns a hash of \a account and \a body that all nodes agree on, as hexadecimal text.
+    Returns a rough number of tokens in \a text; a word counts as one.
 */
-std::string makeFingerprint(std::string_view account, std::string_view body);
+std::int64_t estimateTokens(std::string_view text);
 
 } // namespace sesame
--- /dev/null
+++ b/Source/Node/enginecall.cpp
@@ -0,0 +1,242 @@
+#include "Node/enginecall.h"
+
+#include "Adapter/backendclient.h"
+#include "Adapter/json.h"
+#include "Core/nodesettingsfile.h"
+#include "Core/sseparser.h"
+
+#include <charconv>
+#include <string_view>
+
+namespace sesame {
+
+namespace {
+
+constexpr std::chrono::milliseconds longestRun = std::chrono::minutes(30);
+constexpr std::chrono::milliseconds cancelTimeout {2000};
+constexpr std::chrono::seconds defaultStreamKeep {30};
+constexpr std::string_view urlScheme = "http://";
+constexpr int statusBadRequest = 400;
+constexpr int statusTooLarge = 413;
+
+std::string baseUrl(const Endpoint &address)
+{
+    return std::string(urlScheme) + address.host + ":" + std::to_string(address.port);
+}
+
+std::string tokenText(std::string_view data)
+{
+    const JsonPtr chunk = parseJson(data);
+    const json_t *choice = json_array_get(json_object_get(chunk.get(), "choices"), 0);
+    return jsonString(json_object_get(choice, "delta"), "content");
+}
+
+/*!
+    Passes the events of one engine connection to the session and the caller.
+*/
+class TokenReader
+{
+public:
+    TokenReader(ModelStream &stream, StreamAttempt attempt)
+        : m_stream(stream), m_attempt(std::move(attempt))
+    {
+    }
+
+    /*!
+        Takes a part of the engine's answer. Returns false to end the connection.
+    */
+    bool feed(std::string_view part)
+    {
+        if (m_stream.isDetached() || m_stream.isMoveRequested())
+            return false;
+        const bool valid = m_parser.feed(part, [this](const SseEvent &event) { take(event); });
+        return valid && !m_done && !m_broken;
+    }
+
+    bool isDone() const { return m_done; }
+    bool isEnded() const { return m_ended; }
+
+private:
+    void take(const SseEvent &event)
+    {
+        if (event.type == "ended") {
+            m_ended = true;
+            m_broken = true;
+        } else if (event.data == "[DONE]") {
+            m_done = true;
+        } else if (!m_done && !m_broken) {
+            takeToken(event);
+        }
+    }
+
+    void takeToken(const SseEvent &event)
+    {
+        std::uint64_t offset = 0;
+        const char *end = event.id.data() + event.id.size();
+        if (std::from_chars(event.id.data(), end, offset).ec != std::errc())
+            return;
+        const std::string token = tokenText(event.data);
+        const StreamVerdict verdict = m_stream.session().lock()->accept(m_attempt, offset, token);
+        if (verdict == StreamVerdict::Delivered)
+            m_broken = !m_stream.buffer().write("id: " + event.id + "\ndata: " + event.data + "\n\n");
+        else if (verdict != StreamVerdict::Duplicate)
+            m_broken = true;
+    }
+
+    ModelStream &m_stream;
+    StreamAttempt m_attempt;
+    SseParser m_parser;
+    bool m_done = false;
+    bool m_ended = false;
+    bool m_broken = false;
+};
+
+AttemptEnd classifyStatus(int status)
+{
+    if (status == statusBadRequest || status == statusTooLarge)
+        return AttemptEnd::Rejected;
+    return AttemptEnd::Refused;
+}
+
+AttemptResult judge(const ModelStream &stream, const TokenReader &reader, const BackendReply &reply)
+{
+    if (reader.isDone())
+        return {.end = AttemptEnd::Completed, .reason = {}};
+    if (stream.isDetached())
+        return {.end = AttemptEnd::Detached, .reason = "the caller is gone"};
+    if (reader.isEnded())
+        return {.end = AttemptEnd::Ended, .reason = "the engine ended the run"};
+    if (stream.isMoveRequested())
+        return {.end = AttemptEnd::Moved, .reason = "the engine is leaving"};
+    if (reply.status == CallStatus::NotSent)
+        return {.end = AttemptEnd::NotSent, .reason = reply.reason};
+    if (reply.status == CallStatus::Replied && reply.reply.status >= statusBadRequest)
+        return {.end = classifyStatus(reply.reply.status), .reason = reply.reply.body};
+    return {.end = AttemptEnd::Lost, .reason = reply.reason};
+}
+
+AttemptResult readStream(ModelStream &stream, const HttpCall &call, const StreamAttempt &attempt)
+{
+    TokenReader reader(stream, attempt);
+    const BackendReply reply = streamFromBackend(
+            call, [&reader](std::string_view part) { return reader.feed(part); });
+    return judge(stream, reader, reply);
+}
+
+std::chrono::seconds streamKeep(NodeContext &context)
+{
+    const auto config = context.config();
+    return config ? config->defaults.streamKeep : defaultStreamKeep;
+}
+
+HttpCall makeStartCall(NodeContext &context, ModelStream &stream, const BackendView &engine)
+{
+    auto session = stream.session().lock();
+    const Continuation start {.text = session->resumePrefix(), .tokens = session->nextOffset()};
+    return {.method = "POST",
+            .url = engine.address + "/v1/chat/completions",
+            .headers = {{"Content-Type", "application/json"},
+                        {"X-Request-Id", stream.engineRequestId()},
+                        {"X-Attempt", std::to_string(session->attempt())},
+                        {"X-Priority", std::to_string(static_cast<int>(stream.rank()))}},
+            .body = makeEngineBody(stream.request(), start, streamKeep(context)),
+            .timeout = longestRun};
+}
+
+std::string streamUrl(const ModelStream &stream, const AttemptEngine &engine)
+{
+    return baseUrl(engine.address) + "/v1/streams/" + stream.engineRequestId();
+}
+
+} // namespace
+
+AttemptEngine toAttemptEngine(const BackendView &view)
+{
+    const std::string_view address(view.address);
+    const bool hasScheme = address.starts_with(urlScheme);
+    const auto endpoint = parseEndpoint(hasScheme ? address.substr(urlScheme.size()) : address);
+    return {.id = view.id,
+            .incarnation = static_cast<std::uint64_t>(view.incarnation),
+            .address = endpoint.value_or(Endpoint {})};
+}
+
+std::string makeTokenEvent(NodeContext &context, ModelStream &stream, std::string_view type)
+{
+    const std::chrono::milliseconds keep = streamKeep(context);
+    ResumeToken token;
+    {
+        auto session = stream.session().lock();
+        token.engineAddress = session->engine().address;
+        token.engineId = session->engine().id;
+        token.engineIncarnation = session->engine().incarnation;
+        token.attempt = session->attempt();
+    }
+    token.requestId = stream.requestId();
+    token.account = stream.account();
+    token.model = stream.model();
+    token.rank = stream.rank();
+    token.promptTokens = static_cast<std::uint64_t>(estimateTokens(stream.request().prompt));
+    // The run itself may be long; the engine keeps it for the stream time after the loss.
+    token.expiry = context.clock.wallMillis() + longestRun.count() + keep.count();
+    const std::string signedToken = token.sign(context.settings.tokenKey);
+    const JsonPtr body(json_pack("{s:s,s:s}", "request_id", stream.requestId().c_str(),
+                                 "resume_token", signedToken.c_str()));
+    return "event: " + std::string(type) + "\ndata: " + dumpJson(body.get()) + "\n\n";
+}
+
+AttemptResult startAttempt(NodeContext &context, ModelStream &stream, const BackendView &engine)
+{
+    const StreamAttempt attempt = stream.session().lock()->beginAttempt(toAttemptEngine(engine));
+    const bool first = attempt.number == 1;
+    stream.buffer().write(makeTokenEvent(context, stream, first ? "accepted" : "moved"));
+    const HttpCall call = makeStartCall(context, stream, engine);
+    AttemptResult result = readStream(stream, call, attempt);
+    if (result.end != AttemptEnd::Lost)
+        return result;
+    // The run may still be alive if only the connection broke.
+    return attachAttempt(context, stream, toAttemptEngine(engine), attempt.number);
+}
+
+AttemptResult attachAttempt(NodeContext & /*context*/, ModelStream &stream,
+                            const AttemptEngine &engine, std::uint64_t attempt)
+{
+    StreamAttempt current;
+    std::uint64_t from = 0;
+    {
+        auto session = stream.session().lock();
+        current = session->continueAttempt(engine, attempt);
+        from = session->nextOffset();
+    }
+    const HttpCall call {.method = "GET",
+                         .url = streamUrl(stream, engine) + "?from=" + std::to_string(from)
+                                 + "&attempt=" + std::to_string(attempt),
+                         .headers = {},
+                         .body = {},
+                         .timeout = longestRun};
+    AttemptResult result = readStream(stream, call, current);
+    const bool refused = result.end == AttemptEnd::Refused || result.end == AttemptEnd::Rejected;
+    if (refused || result.end == AttemptEnd::NotSent)
+        result.end = AttemptEnd::Lost;
+    return result;
+}
+
+bool cancelAttempt(ModelStream &stream)
+{
+    AttemptEngine engine;
+    {
+        auto session = stream.session().lock();
+        engine = session->engine();
+    }
+    const HttpCall call {.method = "DELETE",
+                         .url = streamUrl(stream, engine),
+                         .headers = {},
+                         .body = {},
+                         .timeout = cancelTimeout};
+    const BackendReply reply = callBackend(call);
+    if (reply.status != CallStatus::Replied || reply.reply.status >= statusBadRequest)
+        return false;
+    const JsonPtr body = parseJson(reply.reply.body);
+    return !jsonBool(body.get(), "started", true);
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Node/entrynode.cpp
@@ -0,0 +1,234 @@
+#include "Node/entrynode.h"
+
+#include "Adapter/httpserver.h"
+#include "Adapter/log.h"
+#include "Adapter/peerserver.h"
+#include "Core/nodesettingsfile.h"
+#include "Node/backendmonitor.h"
+#include "Node/callerapi.h"
+#include "Node/fleetwatcher.h"
+#include "Node/modelservice.h"
+#include "Node/nodecontext.h"
+#include "Node/operatorapi.h"
+#include "Node/peerexchange.h"
+#include "Node/routeservice.h"
+
+#include <pthread.h>
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+#include <vector>
+
+namespace sesame {
+
+namespace {
+
+constexpr int exitSuccess = 0;
+constexpr int exitFailure = 1;
+constexpr std::chrono::milliseconds membershipInterval {50};
+constexpr std::chrono::milliseconds fleetInterval {200};
+constexpr std::chrono::milliseconds cloudInterval {250};
+constexpr std::chrono::milliseconds engineInterval {500};
+constexpr std::chrono::milliseconds dispatchInterval {50};
+constexpr std::chrono::milliseconds ledgerInterval {1000};
+constexpr std::chrono::milliseconds idlePoll {20};
+constexpr std::chrono::milliseconds signalPoll {200};
+constexpr std::string_view nodesPrefix = "nodes/";
+
+/*!
+    An entry node: its tables, services, servers and background threads.
+*/
+class EntryNode
+{
+public:
+    explicit EntryNode(const NodeSettings &settings)
+        : m_context(settings),
+          m_models(m_context),
+          m_routes(m_context),
+          m_peers(m_context, m_models),
+          m_fleet(m_context, m_peers),
+          m_monitor(m_context, m_models, m_peers, [this] { withdraw(); }),
+          m_callerApi(m_context, m_models, m_routes),
+          m_operatorApi(m_context, [this] { withdraw(); })
+    {
+    }
+
+    bool start()
+    {
+        if (!startServers())
+            return false;
+        join();
+        startThreads();
+        return true;
+    }
+
+    /*!
+        Waits for the order to stop, then lets callers with an old address finish.
+    */
+    void runUntilStopped()
+    {
+        while (!m_context.lifecycle.waitForPhase(NodePhase::Withdrawn, signalPoll)) { }
+        leave();
+        const auto config = m_context.config();
+        const auto ttl = config ? config->defaults.entryTtl : FleetDefaults().entryTtl;
+        std::this_thread::sleep_for(ttl);
+        m_context.lifecycle.advance(NodePhase::Draining);
+        while (m_callerServer->activeRequests() > 0)
+            std::this_thread::sleep_for(idlePoll);
+        m_context.lifecycle.advance(NodePhase::Stopped);
+        for (std::thread &thread : m_threads)
+            thread.join();
+        m_callerServer.reset();
+        m_operatorServer.reset();
+        m_peerServer.reset();
+        m_context.workers.stop();
+        m_context.controlWorkers.stop();
+        logEvent(LogLevel::Info, "node stopped");
+    }
+
+    void withdraw() { m_context.lifecycle.advance(NodePhase::Withdrawn); }
+
+private:
+    bool startServers()
+    {
+        const NodeSettings &settings = m_context.settings;
+        m_peerServer = PeerServer::start(
+                {.address = settings.peerAddress,
+                 .identity = {.node = settings.node, .key = settings.peerKey}},
+                [this](const wire::PeerRequest &request, std::string_view sender) {
+                    return m_peers.answer(request, sender);
+                });
+        m_callerServer = HttpServer::start(
+                {.address = settings.callerAddress},
+                [this](const HttpRequest &request) { return m_callerApi.handle(request); });
+        m_operatorServer = HttpServer::start(
+                {.address = settings.operatorAddress},
+                [this](const HttpRequest &request) { return m_operatorApi.handle(request); });
+        if (m_peerServer && m_callerServer && m_operatorServer)
+            return true;
+        logEvent(LogLevel::Error, "cannot start", {{"reason", lastReason().text}});
+        return false;
+    }
+
+    void join()
+    {
+        const NodeSettings &settings = m_context.settings;
+        std::vector<Endpoint> seeds = settings.seeds;
+        const std::string ownKey = std::string(nodesPrefix) + settings.node;
+        if (const auto records = m_context.store.list(nodesPrefix)) {
+            for (const ObjectListEntry &record : records->objects) {
+                const auto endpoint = parseEndpoint(m_context.store.read(record.key).value);
+                if (record.key != ownKey && endpoint)
+                    seeds.push_back(*endpoint);
+            }
+        }
+        const std::string address
+                = settings.peerAddress.host + ":" + std::to_string(settings.peerAddress.port);
+        const StoreResult old = m_context.store.read(ownKey);
+        m_context.store.writeIf(ownKey, address, old.version);
+        m_context.membership.lock()->join(std::move(seeds));
+    }
+
+    void leave()
+    {
+        logEvent(LogLevel::Info, "node withdraws");
+        m_context.membership.lock()->leave(m_context.clock.now());
+        const std::string ownKey = std::string(nodesPrefix) + m_context.settings.node;
+        const StoreResult record = m_context.store.read(ownKey);
+        if (record.status == StoreStatus::Ok)
+            m_context.store.removeIf(ownKey, record.version);
+    }
+
+    void startThreads()
+    {
+        repeat(membershipInterval, [this] { m_peers.tick(); });
+        repeat(fleetInterval, [this] { m_fleet.tick(); });
+        repeat({}, [this] { m_fleet.watchStore(); });
+        repeat(cloudInterval, [this] { m_monitor.pollCloud(); });
+        repeat(engineInterval, [this] { m_monitor.pollEngines(); });
+        repeat(dispatchInterval, [this] { m_models.dispatchWaiting(); });
+        repeat(ledgerInterval, [this] { m_context.ledger.flush(); });
+    }
+
+    template <typename Step>
+    void repeat(std::chrono::milliseconds interval, Step step)
+    {
+        m_threads.emplace_back([this, interval, step] {
+            while (m_context.lifecycle.phase() != NodePhase::Stopped) {
+                step();
+                std::this_thread::sleep_for(interval);
+            }
+        });
+    }
+
+    NodeContext m_context;
+    ModelService m_models;
+    RouteService m_routes;
+    PeerExchange m_peers;
+    FleetWatcher m_fleet;
+    BackendMonitor m_monitor;
+    CallerApi m_callerApi;
+    OperatorApi m_operatorApi;
+    std::optional<PeerServer> m_peerServer;
+    std::optional<HttpServer> m_callerServer;
+    std::optional<HttpServer> m_operatorServer;
+    std::vector<std::thread> m_threads;
+};
+
+/*!
+    Blocks the stop signals in all threads and passes them to \a node from one thread.
+*/
+class StopSignals
+{
+public:
+    StopSignals()
+    {
+        sigemptyset(&m_signals);
+        sigaddset(&m_signals, SIGTERM);
+        sigaddset(&m_signals, SIGINT);
+        pthread_sigmask(SIG_BLOCK, &m_signals, nullptr);
+    }
+
+    void forwardTo(EntryNode &node)
+    {
+        m_thread = std::thread([this, &node] {
+            const timespec wait {.tv_sec = 0, .tv_nsec = std::chrono::nanoseconds(signalPoll).count()};
+            while (!m_done) {
+                if (sigtimedwait(&m_signals, nullptr, &wait) > 0)
+                    node.withdraw();
+            }
+        });
+    }
+
+    void stop()
+    {
+        m_done = true;
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+
+private:
+    sigset_t m_signals {};
+    std::thread m_thread;
+    std::atomic<bool> m_done {false};
+};
+
+} // namespace
+
+int runServe(const NodeSettings &settings)
+{
+    if (!initializeLog(settings.logLevel, settings.node))
+        return exitFailure;
+    StopSignals signals;
+    EntryNode node(settings);
+    if (!node.start())
+        return exitFailure;
+    logEvent(LogLevel::Info, "node started", {{"zone", settings.zone}});
+    signals.forwardTo(node);
+    node.runUntilStopped();
+    signals.stop();
+    return exitSuccess;
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Node/fleetwatcher.cpp
@@ -0,0 +1,101 @@
+#include "Node/fleetwatcher.h"
+
+#include "Adapter/log.h"
+#include "Core/fleetdocument.h"
+
+#include <thread>
+
+namespace sesame {
+
+namespace {
+
+constexpr std::string_view fleetPrefix = "fleet/";
+// Shorter than FleetKeeperOptions::freshness, so that a quiet store still counts as reached.
+constexpr std::chrono::milliseconds watchWait {2000};
+constexpr std::chrono::milliseconds failurePause {500};
+
+} // namespace
+
+void FleetWatcher::watchStore()
+{
+    if (!m_hasRead) {
+        readStore();
+        if (!m_hasRead) {
+            std::this_thread::sleep_for(failurePause);
+            return;
+        }
+    }
+    const auto changes = m_context.store.watch(fleetPrefix, m_revision, watchWait);
+    m_context.storeReachable = changes.has_value();
+    m_context.fleet.lock()->recordStore(m_context.clock.now(), changes.has_value());
+    if (!changes) {
+        m_hasRead = false; // A change may have been missed during the outage.
+        std::this_thread::sleep_for(failurePause);
+        return;
+    }
+    const bool restored = changes->revision < m_revision;
+    m_revision = changes->revision;
+    if (restored || !changes->objects.empty())
+        readStore();
+}
+
+void FleetWatcher::readStore()
+{
+    const StoreResult read = m_context.store.read(fleetObjectKey);
+    const bool reachable = read.status == StoreStatus::Ok || read.status == StoreStatus::NotFound;
+    m_context.storeReachable = reachable;
+    std::uint64_t storedVersion = 0;
+    {
+        auto fleet = m_context.fleet.lock();
+        fleet->recordStore(m_context.clock.now(), reachable);
+        if (read.status == StoreStatus::Ok) {
+            fleet->offer(read.value, FleetSource::Store);
+            if (const auto document = decodeFleetDocument(read.value))
+                storedVersion = document->version;
+        }
+    }
+    m_hasRead = reachable;
+    if (reachable)
+        restoreStore(read.version, storedVersion);
+}
+
+void FleetWatcher::restoreStore(std::uint64_t objectVersion, std::uint64_t documentVersion)
+{
+    const auto document = m_context.fleet.lock()->documentToRestore(documentVersion);
+    if (!document)
+        return;
+    const StoreResult written = m_context.store.writeIf(fleetObjectKey, *document, objectVersion);
+    logEvent(LogLevel::Warning, "wrote the newer fleet document back to the store",
+             {{"found_version", static_cast<std::int64_t>(documentVersion)},
+              {"written", written.status == StoreStatus::Ok}});
+}
+
+void FleetWatcher::tick()
+{
+    m_peers.pullFleet();
+    std::optional<std::string> alarm;
+    std::uint64_t version = 0;
+    std::shared_ptr<const FleetConfig> config;
+    bool mayServe = false;
+    {
+        auto fleet = m_context.fleet.lock();
+        alarm = fleet->takeAlarm();
+        version = fleet->fleetVersion();
+        config = fleet->config();
+        mayServe = fleet->mayServe(m_context.clock.now());
+    }
+    if (alarm)
+        logEvent(LogLevel::Error, "fleet configuration alarm", {{"reason", *alarm}});
+    if (config && version != m_appliedVersion) {
+        m_appliedVersion = version;
+        m_context.backends.lock()->setRecoveryGrace(config->defaults.recoveryGrace);
+        m_context.admission.lock()->setOptions(AdmissionOptions {.ranks = config->ranks});
+        m_context.retries.lock()->setRetriesPerSuccess(config->defaults.retryBudget);
+        logEvent(LogLevel::Info, "fleet configuration in force",
+                 {{"version", static_cast<std::int64_t>(version)}});
+    }
+    if (mayServe)
+        m_context.lifecycle.advance(NodePhase::Serving);
+}
+
+} // namespace sesame
--- a/Source/Node/lifecycle.cpp
+++ b/Source/Node/lifecycle.cpp
@@ -33,26 +33,10 @@
     m_changed.notify_all();
 }
 
-bool Lifecycle::beginRequest()
+bool Lifecycle::acceptsRequests() const
 {
     const std::lock_guard lock(m_mutex);
-    if (m_phase != NodePhase::Serving && m_phase != NodePhase::Withdrawn)
-        return false;
-    ++m_inFlight;
-    return true;
-}
-
-void Lifecycle::endRequest()
-{
-    const std::lock_guard lock(m_mutex);
-    --m_inFlight;
-    m_changed.notify_all();
-}
-
-std::size_t Lifecycle::requestsInFlight() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_inFlight;
+    return m_phase == NodePhase::Serving || m_phase == NodePhase::Withdrawn;
 }
 
 bool Lifecycle::waitForPhase(NodePhase phase, std::chrono::milliseconds timeout)
@@ -61,10 +45,4 @@
     return m_changed.wait_for(lock, timeout, [this, phase] { return m_phase >= phase; });
 }
 
-bool Lifecycle::waitUntilIdle(std::chrono::milliseconds timeout)
-{
-    std::unique_lock lock(m_mutex);
-    return m_changed.wait_for(lock, timeout, [this] { return m_inFlight == 0; });
-}
-
 } // namespace sesame
--- a/Source/Node/lifecycle.h
+++ b/Source/Node/lifecycle.h
@@ -22,7 +22,7 @@
 std::string_view toString(NodePhase phase);
 
 /*!
-    Phase of the node and the number of requests in flight.
+    Phase of the node, shared by all threads.
 */
 class Lifecycle
 {
@@ -36,54 +36,19 @@
     void advance(NodePhase phase);
 
     /*!
-        Counts a new request. Returns false if the node does not accept requests.
+        Returns true while new requests are accepted.
     */
-    bool beginRequest();
-    void endRequest();
-    std::size_t requestsInFlight() const;
+    bool acceptsRequests() const;
 
     /*!
         Waits until the phase is \a phase or later. Returns false after \a timeout.
     */
     bool waitForPhase(NodePhase phase, std::chrono::milliseconds timeout);
 
-    /*!
-        Waits until no request is in flight. Returns false after \a timeout.
-    */
-    bool waitUntilIdle(std::chrono::milliseconds timeout);
-
 private:
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     NodePhase m_phase = NodePhase::Starting;
-    std::size_t m_inFlight = 0;
-};
-
-/*!
-    Counts one request in flight for as long as it lives.
-*/
-class RequestGuard
-{
-public:
-    explicit RequestGuard(Lifecycle *lifecycle)
-        : m_lifecycle(lifecycle), m_accepted(lifecycle->beginRequest())
-    {
-    }
-
-    ~RequestGuard()
-    {
-        if (m_accepted)
-            m_lifecycle->endRequest();
-    }
-
-    RequestGuard(const RequestGuard &) = delete;
-    RequestGuard &operator=(const RequestGuard &) = delete;
-
-    bool isAccepted() const { return m_accepted; }
-
-private:
-    Lifecycle *m_lifecycle;
-    bool m_accepted;
 };
 
 } // namespace sesame
--- /dev/null
+++ b/Source/Node/modelservice.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "Adapter/httpmessage.h"
+#include "Core/backoff.h"
+#include "Node/enginecall.h"
+#include "Node/nodecontext.h"
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sesame {
+
+/*!
+    Serves model requests: admission, choice of the engine, retries, resumption.
+*/
+class ModelService
+{
+public:
+    explicit ModelService(NodeContext &context) : m_context(context) { }
+
+    /*!
+        Serves a chat completion of \a account.
+    */
+    HttpResponse complete(const HttpRequest &request, const Account &account);
+
+    /*!
+        Resumes the request that the token of \a request names.
+    */
+    HttpResponse resume(const HttpRequest &request, const Account &account);
+
+    /*!
+        Starts waiting requests for which engines have room.
+    */
+    void dispatchWaiting();
+
+    /*!
+        Moves the running requests away from engine \a id, which is leaving.
+    */
+    void leaveEngine(std::string_view id);
+
+    /*!
+        Records that \a engine died without notice; its running requests become suspects.
+        Later calls for the same incarnation have no effect.
+    */
+    void recordEngineCrash(const BackendView &engine);
+
+private:
+    struct PreparedRequest
+    {
+        ModelStreamPtr stream;
+        WorkItem item;
+    };
+
+    std::optional<PreparedRequest> prepare(const HttpRequest &request, const Account &account);
+    std::optional<Rank> chooseRank(const HttpRequest &request, const Account &account,
+                                   const Model &model) const;
+    bool submit(const PreparedRequest &prepared, RequestResult *refusal);
+    void dispatchPool(const Model &model);
+    PoolCapacity measureCapacity(const std::vector<BackendView> &engines);
+    void run(const ModelStreamPtr &stream);
+    RequestResult serve(const ModelStreamPtr &stream);
+    std::optional<RequestResult> serveOnce(const ModelStreamPtr &stream, Backoff &backoff,
+                                           std::set<std::string> &excluded);
+    std::optional<BackendView> chooseEngine(ModelStream &stream,
+                                            const std::set<std::string> &excluded);
+    bool mayRunOn(const ModelStream &stream, const BackendView &engine);
+    AttemptResult runAttempt(ModelStream &stream, const BackendView &engine);
+    void checkLostEngine(const BackendView &engine);
+    RequestResult endDetached(ModelStream &stream);
+    void pauseBeforeRetry(Backoff &backoff);
+    void finish(const ModelStreamPtr &stream, const RequestResult &result);
+    void reattach(const ModelStreamPtr &stream, const ResumeToken &token);
+    HttpResponse respond(const ModelStreamPtr &stream);
+    HttpResponse collect(const ModelStreamPtr &stream);
+    std::vector<EngineView> makeEngineViews(const std::vector<BackendView> &engines) const;
+
+    NodeContext &m_context;
+    std::mutex m_runningMutex;
+    std::map<std::string, std::multiset<std::uint64_t>> m_running; //!< Fingerprints by incarnation.
+    std::set<std::string> m_crashed; //!< Incarnations already recorded as crashed.
+};
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Node/modelstream.cpp
@@ -0,0 +1,49 @@
+#include "Node/modelstream.h"
+
+#include "Adapter/json.h"
+#include "Core/promptblocks.h"
+
+#include <utility>
+
+namespace sesame {
+
+ModelStream::ModelStream(ModelStreamOptions options)
+    : m_options(std::move(options)),
+      m_fingerprint(requestFingerprint(m_options.account, m_options.request.prompt)),
+      m_blocks(sesame::promptBlocks(m_options.request.prompt)),
+      m_session(m_options.start)
+{
+}
+
+bool ModelStream::hasStarted()
+{
+    auto session = m_session.lock();
+    return session->attempt() > 0 || session->nextOffset() > 0;
+}
+
+void ModelStream::detach(bool cancel)
+{
+    if (cancel)
+        m_cancelled = true;
+    m_buffer.close();
+}
+
+void ModelStream::finish(const RequestResult &result)
+{
+    *m_result.lock() = result;
+    const auto tokens = static_cast<json_int_t>(m_session.lock()->nextOffset());
+    const JsonPtr body(json_pack("{s:s,s:i,s:s,s:I,s:s}", "outcome",
+                                 std::string(toString(result.outcome)).c_str(), "code",
+                                 static_cast<int>(result.code), "name",
+                                 std::string(toString(result.code)).c_str(), "tokens", tokens,
+                                 "reason", result.reason.c_str()));
+    m_buffer.write("event: outcome\ndata: " + dumpJson(body.get()) + "\n\ndata: [DONE]\n\n");
+    m_buffer.finish();
+}
+
+RequestResult ModelStream::result()
+{
+    return *m_result.lock();
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Node/modelstream.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "Core/admissioncontroller.h"
+#include "Core/fleetconfig.h"
+#include "Core/streamsession.h"
+#include "Node/answer.h"
+#include "Node/chatrequest.h"
+#include "Node/guarded.h"
+#include "Node/streambuffer.h"
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sesame {
+
+/*!
+    What is known about an open model request when it starts on this node.
+*/
+struct ModelStreamOptions
+{
+    std::string account;
+    std::string requestId;
+    Rank rank = Rank::Standard;
+    ChatRequest request;
+    StreamStart start;
+};
+
+/*!
+    An accepted model request: its session, and the bytes on their way to the caller.
+    Shared by the worker that runs it and the thread that serves the caller.
+*/
+class ModelStream
+{
+public:
+    explicit ModelStream(ModelStreamOptions options);
+
+    const std::string &account() const { return m_options.account; }
+    const std::string &requestId() const { return m_options.requestId; }
+    const std::string &model() const { return m_options.request.model; }
+    const ChatRequest &request() const { return m_options.request; }
+    Rank rank() const { return m_options.rank; }
+    std::uint64_t fingerprint() const { return m_fingerprint; }
+    const std::vector<std::uint64_t> &promptBlocks() const { return m_blocks; }
+
+    //! False if the request came by resume token only, so that it can only be re-attached.
+    bool hasPrompt() const { return !m_options.request.body.empty(); }
+
+    /*!
+        Returns the engine-side id; it holds the account, because callers choose request ids.
+    */
+    std::string engineRequestId() const { return m_options.account + "~" + m_options.requestId; }
+
+    Guarded<StreamSession> &session() { return m_session; }
+    StreamBuffer &buffer() { return m_buffer; }
+
+    /*!
+        Returns true if an attempt on an engine has begun, here or on an earlier node.
+    */
+    bool hasStarted();
+
+    /*!
+        Ends the caller's side. With \a cancel the run on the engine is cancelled, too.
+    */
+    void detach(bool cancel);
+    bool isDetached() const { return m_buffer.isClosed(); }
+    bool isCancelled() const { return m_cancelled; }
+
+    /*!
+        Asks the worker to continue the request on another engine.
+    */
+    void requestMove() { m_moveRequested = true; }
+    bool isMoveRequested() const { return m_moveRequested; }
+    void clearMoveRequest() { m_moveRequested = false; }
+
+    void setTicket(Ticket ticket) { m_ticket = ticket; }
+    Ticket ticket() const { return m_ticket; }
+
+    /*!
+        Ends the stream with \a result, which the caller is told in the last event.
+    */
+    void finish(const RequestResult &result);
+    RequestResult result();
+
+private:
+    const ModelStreamOptions m_options;
+    const std::uint64_t m_fingerprint;
+    const std::vector<std::uint64_t> m_blocks;
+    Guarded<StreamSession> m_session;
+    Guarded<RequestResult> m_result;
+    StreamBuffer m_buffer;
+    std::atomic<bool> m_cancelled {false};
+    std::atomic<bool> m_moveRequested {false};
+    std::atomic<Ticket> m_ticket {0};
+};
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Node/nodecontext.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Adapter/objectserviceclient.h"
+#include "Adapter/systemclock.h"
+#include "Core/admissioncontroller.h"
+#include "Core/backendtable.h"
+#include "Core/enginerouter.h"
+#include "Core/fleetkeeper.h"
+#include "Core/membershiptable.h"
+#include "Core/nodesettings.h"
+#include "Core/retrybudget.h"
+#include "Core/servicerouter.h"
+#include "Core/suspecttable.h"
+#include "Node/claimcommitter.h"
+#include "Node/guarded.h"
+#include "Node/lifecycle.h"
+#include "Node/streamtable.h"
+#include "Node/workerpool.h"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <random>
+
+namespace sesame {
+
+using Ledger = ClaimCommitter<ObjectServiceClient, SystemClock>;
+
+/*!
+    The tables that the threads of a node share.
+
+    A thread that holds several locks takes them in the order of the members. No lock is held
+    during a call to another process.
+*/
+struct NodeContext
+{
+    explicit NodeContext(const NodeSettings &nodeSettings);
+
+    /*!
+        Returns the fleet configuration in force, or a null pointer before there is one.
+    */
+    std::shared_ptr<const FleetConfig> config() { return fleet.lock()->config(); }
+
+    /*!
+        Returns the number of live entry nodes, this one included.
+    */
+    std::uint32_t liveNodes();
+
+    const NodeSettings settings;
+    const std::int64_t incarnation; //!< Start time of the process in Unix milliseconds.
+    const SystemClock clock;
+    Lifecycle lifecycle;
+    std::atomic<bool> storeReachable {false};
+    Guarded<FleetKeeper> fleet;
+    Guarded<MembershipTable> membership;
+    Guarded<BackendTable> backends;
+    Guarded<EngineRouter> router;
+    Guarded<AdmissionController> admission;
+    Guarded<SuspectTable> suspects;
+    Guarded<RetryBudget> retries;
+    StreamTable streams;
+    ObjectServiceClient store;
+    Ledger ledger;
+    WorkerPool workers; //!< Run requests.
+    WorkerPool controlWorkers; //!< Run short calls to peers and backend servers.
+};
+
+/*!
+    Returns a seed that differs between processes.
+*/
+std::uint64_t randomSeed();
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Node/operatorapi.cpp
@@ -0,0 +1,72 @@
+#include "Node/operatorapi.h"
+
+#include "Adapter/json.h"
+#include "Node/answer.h"
+
+#include <string>
+
+namespace sesame {
+
+namespace {
+
+const char *stateName(PeerState state)
+{
+    switch (state) {
+    case PeerState::Alive:
+        return "alive";
+    case PeerState::Suspect:
+        return "suspect";
+    case PeerState::Dead:
+        return "dead";
+    case PeerState::Leaving:
+        return "leaving";
+    }
+    return "dead";
+}
+
+void setString(json_t *object, const char *key, std::string_view text)
+{
+    json_object_set_new(object, key, json_stringn(text.data(), text.size()));
+}
+
+} // namespace
+
+HttpResponse OperatorApi::handle(const HttpRequest &request)
+{
+    if (request.method == "GET" && request.path == "/v1/status")
+        return reportStatus();
+    if (request.method == "POST" && request.path == "/v1/drain") {
+        m_drain();
+        return reportStatus();
+    }
+    return answerWith(notRun(
+            {.code = ResultCode::UnknownRoute, .text = "no operator path " + request.path}));
+}
+
+HttpResponse OperatorApi::reportStatus()
+{
+    const JsonPtr body(json_object());
+    setString(body.get(), "node", m_context.settings.node);
+    setString(body.get(), "zone", m_context.settings.zone);
+    setString(body.get(), "phase", toString(m_context.lifecycle.phase()));
+    {
+        auto fleet = m_context.fleet.lock();
+        json_object_set_new(body.get(), "fleet_version",
+                            json_integer(static_cast<json_int_t>(fleet->fleetVersion())));
+        setString(body.get(), "confirmation",
+                  toString(fleet->confirmation(m_context.clock.now())));
+        json_object_set_new(body.get(), "capacity_limit", json_integer(fleet->capacityLimit()));
+    }
+    json_object_set_new(body.get(), "store_reachable", json_boolean(m_context.storeReachable));
+    json_object_set_new(body.get(), "open_streams",
+                        json_integer(static_cast<json_int_t>(m_context.streams.size())));
+    json_t *peers = json_array();
+    json_object_set_new(body.get(), "peers", peers);
+    for (const Peer &peer : m_context.membership.lock()->liveNodes()) {
+        json_array_append_new(peers, json_pack("{s:s,s:s,s:s}", "node", peer.node.c_str(), "zone",
+                                               peer.zone.c_str(), "state", stateName(peer.state)));
+    }
+    return answerJson(dumpJson(body.get()));
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Node/peerexchange.cpp
@@ -0,0 +1,225 @@
+#include "Node/peerexchange.h"
+
+#include "Adapter/log.h"
+
+namespace sesame {
+
+namespace {
+
+constexpr std::size_t rumoursPerMessage = 12;
+
+wire::SuspectRumour toWire(const SuspectRumour &rumour)
+{
+    wire::SuspectRumour out;
+    out.fingerprint = static_cast<std::int64_t>(rumour.fingerprint);
+    out.holder = rumour.holder;
+    out.sequence = static_cast<std::int64_t>(rumour.sequence);
+    out.crashedOn = rumour.crashedOn;
+    out.cleared = rumour.cleared;
+    out.engine = rumour.engine;
+    out.quarantined = rumour.quarantined;
+    return out;
+}
+
+SuspectRumour fromWire(const wire::SuspectRumour &rumour)
+{
+    return {.fingerprint = static_cast<Fingerprint>(rumour.fingerprint),
+            .holder = rumour.holder,
+            .sequence = static_cast<std::uint64_t>(rumour.sequence),
+            .crashedOn = rumour.crashedOn,
+            .cleared = rumour.cleared,
+            .engine = rumour.engine,
+            .quarantined = rumour.quarantined};
+}
+
+} // namespace
+
+PeerExchange::PeerExchange(NodeContext &context, ModelService &models)
+    : m_context(context),
+      m_models(models),
+      m_client(PeerIdentity {.node = context.settings.node, .key = context.settings.peerKey})
+{
+}
+
+void PeerExchange::tick()
+{
+    const Timestamp now = m_context.clock.now();
+    const std::vector<ProbeAction> actions = m_context.membership.lock()->tick(now);
+    for (const ProbeAction &action : actions)
+        m_context.controlWorkers.submit([this, action] { send(action); });
+    sendSuspects();
+}
+
+wire::PeerRequest PeerExchange::makeRequest(std::string_view receiver)
+{
+    wire::PeerRequest request;
+    request.rumours
+            = sesame::toWire(m_context.membership.lock()->rumoursToSend(rumoursPerMessage, receiver));
+    request.fleetVersion = static_cast<std::int64_t>(m_context.fleet.lock()->fleetVersion());
+    request.incarnation = m_context.incarnation;
+    request.storeReachable = m_context.storeReachable;
+    return request;
+}
+
+void PeerExchange::send(const ProbeAction &action)
+{
+    wire::PeerRequest request = makeRequest(action.node);
+    PeerCall call;
+    call.address = action.address;
+    call.node = action.node;
+    if (action.kind == ProbeKind::PingRequest) {
+        wire::PingRequest ping;
+        ping.sequence = action.sequence;
+        ping.target = action.target;
+        request.__set_pingRequest(ping);
+        call.timeout *= 2; // The receiver itself waits for the target.
+    } else {
+        wire::Ping ping;
+        ping.sequence = action.sequence;
+        ping.wantsState = action.kind == ProbeKind::StatePull;
+        request.__set_ping(ping);
+    }
+    const auto reply = m_client.exchange(call, request);
+    if (!reply)
+        return;
+    noteAnswer(*reply);
+    if (reply->answer.alive)
+        m_context.membership.lock()->recordAck(action.sequence);
+}
+
+void PeerExchange::sendSuspects()
+{
+    const auto rumours = m_context.suspects.lock()->rumoursToSend(m_context.clock.now());
+    if (rumours.empty())
+        return;
+    for (const Peer &peer : m_context.membership.lock()->liveNodes()) {
+        if (peer.node == m_context.settings.node)
+            continue;
+        m_context.controlWorkers.submit([this, peer, rumours] {
+            wire::PeerRequest request = makeRequest(peer.node);
+            for (const SuspectRumour &rumour : rumours)
+                request.suspects.push_back(toWire(rumour));
+            request.__set_ping(wire::Ping());
+            const auto reply = m_client.exchange({.address = peer.address, .node = peer.node}, request);
+            if (reply)
+                noteAnswer(*reply);
+        });
+    }
+}
+
+wire::PeerAnswer PeerExchange::answer(const wire::PeerRequest &request, std::string_view sender)
+{
+    apply(request.rumours);
+    applySuspects(request.suspects);
+    notePeer(sender, request.fleetVersion, request.storeReachable);
+    wire::PeerAnswer answer;
+    answer.alive = true;
+    if (request.__isset.pingRequest)
+        answer.alive = probe(request.pingRequest.target, request.pingRequest.sequence);
+    if (request.__isset.fleetQuery) {
+        auto fleet = m_context.fleet.lock();
+        if (static_cast<std::int64_t>(fleet->fleetVersion()) > request.fleetQuery.haveVersion)
+            answer.__set_fleetDocument(fleet->storedDocument());
+    }
+    {
+        auto membership = m_context.membership.lock();
+        const bool wantsState = request.__isset.ping && request.ping.wantsState;
+        answer.rumours = sesame::toWire(wantsState ? membership->allRumours()
+                                           : membership->rumoursToSend(rumoursPerMessage, sender));
+    }
+    answer.fleetVersion = static_cast<std::int64_t>(m_context.fleet.lock()->fleetVersion());
+    answer.incarnation = m_context.incarnation;
+    answer.storeReachable = m_context.storeReachable;
+    return answer;
+}
+
+bool PeerExchange::probe(std::string_view target, std::int64_t sequence)
+{
+    const auto peer = m_context.membership.lock()->find(target);
+    if (!peer)
+        return false;
+    wire::PeerRequest request = makeRequest(target);
+    wire::Ping ping;
+    ping.sequence = sequence;
+    request.__set_ping(ping);
+    const auto reply = m_client.exchange({.address = peer->address, .node = peer->node}, request);
+    if (reply)
+        noteAnswer(*reply);
+    return reply.has_value();
+}
+
+void PeerExchange::noteAnswer(const PeerReply &reply)
+{
+    apply(reply.answer.rumours);
+    notePeer(reply.sender, reply.answer.fleetVersion, reply.answer.storeReachable);
+}
+
+void PeerExchange::notePeer(std::string_view peer, std::int64_t fleetVersion, bool storeReachable)
+{
+    m_context.fleet.lock()->recordPeer(m_context.clock.now(), peer,
+                                       static_cast<std::uint64_t>(fleetVersion), storeReachable);
+}
+
+void PeerExchange::apply(std::span<const wire::Rumour> rumours)
+{
+    if (rumours.empty())
+        return;
+    const Timestamp now = m_context.clock.now();
+    const auto converted = sesame::fromWire(rumours);
+    for (const Rumour &rumour : m_context.membership.lock()->receive(converted, now)) {
+        if (rumour.kind == RumourKind::BackendLeaving) {
+            m_context.backends.lock()->applyRumour(rumour, now, m_context.clock.wallMillis());
+            m_models.leaveEngine(rumour.subject);
+        } else if (rumour.kind == RumourKind::NodeDead || rumour.kind == RumourKind::NodeLeaving) {
+            m_context.fleet.lock()->forgetPeer(rumour.subject);
+            m_context.suspects.lock()->forgetNode(rumour.subject);
+            logEvent(LogLevel::Info, "peer gone", {{"peer", rumour.subject}});
+        }
+    }
+}
+
+void PeerExchange::applySuspects(const std::vector<wire::SuspectRumour> &rumours)
+{
+    if (rumours.empty())
+        return;
+    std::vector<SuspectRumour> converted;
+    for (const wire::SuspectRumour &rumour : rumours)
+        converted.push_back(fromWire(rumour));
+    m_context.suspects.lock()->receive(converted, m_context.clock.now());
+}
+
+void PeerExchange::announce(std::span<const Rumour> rumours)
+{
+    const Timestamp now = m_context.clock.now();
+    for (const Rumour &rumour : rumours) {
+        m_context.membership.lock()->announce(rumour, now);
+        if (rumour.kind == RumourKind::BackendLeaving)
+            m_models.leaveEngine(rumour.subject);
+    }
+}
+
+void PeerExchange::pullFleet()
+{
+    const auto name = m_context.fleet.lock()->peerToPull(m_context.clock.now());
+    if (!name)
+        return;
+    const auto peer = m_context.membership.lock()->find(*name);
+    if (!peer)
+        return;
+    wire::PeerRequest request = makeRequest(*name);
+    wire::FleetQuery query;
+    query.haveVersion = static_cast<std::int64_t>(m_context.fleet.lock()->fleetVersion());
+    request.__set_fleetQuery(query);
+    PeerCall call {.address = peer->address, .node = peer->node};
+    call.timeout *= 2; // The document may be large.
+    const auto reply = m_client.exchange(call, request);
+    if (!reply)
+        return;
+    noteAnswer(*reply);
+    if (reply->answer.__isset.fleetDocument) {
+        auto fleet = m_context.fleet.lock();
+        fleet->offer(reply->answer.fleetDocument, FleetSource::Peer);
+    }
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Node/peerexchange.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Adapter/peerclient.h"
+#include "Adapter/peerserver.h"
+#include "Node/modelservice.h"
+#include "Node/nodecontext.h"
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace sesame {
+
+/*!
+    Sends and answers peer messages, and applies what they carry to the node's tables.
+*/
+class PeerExchange
+{
+public:
+    PeerExchange(NodeContext &context, ModelService &models);
+
+    /*!
+        Sends the probes and rumours that are due. Called about every 50 ms.
+    */
+    void tick();
+
+    /*!
+        Answers a request of \a sender.
+    */
+    wire::PeerAnswer answer(const wire::PeerRequest &request, std::string_view sender);
+
+    /*!
+        Fetches the fleet document from the peer with the highest version, if that is newer.
+    */
+    void pullFleet();
+
+    /*!
+        Starts to spread \a rumours that this node found out itself.
+    */
+    void announce(std::span<const Rumour> rumours);
+
+private:
+    wire::PeerRequest makeRequest(std::string_view receiver);
+    void send(const ProbeAction &action);
+    void sendSuspects();
+    bool probe(std::string_view target, std::int64_t sequence);
+    void apply(std::span<const wire::Rumour> rumours);
+    void applySuspects(const std::vector<wire::SuspectRumour> &rumours);
+    void noteAnswer(const PeerReply &reply);
+    void notePeer(std::string_view peer, std::int64_t fleetVersion, bool storeReachable);
+
+    NodeContext &m_context;
+    ModelService &m_models;
+    PeerClient m_client;
+};
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Node/routeservice.cpp
@@ -0,0 +1,317 @@
+#include "Node/routeservice.h"
+
+#include "Adapter/json.h"
+#include "Adapter/log.h"
+#include "Core/backoff.h"
+
+#include <algorithm>
+#include <cctype>
+#include <thread>
+
+namespace sesame {
+
+namespace {
+
+constexpr int firstServerError = 500;
+constexpr int idempotentAttempts = 3;
+constexpr std::size_t longestKey = 200;
+constexpr std::chrono::milliseconds storeRetryAfter {2000};
+constexpr std::chrono::milliseconds backendRetryAfter {500};
+constexpr std::chrono::milliseconds lookupTimeout {1000};
+constexpr const char *keyHeader = "Idempotency-Key";
+constexpr std::string_view keyPlaceholder = "{key}";
+
+bool isValidKey(std::string_view key)
+{
+    const auto allowed = [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == ':';
+    };
+    return !key.empty() && key.size() <= longestKey
+            && std::all_of(key.begin(), key.end(), allowed);
+}
+
+/*!
+    Returns the key that backend servers receive. It holds the account, because two accounts
+    may choose the same key and a status lookup must not settle one with the other's call.
+*/
+std::string backendKey(const Account &account, std::string_view key)
+{
+    return account.name + "~" + std::string(key);
+}
+
+HttpCall makeCall(const HttpRequest &request, const Route &route)
+{
+    HttpCall call {.method = request.method,
+                   .url = request.path,
+                   .headers = {},
+                   .body = request.body,
+                   .timeout = route.timeout};
+    if (const auto type = request.header("Content-Type"))
+        call.headers.emplace_back("Content-Type", *type);
+    return call;
+}
+
+HttpCall makeKeyedCall(const HttpRequest &request, const Route &route, const Account &account,
+                       std::string_view key)
+{
+    HttpCall call = makeCall(request, route);
+    call.headers.emplace_back(keyHeader, backendKey(account, key));
+    return call;
+}
+
+RequestResult backendFailure(const BackendReply &reply)
+{
+    return {.outcome = Outcome::Failed, .code = ResultCode::BackendFailed, .reason = reply.reason};
+}
+
+RequestResult unknownResult(ResultCode code, std::string reason)
+{
+    return {.outcome = Outcome::Unknown, .code = code, .reason = std::move(reason)};
+}
+
+RequestResult resultOf(int status)
+{
+    if (status < firstServerError)
+        return {.outcome = Outcome::Complete, .code = ResultCode::Ok};
+    return {.outcome = Outcome::Failed,
+            .code = ResultCode::BackendFailed,
+            .reason = "the backend server answered with status " + std::to_string(status)};
+}
+
+HttpResponse passOn(const HttpReply &reply, const RequestResult &result)
+{
+    HttpResponse response;
+    response.status = reply.status;
+    response.body = reply.body;
+    const std::string_view type = reply.header("content-type");
+    if (!type.empty())
+        response.headers.emplace_back("Content-Type", type);
+    addResultHeaders(&response, result);
+    return response;
+}
+
+RecordedAnswer recordOf(const HttpReply &reply)
+{
+    const RequestResult result = resultOf(reply.status);
+    return {.outcome = result.outcome,
+            .code = result.code,
+            .httpStatus = reply.status,
+            .contentType = std::string(reply.header("content-type")),
+            .body = reply.body};
+}
+
+HttpResponse repeatAnswer(const RecordedAnswer &answer)
+{
+    const RequestResult result {.outcome = answer.outcome, .code = answer.code};
+    if (answer.bodyOmitted) {
+        HttpResponse response = answerWith(result);
+        response.headers.emplace_back("X-Answer-Omitted", "true");
+        return response;
+    }
+    HttpReply reply {.status = answer.httpStatus, .body = answer.body, .headers = {}};
+    if (!answer.contentType.empty())
+        reply.headers.emplace_back("content-type", answer.contentType);
+    return passOn(reply, result);
+}
+
+std::string lookupPath(const Route &route, std::string_view key)
+{
+    std::string path = route.statusLookup;
+    path.replace(path.find(keyPlaceholder), keyPlaceholder.size(), key);
+    return path;
+}
+
+} // namespace
+
+HttpResponse RouteService::call(const HttpRequest &request, const Account &account,
+                                const Route &route)
+{
+    return route.idempotent ? callIdempotent(request, route) : callOnce(request, account, route);
+}
+
+std::optional<BackendView> RouteService::chooseServer(const Route &route,
+                                                      const std::vector<std::string> &excluded)
+{
+    const Timestamp now = m_context.clock.now();
+    const auto servers = m_context.backends.lock()->usableServices(route.service, now);
+    std::vector<ServiceView> views;
+    for (const BackendView &server : servers) {
+        ServiceView view;
+        view.id = server.id;
+        view.zone = server.zone;
+        view.ownInFlight = server.inFlight;
+        views.push_back(std::move(view));
+    }
+    const ServiceQuery query {.entryZone = m_context.settings.zone, .excluded = excluded};
+    const auto choice = ServiceRouter().choose(query, views);
+    if (!choice)
+        return std::nullopt;
+    const BackendView &server = servers[*choice];
+    if (!m_context.backends.lock()->beginCall(server.id, server.incarnation, now))
+        return fail(ResultCode::NoBackendServer, "the backend server is leaving");
+    return server;
+}
+
+BackendReply RouteService::send(const HttpCall &call, const BackendView &server)
+{
+    HttpCall addressed = call;
+    addressed.url = server.address + call.url;
+    BackendReply reply = callBackend(addressed);
+    const bool good = reply.status == CallStatus::Replied && reply.reply.status < firstServerError;
+    m_context.backends.lock()->endCall(server.id, server.incarnation,
+                                       good ? CallHealth::Good : CallHealth::Bad,
+                                       m_context.clock.now());
+    return reply;
+}
+
+HttpResponse RouteService::callIdempotent(const HttpRequest &request, const Route &route)
+{
+    const HttpCall call = makeCall(request, route);
+    std::vector<std::string> excluded;
+    BackendReply reply;
+    bool sent = false;
+    Backoff backoff;
+    thread_local std::mt19937_64 generator(randomSeed());
+    for (int n = 0; n < idempotentAttempts; ++n) {
+        if (n > 0 && !m_context.retries.lock()->tryRetry())
+            break;
+        if (n > 0)
+            std::this_thread::sleep_for(backoff.next(generator));
+        const auto server = chooseServer(route, excluded);
+        if (!server)
+            break;
+        reply = send(call, *server);
+        sent = sent || reply.status != CallStatus::NotSent;
+        if (reply.status == CallStatus::Replied && reply.reply.status < firstServerError) {
+            m_context.retries.lock()->recordSuccess();
+            return passOn(reply.reply, resultOf(reply.reply.status));
+        }
+        excluded.push_back(server->id);
+    }
+    if (!sent) {
+        return answerWith(notRun({.code = ResultCode::NoBackendServer,
+                                  .text = "no backend server of " + route.service + " is usable"},
+                                 backendRetryAfter));
+    }
+    return answerWith(backendFailure(reply));
+}
+
+HttpResponse RouteService::callOnce(const HttpRequest &request, const Account &account,
+                                    const Route &route)
+{
+    const auto idempotencyKey = request.header(keyHeader);
+    if (!idempotencyKey || !isValidKey(*idempotencyKey)) {
+        return answerWith(notRun({.code = ResultCode::IdempotencyKeyMissing,
+                                  .text = "Idempotency-Key: needs 1 to 200 letters, digits, "
+                                          "'-', '_', '.' or ':'"}));
+    }
+    const KeyedCall call {.route = route,
+                          .call = makeKeyedCall(request, route, account, *idempotencyKey),
+                          .backendKey = backendKey(account, *idempotencyKey)};
+    ClaimRequest claim;
+    claim.key = claimKey(account.name, *idempotencyKey);
+    claim.fingerprint = callFingerprint({request.method, request.path, request.body});
+    claim.callTimeout = route.timeout;
+    const ClaimResult result = m_context.ledger.claim(claim);
+    if (result.status == ClaimStatus::Granted)
+        return sendClaimed(call, result.claim);
+    return answerClaimed(call, claim.key, result);
+}
+
+RouteService::SentCall RouteService::sendWhileClaimed(const KeyedCall &keyed, const Claim &claim)
+{
+    std::vector<std::string> excluded;
+    while (true) {
+        const auto server = chooseServer(keyed.route, excluded);
+        if (!server)
+            return {.reply = {.status = CallStatus::NotSent, .reply = {}, .reason = lastReason().text}};
+        if (!m_context.ledger.mayStillSend(claim, m_context.clock.now())) {
+            m_context.backends.lock()->endCall(server->id, server->incarnation,
+                                               CallHealth::Neutral, m_context.clock.now());
+            return {.reply = {.status = CallStatus::NotSent, .reply = {}, .reason = {}},
+                    .tooLate = true};
+        }
+        BackendReply reply = send(keyed.call, *server);
+        // Only a call of which no byte was written may go to another server.
+        if (reply.status != CallStatus::NotSent)
+            return {.reply = std::move(reply)};
+        excluded.push_back(server->id);
+    }
+}
+
+HttpResponse RouteService::sendClaimed(const KeyedCall &keyed, const Claim &claim)
+{
+    const Route &route = keyed.route;
+    const SentCall sent = sendWhileClaimed(keyed, claim);
+    const BackendReply &reply = sent.reply;
+    if (reply.status == CallStatus::Replied) {
+        m_context.ledger.recordOutcome(claim, recordOf(reply.reply));
+        return passOn(reply.reply, resultOf(reply.reply.status));
+    }
+    if (reply.status == CallStatus::NotSent) {
+        m_context.ledger.recordOutcome(
+                claim, {.outcome = Outcome::NotRun, .code = ResultCode::NoBackendServer});
+        return answerWith(notRun({.code = ResultCode::NoBackendServer,
+                                  .text = "no backend server of " + route.service + " is usable"},
+                                 backendRetryAfter));
+    }
+    logEvent(LogLevel::Warning, "call lost", {{"route", route.prefix}, {"reason", reply.reason}});
+    m_context.ledger.recordOutcome(
+            claim, {.outcome = Outcome::Unknown, .code = ResultCode::OutcomeUnknown});
+    if (const auto answer = settleByLookup(keyed, claim.key))
+        return repeatAnswer(*answer);
+    return answerWith(unknownResult(ResultCode::OutcomeUnknown,
+                                    "the connection broke; the call may have run"));
+}
+
+std::optional<RecordedAnswer> RouteService::settleByLookup(const KeyedCall &keyed,
+                                                           const std::string &key)
+{
+    const Route &route = keyed.route;
+    if (route.statusLookup.empty())
+        return std::nullopt;
+    const auto server = chooseServer(route, {});
+    if (!server)
+        return std::nullopt;
+    const HttpCall call {.method = "GET",
+                         .url = lookupPath(route, keyed.backendKey),
+                         .headers = {},
+                         .body = {},
+                         .timeout = lookupTimeout};
+    const BackendReply reply = send(call, *server);
+    if (reply.status != CallStatus::Replied)
+        return std::nullopt;
+    const JsonPtr body = parseJson(reply.reply.body);
+    if (!jsonBool(body.get(), "executed"))
+        return std::nullopt;
+    const LookupResult settled = m_context.ledger.settle(key, true);
+    if (settled.status != LookupStatus::Completed)
+        return std::nullopt;
+    return settled.answer;
+}
+
+HttpResponse RouteService::answerClaimed(const KeyedCall &keyed, const std::string &key,
+                                         const ClaimResult &result)
+{
+    switch (result.status) {
+    case ClaimStatus::CompletedEarlier:
+        return repeatAnswer(result.answer);
+    case ClaimStatus::InProgress:
+        return answerWith(unknownResult(ResultCode::ExecutionInProgress,
+                                        "another attempt with this key is in progress"));
+    case ClaimStatus::Unknown:
+        if (const auto answer = settleByLookup(keyed, key))
+            return repeatAnswer(*answer);
+        return answerWith(unknownResult(ResultCode::OutcomeUnknown,
+                                        "an earlier attempt with this key may have run"));
+    case ClaimStatus::KeyReused:
+        return answerWith(notRun({.code = ResultCode::IdempotencyKeyReused,
+                                  .text = "Idempotency-Key: used before with another call"}));
+    default:
+        return answerWith(notRun({.code = ResultCode::StoreUnavailable,
+                                  .text = "the claim cannot be recorded"},
+                                 storeRetryAfter));
+    }
+}
+
+} // namespace sesame
--- a/Source/Node/sesamenode.h
+++ b/Source/Node/sesamenode.h
@@ -2,3 +2,4 @@
 
 //! Public header of the sesamenode library.
 #include "Node/nodeversion.h"
+#include "Node/entrynode.h"
