Add the commands serve, check, apply, status, drain and report burn

Flags are Abseil flags, but the words are parsed here: Abseil's parser ends the program with exit code 1 on an unknown flag and accepts the flags of every command.

apply asks the nodes for their version first. A store that was restored from an older copy would accept a document that no node adopts.

serve ends with exit code 1 until the entry node is wired in. StoreClient is a stand-in for the object service client of the adapter library.

--- a/Source/Adapter/sesameadapter.h
+++ b/Source/Adapter/sesameadapter.h
@@ -2,6 +2,7 @@
 
 //! Public header of the sesameadapter library.
 #include "Adapter/backendclient.h"
+#include "Adapter/burnjson.h"
 #include "Adapter/httpclient.h"
 #include "Adapter/httpmessage.h"
 #include "Adapter/httpserver.h"
--- a/Source/Command/main.cpp
+++ b/Source/Command/main.cpp
@@ -1,10 +1,13 @@
-#include "Node/sesamenode.h"
+#include "commands.h"
 
-#include <cstdio>
+#include <string>
+#include <vector>
 
-int main()
+int main(int argc, char *argv[])
 {
-    const std::string_view version = sesame::nodeVersion();
-    std::printf("sesameproxy %.*s\n", static_cast<int>(version.size()), version.data());
-    return 0;
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    const std::vector<sesame::Command> commands {
+            sesame::serveCommand(),  sesame::checkCommand(), sesame::applyCommand(),
+            sesame::statusCommand(), sesame::drainCommand(), sesame::reportBurnCommand()};
+    return sesame::runCommandLine(commands, words);
 }
--- a/Source/Core/fleetexceptions.cpp
+++ b/Source/Core/fleetexceptions.cpp
@@ -77,8 +77,9 @@
     if (!scope.starts_with(prefix))
         return nullptr;
     const std::string_view wanted = scope.substr(prefix.size());
-    const auto it = std::find_if(entries.begin(), entries.end(),
-                                 [&](const T &entry) { return entry.*name == wanted; });
+    const auto it = std::find_if(entries.begin(), entries.end(), [&](const T &entry) {
+        return entry.*name == wanted;
+    });
     return it == entries.end() ? nullptr : &*it;
 }
 
--- a/Source/Core/fleetfields.cpp
+++ b/Source/Core/fleetfields.cpp
@@ -16,58 +16,96 @@
 
 constexpr std::array<NumberField<FleetDefaults>, 9> defaultTable {{
         {"body_limit_bytes", NumberKind::Integer, 1024, largestBody,
-         [](FleetDefaults &to, double n) { to.bodyLimitBytes = static_cast<std::size_t>(n); }},
+         [](FleetDefaults &to, double n) {
+             to.bodyLimitBytes = static_cast<std::size_t>(n);
+         }},
         {"entry_ttl_seconds", NumberKind::Integer, 1, daySeconds,
-         [](FleetDefaults &to, double n) { to.entryTtl = seconds(static_cast<int>(n)); }},
+         [](FleetDefaults &to, double n) {
+             to.entryTtl = seconds(static_cast<int>(n));
+         }},
         {"stream_keep_seconds", NumberKind::Integer, 0, daySeconds,
-         [](FleetDefaults &to, double n) { to.streamKeep = seconds(static_cast<int>(n)); }},
+         [](FleetDefaults &to, double n) {
+             to.streamKeep = seconds(static_cast<int>(n));
+         }},
         {"claim_retention_hours", NumberKind::Integer, 1, yearHours,
-         [](FleetDefaults &to, double n) { to.claimRetention = hours(static_cast<int>(n)); }},
+         [](FleetDefaults &to, double n) {
+             to.claimRetention = hours(static_cast<int>(n));
+         }},
         // Shard keys have three digits, ledger/NNN.
         {"claim_shards", NumberKind::Integer, 1, 1000,
-         [](FleetDefaults &to, double n) { to.claimShards = static_cast<std::uint32_t>(n); }},
+         [](FleetDefaults &to, double n) {
+             to.claimShards = static_cast<std::uint32_t>(n);
+         }},
         {"cancel_on_disconnect", NumberKind::Boolean, 0, 1,
-         [](FleetDefaults &to, double n) { to.cancelOnDisconnect = n != 0.0; }},
+         [](FleetDefaults &to, double n) {
+             to.cancelOnDisconnect = n != 0.0;
+         }},
         {"retry_budget", NumberKind::Real, 0, 1,
-         [](FleetDefaults &to, double n) { to.retryBudget = n; }},
+         [](FleetDefaults &to, double n) {
+             to.retryBudget = n;
+         }},
         {"recovery_grace_seconds", NumberKind::Integer, 0, daySeconds,
-         [](FleetDefaults &to, double n) { to.recoveryGrace = seconds(static_cast<int>(n)); }},
+         [](FleetDefaults &to, double n) {
+             to.recoveryGrace = seconds(static_cast<int>(n));
+         }},
         // Required: a file that leaves it out must not read as a lowered limit.
         {"capacity_limit", NumberKind::Integer, 1, largestCount,
-         [](FleetDefaults &to, double n) { to.capacityLimit = static_cast<std::uint32_t>(n); },
+         [](FleetDefaults &to, double n) {
+             to.capacityLimit = static_cast<std::uint32_t>(n);
+         },
          true},
 }};
 
 constexpr std::array<NumberField<RankPolicy>, 6> rankTable {{
         {"first_token_ms", NumberKind::Integer, 1, dayMillis,
-         [](RankPolicy &to, double n) { to.firstTokenTarget = milliseconds(static_cast<int>(n)); }},
+         [](RankPolicy &to, double n) {
+             to.firstTokenTarget = milliseconds(static_cast<int>(n));
+         }},
         {"token_gap_ms", NumberKind::Integer, 1, dayMillis,
-         [](RankPolicy &to, double n) { to.tokenGapTarget = milliseconds(static_cast<int>(n)); }},
+         [](RankPolicy &to, double n) {
+             to.tokenGapTarget = milliseconds(static_cast<int>(n));
+         }},
         {"queue_limit_ms", NumberKind::Integer, 0, dayMillis,
-         [](RankPolicy &to, double n) { to.queueLimit = milliseconds(static_cast<int>(n)); }},
+         [](RankPolicy &to, double n) {
+             to.queueLimit = milliseconds(static_cast<int>(n));
+         }},
         {"floor_share", NumberKind::Real, 0, 0.99,
-         [](RankPolicy &to, double n) { to.floorShare = n; }},
+         [](RankPolicy &to, double n) {
+             to.floorShare = n;
+         }},
         {"worth", NumberKind::Real, 0, largestCount,
-         [](RankPolicy &to, double n) { to.worth = n; }},
+         [](RankPolicy &to, double n) {
+             to.worth = n;
+         }},
         {"objective", NumberKind::Real, 0.5, 0.99999,
-         [](RankPolicy &to, double n) { to.objective = n; }},
+         [](RankPolicy &to, double n) {
+             to.objective = n;
+         }},
 }};
 
 constexpr std::array<NumberField<Account>, 1> accountTable {{
         {"share", NumberKind::Real, 0.001, largestCount,
-         [](Account &to, double n) { to.share = n; }},
+         [](Account &to, double n) {
+             to.share = n;
+         }},
 }};
 
 constexpr std::array<NumberField<Route>, 1> routeTable {{
         {"timeout_ms", NumberKind::Integer, 1, dayMillis,
-         [](Route &to, double n) { to.timeout = milliseconds(static_cast<int>(n)); }},
+         [](Route &to, double n) {
+             to.timeout = milliseconds(static_cast<int>(n));
+         }},
 }};
 
 constexpr std::array<NumberField<BackendClass>, 2> backendClassTable {{
         {"slots", NumberKind::Integer, 1, 65'536,
-         [](BackendClass &to, double n) { to.slots = static_cast<std::uint32_t>(n); }},
+         [](BackendClass &to, double n) {
+             to.slots = static_cast<std::uint32_t>(n);
+         }},
         {"price_per_hour", NumberKind::Real, 0, largestCount,
-         [](BackendClass &to, double n) { to.pricePerHour = n; }},
+         [](BackendClass &to, double n) {
+             to.pricePerHour = n;
+         }},
 }};
 
 constexpr std::array<std::pair<std::string_view, Rank>, rankCount> rankNameTable {{
--- a/Source/Core/fleetfile.cpp
+++ b/Source/Core/fleetfile.cpp
@@ -37,8 +37,9 @@
 template <typename T>
 const T *findName(const std::vector<T> &entries, std::string T::*name, std::string_view wanted)
 {
-    const auto it = std::find_if(entries.begin(), entries.end(),
-                                 [&](const T &entry) { return entry.*name == wanted; });
+    const auto it = std::find_if(entries.begin(), entries.end(), [&](const T &entry) {
+        return entry.*name == wanted;
+    });
     return it == entries.end() ? nullptr : &*it;
 }
 
@@ -48,8 +49,7 @@
 class FleetFileReader
 {
 public:
-    FleetFileReader(const toml::table &root, ErrorSink sink)
-        : m_root(root, {}, sink), m_sink(sink)
+    FleetFileReader(const toml::table &root, ErrorSink sink) : m_root(root, {}, sink), m_sink(sink)
     {
     }
 
@@ -133,8 +133,7 @@
             inner.finish();
         }
         if (sumOfFloors(m_config) >= 1.0)
-            m_root.report("ranks", "floor_share values that add up to 1 or more",
-                          "a sum below 1");
+            m_root.report("ranks", "floor_share values that add up to 1 or more", "a sum below 1");
         reader.finish();
     }
 
@@ -181,8 +180,8 @@
     {
         for (const std::string &name : reader.texts("ranks")) {
             const std::optional<Rank> rank = parseRank(name);
-            const bool known
-                    = rank && std::count(entry.ranks.begin(), entry.ranks.end(), *rank) > 0;
+            const bool known = rank
+                    && std::count(entry.ranks.begin(), entry.ranks.end(), *rank) > 0;
             if (!rank)
                 reader.report("ranks", quote(name), "urgent, standard, batch");
             else if (known)
@@ -201,13 +200,12 @@
             entry.rank = reader.choice<Rank>("rank", rankNames(), entry.rank);
             entry.backendClasses = reader.texts("backend_classes");
             for (const std::string &name : entry.backendClasses) {
-                const auto *found
-                        = findName(m_config.backendClasses, &BackendClass::name, name);
+                const auto *found = findName(m_config.backendClasses, &BackendClass::name, name);
                 if (!found)
-                    reader.report("backend_classes", quote(name),
-                                  "a declared backend class: "
-                                          + joinNames(m_config.backendClasses,
-                                                      &BackendClass::name));
+                    reader.report(
+                            "backend_classes", quote(name),
+                            "a declared backend class: "
+                                    + joinNames(m_config.backendClasses, &BackendClass::name));
                 else if (found->kind != BackendKind::ModelEngine)
                     reader.report("backend_classes", quote(name) + " of kind service",
                                   "classes of kind model_engine");
@@ -259,6 +257,8 @@
                 checkException(reader, entry);
             m_config.exceptions.push_back(std::move(entry));
         });
+        if (sumOfFloors(m_config) >= 1.0)
+            return; // Reported with the ranks.
         for (const std::string &zone : m_config.zones) {
             if (sumOfFloors(applyExceptions(m_config, zone)) >= 1.0)
                 m_root.report("exception", "floor_share values that add up to 1 or more in " + zone,
@@ -278,7 +278,8 @@
             reader.report(member, quote(value), fault->allowed);
         } else if (trial.defaults.capacityLimit < m_config.defaults.capacityLimit) {
             reader.report("value", quote(entry.value),
-                          "at least the default, " + std::to_string(m_config.defaults.capacityLimit),
+                          "at least the default, "
+                                  + std::to_string(m_config.defaults.capacityLimit),
                           ResultCode::CapacityLimitLowered);
         }
     }
@@ -299,6 +300,7 @@
     if (!root)
         return std::nullopt;
     FleetConfig config = FleetFileReader(*root, sink).read();
+    sortErrors(errors, before);
     if (errors.size() > before)
         return std::nullopt;
     return config;
--- a/Source/Core/fleetkeeper.cpp
+++ b/Source/Core/fleetkeeper.cpp
@@ -14,8 +14,8 @@
 
 std::string describe(const FleetDocument &document)
 {
-    return "version " + std::to_string(document.version) + " (content "
-            + contentHash(document.text) + ")";
+    return "version " + std::to_string(document.version) + " (content " + contentHash(document.text)
+            + ")";
 }
 
 } // namespace
@@ -68,16 +68,15 @@
 OfferResult FleetKeeper::adopt(FleetDocument offered)
 {
     std::vector<SettingsError> errors;
-    std::optional<FleetConfig> config
-            = parseFleetFile(offered.text, fleetObjectKey, errors);
+    std::optional<FleetConfig> config = parseFleetFile(offered.text, fleetObjectKey, errors);
     if (!config) {
         raiseAlarm("fleet document " + describe(offered) + " refused: " + errors.front().format());
         return OfferResult::Invalid;
     }
     *config = applyExceptions(std::move(*config), m_options.zone);
     const std::uint32_t before = m_document.capacityLimit;
-    offered.capacityLimit
-            = std::max({before, offered.capacityLimit, config->defaults.capacityLimit});
+    offered.capacityLimit = std::max(
+            {before, offered.capacityLimit, config->defaults.capacityLimit});
     config->defaults.capacityLimit = offered.capacityLimit;
     requireInvariant(offered.version > m_document.version, "the fleet version never decreases");
     requireInvariant(offered.capacityLimit >= before, "the capacity limit never decreases");
--- a/Source/Core/fleetpublisher.cpp
+++ b/Source/Core/fleetpublisher.cpp
@@ -42,8 +42,7 @@
     // With another number of shards, nodes would look for existing claims in the wrong shard.
     if (before && before->defaults.claimShards != config.defaults.claimShards)
         return refuse(ResultCode::InvalidSettings,
-                      "defaults.claim_shards: found "
-                              + std::to_string(config.defaults.claimShards)
+                      "defaults.claim_shards: found " + std::to_string(config.defaults.claimShards)
                               + ", allowed: the published value "
                               + std::to_string(before->defaults.claimShards),
                       current.version);
@@ -52,8 +51,7 @@
 
 } // namespace
 
-ApplyResult makeConflict(const ApplyRequest &request, const FleetDocument &current,
-                         ResultCode code)
+ApplyResult makeConflict(const ApplyRequest &request, const FleetDocument &current, ResultCode code)
 {
     return {.status = ApplyStatus::Conflict,
             .code = code,
@@ -71,12 +69,12 @@
     return std::find(ids.begin(), ids.end(), request.applyId) != ids.end();
 }
 
-std::pair<std::optional<FleetDocument>, ApplyResult> prepareFleetDocument(
-        const ApplyRequest &request, const FleetDocument &current)
+std::pair<std::optional<FleetDocument>, ApplyResult>
+prepareFleetDocument(const ApplyRequest &request, const FleetDocument &current)
 {
     std::vector<SettingsError> errors;
-    const std::optional<FleetConfig> config
-            = parseFleetFile(request.text, request.fileName, errors);
+    const std::optional<FleetConfig> config = parseFleetFile(request.text, request.fileName,
+                                                             errors);
     if (!config)
         return {std::nullopt, refuse(errors.front().code, joinErrors(errors), current.version)};
     if (request.highestNodeVersion > current.version)
--- a/Source/Core/fleetpublisher.h
+++ b/Source/Core/fleetpublisher.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Core/fleetdocument.h"
 #include "Core/fleetconfig.h"
+#include "Core/fleetdocument.h"
 #include "Core/ports.h"
 #include "Core/resultcode.h"
 
@@ -48,8 +48,8 @@
     Decides whether \a request may replace \a current (version 0: no document), and builds the
     document to write. Returns the document, or the result that ends the `apply`.
 */
-std::pair<std::optional<FleetDocument>, ApplyResult> prepareFleetDocument(
-        const ApplyRequest &request, const FleetDocument &current);
+std::pair<std::optional<FleetDocument>, ApplyResult>
+prepareFleetDocument(const ApplyRequest &request, const FleetDocument &current);
 
 /*!
     Returns the result for a \a request that lost against \a current.
@@ -133,8 +133,8 @@
         for (int i = 0; i < m_readBackLimit; ++i) {
             const StoreResult read = m_store.read(fleetObjectKey);
             FleetDocument current;
-            const bool known
-                    = read.status == StoreStatus::Ok || read.status == StoreStatus::NotFound;
+            const bool known = read.status == StoreStatus::Ok
+                    || read.status == StoreStatus::NotFound;
             if (known && !decodeRead(read, current) && containsApply(current, request))
                 return accepted;
             // A store restored to an older copy says nothing about the write.
--- a/Source/Core/nodesettingsfile.cpp
+++ b/Source/Core/nodesettingsfile.cpp
@@ -145,6 +145,7 @@
     settings.seeds = readSeeds(reader);
     settings.logLevel = reader.choice<std::string_view>("log_level", logLevels, "info", false);
     reader.finish();
+    sortErrors(errors, before);
     if (errors.size() > before)
         return std::nullopt;
     return settings;
--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -2,6 +2,7 @@
 
 //! Public header of the sesamecore library: the decision code, free of sockets, threads and clocks.
 
+#include "Core/burnreport.h"
 #include "Core/fleetconfig.h"
 #include "Core/fleetdocument.h"
 #include "Core/fleetexceptions.h"
--- a/Source/Core/tomlreader.cpp
+++ b/Source/Core/tomlreader.cpp
@@ -50,7 +50,9 @@
         return "an array";
     std::ostringstream out;
     node.visit([&out](const auto &value) {
-        if constexpr (toml::is_value<decltype(value)>)
+        if constexpr (toml::is_string<decltype(value)>)
+            out << value.get(); // The library would add quotes of its own choice.
+        else if constexpr (toml::is_value<decltype(value)>)
             out << value;
     });
     std::string text = out.str();
@@ -74,6 +76,14 @@
     return std::nullopt;
 }
 
+void sortErrors(std::vector<SettingsError> &errors, std::size_t first)
+{
+    std::stable_sort(errors.begin() + static_cast<std::ptrdiff_t>(first), errors.end(),
+                     [](const SettingsError &a, const SettingsError &b) {
+                         return a.line < b.line;
+                     });
+}
+
 TomlReader::TomlReader(const toml::table &table, std::string path, ErrorSink sink)
     : m_table(table), m_path(std::move(path)), m_sink(sink)
 {
--- a/Source/Core/tomlreader.h
+++ b/Source/Core/tomlreader.h
@@ -5,7 +5,6 @@
 #include <toml++/toml.h>
 
 #include <cstdint>
-#include <limits>
 #include <optional>
 #include <set>
 #include <span>
@@ -80,8 +79,8 @@
     void numbers(std::span<const NumberField<T>> fields, T &target)
     {
         for (const NumberField<T> &field : fields) {
-            const auto value
-                    = number(field.key, field.kind, field.minimum, field.maximum, field.required);
+            const auto value = number(field.key, field.kind, field.minimum, field.maximum,
+                                      field.required);
             if (value)
                 field.set(target, *value);
         }
@@ -147,6 +146,11 @@
 */
 std::optional<toml::table> parseToml(std::string_view text, ErrorSink sink);
 
+/*!
+    Orders the errors from \a first on by their line.
+*/
+void sortErrors(std::vector<SettingsError> &errors, std::size_t first);
+
 /*!
     Returns \a node as it would be written in a file, shortened to a few words.
 */
--- a/Source/Node/sesamenode.h
+++ b/Source/Node/sesamenode.h
@@ -1,4 +1,5 @@
 #pragma once
 
 //! Public header of the sesamenode library.
+#include "Node/entrynode.h"
 #include "Node/nodeversion.h"
