--- a/Source/Node/sesamenode.h
+++ b/Source/Node/sesamenode.h
@@ -1,5 +1,6 @@
 #pragma once
 
 //! Public header of the sesamenode library.
+#include "Node/entrynode.h"
 #include "Node/nodeversion.h"
 #include "Node/entrynode.h"
