--- /dev/null
+++ b/StandIns/entrylist.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Core/ports.h"
+
+#include <mutex>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sesame {
+
+/*!
+    The entry addresses as a caller knows them: asked from /v1/entries, kept for the ttl.
+    Thread-safe.
+*/
+class EntryList
+{
+public:
+    /*!
+        \a seeds are base URLs to ask first. If \a fixed is set they are used as they are.
+    */
+    EntryList(std::vector<std::string> seeds, bool fixed, std::uint64_t seed);
+
+    /*!
+        Returns the base URL of an entry, chosen by weight, other than \a avoided if there is
+        a choice.
+    */
+    std::string choose(std::string_view avoided = {});
+
+    /*!
+        Asks again before the ttl ends, because a known entry did not answer.
+    */
+    void expire();
+
+private:
+    struct Entry
+    {
+        std::string url;
+        double weight = 1.0;
+    };
+
+    std::vector<Entry> fetch(const std::vector<std::string> &urls, Duration *ttl);
+    void refresh();
+
+    const std::vector<std::string> m_seeds;
+    const bool m_fixed;
+    std::mutex m_mutex;
+    std::mutex m_refreshMutex; //!< Held while one caller asks; acquired before m_mutex.
+    std::vector<Entry> m_entries;
+    Timestamp m_validUntil;
+    std::mt19937_64 m_random;
+};
+
+} // namespace sesame
--- a/StandIns/main.cpp
+++ b/StandIns/main.cpp
@@ -1,4 +1,5 @@
 #include "Core/lastreason.h"
+#include "callercommand.h"
 #include "modelengine.h"
 #include "termination.h"
 
@@ -26,9 +27,15 @@
 
 constexpr int usageError = 2;
 
-int runEngineCommand(const Endpoint &address)
+struct CommandLine
 {
-    return runModelEngine({.address = address,
+    Endpoint address;
+    std::string_view argument; //!< Word after the command, for example "chat".
+};
+
+int runEngineCommand(const CommandLine &line)
+{
+    return runModelEngine({.address = line.address,
                            .slots = absl::GetFlag(FLAGS_slots),
                            .tokenMillis = absl::GetFlag(FLAGS_token_ms),
                            .prefillTokensPerSecond = absl::GetFlag(FLAGS_prefill_tokens_per_s),
@@ -42,14 +49,23 @@
                            .checksFencing = absl::GetFlag(FLAGS_fencing) == "checked"});
 }
 
+int runCallerBranch(const CommandLine &line)
+{
+    if (line.argument == "chat" || line.argument == "app")
+        return runCallerCommand(line.argument == "app");
+    std::fprintf(stderr, "usage: sesamestandins caller chat|app ...\n");
+    return usageError;
+}
+
 struct Command
 {
     std::string_view name;
-    int (*run)(const Endpoint &address);
+    int (*run)(const CommandLine &line);
 };
 
 constexpr std::array commands {
         Command {"engine", runEngineCommand},
+        Command {"caller", runCallerBranch},
 };
 
 } // namespace
@@ -65,7 +81,7 @@
     }
     for (const Command &command : commands) {
         if (command.name == name)
-            return command.run(*address);
+            return command.run({.address = *address, .argument = words.size() > 2 ? words[2] : ""});
     }
     std::fprintf(stderr, "usage: sesamestandins COMMAND [--address IP:PORT] ...; commands:");
     for (const Command &command : commands)
