--- a/Source/Core/resumetoken.cpp
+++ b/Source/Core/resumetoken.cpp
@@ -32,14 +32,6 @@
 
 std::optional<std::string> decodeBase64Url(std::string_view text)
 {
-    // EVP_DecodeBlock accepts surrounding blanks and the standard alphabet, so two texts
-    // could carry one token.
-    const auto allowed = [](char c) {
-        return (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9')
-                || c == '-' || c == '_';
-    };
-    if (text.size() % 4 == 1 || !std::all_of(text.begin(), text.end(), allowed))
-        return std::nullopt;
     std::string padded(text);
     std::replace(padded.begin(), padded.end(), '-', '+');
     std::replace(padded.begin(), padded.end(), '_', '/');
@@ -50,7 +42,12 @@
     auto *out = reinterpret_cast<unsigned char *>(bytes.data());
     if (EVP_DecodeBlock(out, in, static_cast<int>(padded.size())) < 0)
         return std::nullopt;
+    if (padding > 2)
+        return std::nullopt;
     bytes.resize(bytes.size() - padding);
+    // EVP_DecodeBlock ignores blanks and unused bits, so several texts would carry one token.
+    if (encodeBase64Url(bytes) != text)
+        return std::nullopt;
     return bytes;
 }
 
--- a/Source/Core/streamsession.cpp
+++ b/Source/Core/streamsession.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/invariant.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sesame {
@@ -13,9 +14,9 @@
 {
 }
 
-StreamAttempt StreamSession::beginAttempt(AttemptEngine engine)
+StreamAttempt StreamSession::beginAttempt(AttemptEngine engine, std::uint64_t lowestNumber)
 {
-    return continueAttempt(std::move(engine), m_attempt + 1);
+    return continueAttempt(std::move(engine), std::max(m_attempt + 1, lowestNumber));
 }
 
 StreamAttempt StreamSession::continueAttempt(AttemptEngine engine, std::uint64_t number)
--- a/Source/Core/streamsession.h
+++ b/Source/Core/streamsession.h
@@ -60,8 +60,10 @@
 
     /*!
         Starts a new attempt on \a engine. Events of all earlier attempts are dropped from now on.
+        Its number is at least \a lowestNumber; nodes pass the wall clock in milliseconds, because
+        two nodes that continue one token would otherwise both count on to the same number.
     */
-    StreamAttempt beginAttempt(AttemptEngine engine);
+    StreamAttempt beginAttempt(AttemptEngine engine, std::uint64_t lowestNumber = 0);
 
     /*!
         Continues attempt \a number, which another connection or node started on \a engine.
