Add the claim ledger, the object service client and two stand-ins

Non-idempotent calls are claimed in the object service by conditional update before they are sent; claims that wait for one shard share a write. A lost answer is settled by reading the shard back or writing again. The shard count is fixed by the first node, because a claim would not be found in its shard after a change and its call would run again.

The HTTP server sent 200 for every response without a body, since ulfius refuses an empty body and leaves the status alone; a conflict of the object service looked like a successful write. HttpResponse::broken lets a stand-in drop a connection, which is how it loses answers.

--- a/Source/Adapter/httpmessage.h
+++ b/Source/Adapter/httpmessage.h
@@ -39,6 +39,7 @@
     HttpBodyReader reader; //!< If set, the body is streamed and \c body is unused.
     std::function<void()>
             closed; //!< Called once when a streamed response ends or its caller is gone.
+    bool broken = false; //!< Closes the connection before the body is complete (for stand-ins).
 };
 
 /*!
--- a/Source/Adapter/httpserver.cpp
+++ b/Source/Adapter/httpserver.cpp
@@ -72,6 +72,11 @@
     delete static_cast<StreamedBody *>(data);
 }
 
+ssize_t readBroken(void * /*data*/, uint64_t /*offset*/, char * /*buf*/, size_t /*max*/)
+{
+    return U_STREAM_ERROR;
+}
+
 std::optional<std::string> lookUp(const _u_map *map, const char *name, bool ignoreCase)
 {
     const char *value = ignoreCase ? u_map_get_case(map, name) : u_map_get(map, name);
@@ -102,6 +107,16 @@
     for (const auto &[name, value] : response.headers)
         u_map_put(out->map_header, name.c_str(), value.c_str());
     const auto status = static_cast<unsigned>(response.status);
+    if (response.broken) {
+        ulfius_set_stream_response(out, status, readBroken, nullptr, U_STREAM_SIZE_UNKNOWN,
+                                   streamBlockBytes, nullptr);
+        return;
+    }
+    if (!response.reader && response.body.empty()) {
+        // ulfius_set_binary_body_response refuses an empty body and leaves the status at 200.
+        ulfius_set_empty_body_response(out, status);
+        return;
+    }
     if (!response.reader) {
         ulfius_set_binary_body_response(out, status, response.body.data(), response.body.size());
         return;
--- /dev/null
+++ b/Source/Adapter/objectserviceclient.cpp
@@ -0,0 +1,136 @@
+#include "Adapter/objectserviceclient.h"
+
+#include "Adapter/backendclient.h"
+#include "Adapter/json.h"
+#include "Core/lastreason.h"
+
+#include <ulfius.h>
+
+#include <charconv>
+#include <memory>
+#include <utility>
+
+namespace sesame {
+
+namespace {
+
+std::string encodeQuery(std::string_view text)
+{
+    const std::unique_ptr<char, decltype(&u_free)> encoded(
+            ulfius_url_encode(std::string(text).c_str()), &u_free);
+    return encoded ? std::string(encoded.get()) : std::string();
+}
+
+std::optional<std::uint64_t> parseVersion(const HttpReply &reply)
+{
+    const std::string_view text = reply.header("x-version");
+    std::uint64_t version = 0;
+    const auto [it, ec] = std::from_chars(text.data(), text.data() + text.size(), version);
+    if (ec != std::errc() || it != text.data() + text.size())
+        return std::nullopt;
+    return version;
+}
+
+} // namespace
+
+ObjectServiceClient::ObjectServiceClient(ObjectServiceClientOptions options)
+    : m_options(std::move(options))
+{
+}
+
+StoreResult ObjectServiceClient::read(std::string_view key) const
+{
+    HttpCall call;
+    call.url = m_options.url + "/v1/object?key=" + encodeQuery(key);
+    call.timeout = m_options.timeout;
+    BackendReply answer = callBackend(call);
+    if (answer.status != CallStatus::Replied)
+        return {};
+    if (answer.reply.status == 404)
+        return {.status = StoreStatus::NotFound, .version = 0, .value = {}};
+    const auto version = parseVersion(answer.reply);
+    if (answer.reply.status != 200 || !version)
+        return {};
+    return {.status = StoreStatus::Ok, .version = *version, .value = std::move(answer.reply.body)};
+}
+
+StoreResult ObjectServiceClient::writeIf(std::string_view key, std::string_view value,
+                                         std::uint64_t expectedVersion) const
+{
+    return change("PUT", key, value, expectedVersion);
+}
+
+StoreResult ObjectServiceClient::removeIf(std::string_view key, std::uint64_t expectedVersion) const
+{
+    return change("DELETE", key, {}, expectedVersion);
+}
+
+StoreResult ObjectServiceClient::change(std::string_view method, std::string_view key,
+                                        std::string_view value, std::uint64_t expectedVersion) const
+{
+    const BackendReply answer = callBackend(
+            {.method = std::string(method),
+             .url = m_options.url + "/v1/object?key=" + encodeQuery(key),
+             .headers = {{"If-Version", std::to_string(expectedVersion)},
+                         {"Content-Type", "application/octet-stream"}},
+             .body = std::string(value),
+             .timeout = m_options.timeout});
+    if (answer.status == CallStatus::NotSent)
+        return {};
+    const int status = answer.reply.status;
+    const bool replied = answer.status == CallStatus::Replied;
+    // 4xx and 503 are the service's own refusals. Any other status can come after the write.
+    if (replied && (status == 503 || status == 404 || status == 400 || status == 413))
+        return {};
+    const auto version = parseVersion(answer.reply);
+    if (!replied || !version || (status != 200 && status != 409))
+        return {.status = StoreStatus::AnswerLost, .version = 0, .value = {}};
+    return {.status = status == 200 ? StoreStatus::Ok : StoreStatus::Conflict,
+            .version = *version,
+            .value = {}};
+}
+
+std::optional<ObjectList> ObjectServiceClient::list(std::string_view prefix) const
+{
+    return fetchList("/v1/list?prefix=" + encodeQuery(prefix), m_options.timeout);
+}
+
+std::optional<ObjectList> ObjectServiceClient::watch(std::string_view prefix,
+                                                     std::uint64_t afterRevision,
+                                                     std::chrono::milliseconds wait) const
+{
+    return fetchList("/v1/watch?prefix=" + encodeQuery(prefix)
+                             + "&after=" + std::to_string(afterRevision)
+                             + "&wait_ms=" + std::to_string(wait.count()),
+                     m_options.timeout + wait);
+}
+
+std::optional<ObjectList> ObjectServiceClient::fetchList(const std::string &path,
+                                                         std::chrono::milliseconds timeout) const
+{
+    HttpCall call;
+    call.url = m_options.url + path;
+    call.timeout = timeout;
+    const BackendReply answer = callBackend(call);
+    if (answer.status != CallStatus::Replied)
+        return fail(ResultCode::StoreUnavailable, "object service: " + answer.reason);
+    const JsonPtr body = parseJson(answer.reply.body);
+    const json_t *objects = json_object_get(body.get(), "objects");
+    if (answer.reply.status != 200 || !json_is_array(objects)) {
+        return fail(ResultCode::StoreUnavailable,
+                    "object service: status " + std::to_string(answer.reply.status));
+    }
+    ObjectList list {.revision = static_cast<std::uint64_t>(jsonInteger(body.get(), "revision")),
+                     .objects = {}};
+    std::size_t n = 0;
+    const json_t *entry = nullptr;
+    json_array_foreach(objects, n, entry)
+    {
+        list.objects.push_back(
+                {.key = jsonString(entry, "key"),
+                 .version = static_cast<std::uint64_t>(jsonInteger(entry, "version"))});
+    }
+    return list;
+}
+
+} // namespace sesame
--- a/Source/Adapter/sesameadapter.h
+++ b/Source/Adapter/sesameadapter.h
@@ -7,4 +7,5 @@
 #include "Adapter/httpserver.h"
 #include "Adapter/json.h"
 #include "Adapter/log.h"
+#include "Adapter/objectserviceclient.h"
 #include "Adapter/systemclock.h"
--- /dev/null
+++ b/Source/Core/claimledger.h
@@ -0,0 +1,543 @@
+#pragma once
+
+#include "Core/claimshard.h"
+#include "Core/invariant.h"
+#include "Core/lastreason.h"
+#include "Core/ports.h"
+#include "Core/resultcode.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace sesame {
+
+struct ClaimLedgerOptions
+{
+    std::string node;
+    std::uint64_t incarnation = 0; //!< Random, different for each start of each process.
+    std::uint32_t shards = 64; //!< The result of agreeOnShardCount().
+    std::chrono::milliseconds retention = std::chrono::hours(168);
+    std::size_t answerLimitBytes = 2'048; //!< Longer answers are not kept for repeats.
+    std::size_t shardLimitBytes = 1'000'000; //!< Limit of a value in the object service.
+    std::size_t answerReserveBytes = 65'536; //!< Kept free for answers when claims are admitted.
+    std::size_t cacheLimitBytes = 262'144; //!< Larger shards are read again for each commit.
+    std::chrono::milliseconds clockTolerance {2000}; //!< Largest difference of wall clocks.
+    int roundLimit = 8; //!< Writes tried for one commit before the store counts as unavailable.
+};
+
+/*!
+    Asks for the right to send one call.
+*/
+struct ClaimRequest
+{
+    std::string key; //!< See claimKey().
+    std::string fingerprint; //!< See callFingerprint().
+    std::chrono::milliseconds sendWindow {2000}; //!< The call is sent within this time or never.
+    std::chrono::milliseconds callTimeout {5000}; //!< Longest time from the send to the answer.
+};
+
+/*!
+    The right to send one call, once, while ClaimLedger::mayStillSend() holds.
+*/
+struct Claim
+{
+    std::string key;
+    std::string attempt;
+    Timestamp sendBefore;
+    WallMillis sendBeforeWall = 0;
+};
+
+/*!
+    Returns whether \a claim may be sent at \a now. The wall clock is checked too, because a
+    monotonic clock can stand still while an instance is suspended.
+*/
+inline bool isBeforeDeadline(const Claim &claim, Timestamp now, WallMillis wall)
+{
+    return now < claim.sendBefore && wall < claim.sendBeforeWall;
+}
+
+enum class ClaimStatus {
+    Granted, //!< The caller of claim() sends the call.
+    CompletedEarlier, //!< ClaimResult::answer has the recorded outcome.
+    InProgress, //!< Another attempt holds the claim and may still record its outcome (1401).
+    Unknown, //!< Another attempt holds the claim and its time is over (1400).
+    KeyReused, //!< The key was used with another call (1107).
+    StoreUnavailable, //!< Nothing may be sent (1203).
+    ShardFull //!< Nothing may be sent (1203); room returns as old claims expire.
+};
+
+struct ClaimResult
+{
+    ClaimStatus status = ClaimStatus::StoreUnavailable;
+    Claim claim; //!< Only for Granted.
+    RecordedAnswer answer; //!< Only for CompletedEarlier.
+};
+
+enum class RecordStatus {
+    Recorded,
+    Pending, //!< The store did not answer; the next commit to the shard writes the outcome.
+    NotHeld //!< The claim has expired.
+};
+
+struct OutcomeRecord
+{
+    Claim claim;
+    RecordedAnswer answer;
+};
+
+enum class LookupStatus { NotClaimed, Completed, InProgress, Unknown, StoreUnavailable };
+
+struct LookupResult
+{
+    LookupStatus status = LookupStatus::StoreUnavailable;
+    RecordedAnswer answer; //!< Only for Completed.
+};
+
+/*!
+    Everything that one commit to a shard writes.
+*/
+struct LedgerBatch
+{
+    std::span<const ClaimRequest> claims;
+    std::span<const OutcomeRecord> outcomes;
+    std::span<const std::string> executedKeys; //!< Keys that a status lookup found executed.
+};
+
+struct CommitResult
+{
+    std::vector<ClaimResult> claims; //!< In the order of LedgerBatch::claims.
+    std::vector<RecordStatus> outcomes; //!< In the order of LedgerBatch::outcomes.
+    std::vector<LookupResult> executed; //!< In the order of LedgerBatch::executedKeys.
+    bool stored = false; //!< The shard in the store contains the whole batch.
+};
+
+/*!
+    Returns the number of shards of the ledger in \a store. The first node sets it to
+    \a configured; later changes of the setting have no effect, because a claim would no longer
+    be found in its shard and its call would run again.
+    Returns std::nullopt with a last reason if the store does not answer.
+*/
+template <ObjectStore Store>
+std::optional<std::uint32_t> agreeOnShardCount(Store &store, std::uint32_t configured)
+{
+    constexpr std::string_view name = "ledger/layout";
+    StoreResult found = store.read(name);
+    if (found.status == StoreStatus::NotFound) {
+        store.writeIf(name, std::to_string(configured), 0);
+        found = store.read(name);
+    }
+    if (found.status != StoreStatus::Ok)
+        return fail(ResultCode::StoreUnavailable, "ledger/layout cannot be read");
+    return parseShardCount(found.value);
+}
+
+/*!
+    Grants each non-idempotent call to at most one attempt, with the object service as the only
+    record. Not thread-safe, except that calls for different shards may run at the same time.
+
+    A claim is granted when the store holds it, which is certain after a successful conditional
+    write or after reading the attempt's own id back. Claims are never passed on: a call whose
+    attempt ended without an outcome stays unknown, until a status lookup finds it executed.
+    A lookup that finds no execution settles nothing, because the call may still be on its way.
+*/
+template <ObjectStore Store, Clock ClockType>
+class ClaimLedger
+{
+public:
+    ClaimLedger(Store &store, const ClockType &clock, ClaimLedgerOptions options)
+        : m_store(store), m_clock(clock), m_options(std::move(options)), m_shards(m_options.shards)
+    {
+    }
+
+    std::uint32_t shardCount() const { return m_options.shards; }
+
+    std::uint32_t shardOf(std::string_view key) const
+    {
+        return claimShardOf(key, m_options.shards);
+    }
+
+    /*!
+        Tries to claim one call.
+    */
+    ClaimResult claim(const ClaimRequest &request)
+    {
+        return std::move(commitBatch(std::span(&request, 1)).front());
+    }
+
+    /*!
+        Tries to claim \a requests, which belong to the same shard, with one write.
+    */
+    std::vector<ClaimResult> commitBatch(std::span<const ClaimRequest> requests)
+    {
+        if (requests.empty())
+            return {};
+        return commit(shardOf(requests.front().key),
+                      {.claims = requests, .outcomes = {}, .executedKeys = {}})
+                .claims;
+    }
+
+    /*!
+        Returns whether \a claim may be sent at \a now. Must be asked immediately before the
+        first byte is written: a node that was frozen after the claim must not send, because
+        the claim may have expired.
+    */
+    bool mayStillSend(const Claim &claim, Timestamp now) const
+    {
+        return isBeforeDeadline(claim, now, m_clock.wallMillis());
+    }
+
+    /*!
+        Records what became of the call of \a claim. Outcome::NotRun releases the key, so that a
+        repeat may send the call; it is only correct if no byte was sent.
+    */
+    RecordStatus recordOutcome(const Claim &claim, RecordedAnswer answer)
+    {
+        const OutcomeRecord record {.claim = claim, .answer = std::move(answer)};
+        const std::span outcomes(&record, 1);
+        return commit(shardOf(claim.key), {.claims = {}, .outcomes = outcomes, .executedKeys = {}})
+                .outcomes.front();
+    }
+
+    /*!
+        Returns what the store knows about \a key.
+    */
+    LookupResult lookup(std::string_view key)
+    {
+        ShardState &state = m_shards[shardOf(key)];
+        if (!reload(shardOf(key), state))
+            return {};
+        return describe(*state.content, key);
+    }
+
+    /*!
+        Uses the result of a status lookup for \a key and returns what is then known about it.
+    */
+    LookupResult settle(std::string_view key, bool executed)
+    {
+        if (!executed)
+            return lookup(key);
+        const std::string copy(key);
+        const std::span keys(&copy, 1);
+        return commit(shardOf(key), {.claims = {}, .outcomes = {}, .executedKeys = keys})
+                .executed.front();
+    }
+
+    /*!
+        Returns whether outcomes or abandoned claims of \a shard wait for the store.
+    */
+    bool needsFlush(std::uint32_t shard) const
+    {
+        return !m_shards[shard].pending.empty() || !m_shards[shard].abandoned.empty();
+    }
+
+    /*!
+        Writes what waits for the store. Returns false if it still waits.
+    */
+    bool flush(std::uint32_t shard)
+    {
+        commit(shard, {});
+        return !needsFlush(shard);
+    }
+
+    /*!
+        Writes \a batch to \a shard with one conditional write, and repeats it on the newer
+        content after a conflict. Every key of the batch must belong to \a shard.
+    */
+    CommitResult commit(std::uint32_t shard, const LedgerBatch &batch)
+    {
+        ShardState &state = m_shards[shard];
+        Round round = begin(state, batch);
+        bool uncertain = false;
+        for (int n = 0; n < m_options.roundLimit && !isTooLate(round); ++n) {
+            if (!state.content && !reload(shard, state))
+                break;
+            Draft draft = apply(state, batch, round);
+            if (draft.needsFresh) {
+                state.content.reset();
+                continue;
+            }
+            if (!draft.changed)
+                return finish(state, std::move(draft));
+            const std::string value = draft.content.encode();
+            const std::uint64_t expected = state.version;
+            const StoreResult written = m_store.writeIf(claimShardName(shard), value, expected);
+            if (written.status == StoreStatus::Ok) {
+                draft.version = written.version;
+                return finish(state, std::move(draft));
+            }
+            state.content.reset();
+            if (written.status == StoreStatus::Unavailable)
+                break;
+            // After a lost answer the next round reads the shard back and finds the attempts
+            // there, or writes again, which also makes sure that the lost write never applies.
+            if (written.status == StoreStatus::AnswerLost) {
+                uncertain = true;
+                round.lastExpected = expected;
+            }
+        }
+        return giveUp(state, batch, round, uncertain);
+    }
+
+private:
+    //! An attempt that reached the store without being granted, or may still reach it.
+    struct Abandoned
+    {
+        std::string key;
+        std::string attempt;
+        std::uint64_t expectedVersion = 0; //!< The lost write applies to this version only.
+    };
+
+    struct ShardState
+    {
+        std::optional<ClaimShard> content; //!< As of \c version; the store may be newer.
+        std::uint64_t version = 0;
+        bool fresh = false; //!< Read in the current commit or lookup.
+        std::uint64_t attempts = 0;
+        std::vector<OutcomeRecord> pending;
+        std::vector<Abandoned> abandoned;
+    };
+
+    //! The claims of one commit with their attempt ids, which stay the same in every round.
+    struct Round
+    {
+        std::vector<Claim> claims;
+        Timestamp end;
+        std::uint64_t lastExpected = 0;
+    };
+
+    struct Draft
+    {
+        ClaimShard content;
+        std::uint64_t version = 0;
+        std::vector<ClaimResult> claims;
+        std::vector<RecordStatus> outcomes;
+        std::vector<LookupResult> executed;
+        bool changed = false;
+        bool needsFresh = false;
+    };
+
+    Round begin(ShardState &state, const LedgerBatch &batch)
+    {
+        state.fresh = false;
+        const Timestamp now = m_clock.now();
+        const WallMillis wall = m_clock.wallMillis();
+        Round round;
+        for (const ClaimRequest &request : batch.claims) {
+            requireInvariant(&m_shards[shardOf(request.key)] == &state, "claim in its own shard");
+            // A window near the retention time would let a claim expire before it is sent.
+            const auto window = std::min(request.sendWindow, m_options.retention / 2);
+            round.claims.push_back({.key = request.key,
+                                    .attempt = attemptId(m_options.incarnation, ++state.attempts),
+                                    .sendBefore = now + window,
+                                    .sendBeforeWall = wall + window.count()});
+            round.end = std::max(round.end, now + window);
+        }
+        return round;
+    }
+
+    // A claim that is committed after its deadline would only block its key.
+    bool isTooLate(const Round &round) const
+    {
+        return !round.claims.empty() && m_clock.now() >= round.end;
+    }
+
+    bool reload(std::uint32_t shard, ShardState &state)
+    {
+        state.content.reset();
+        StoreResult found = m_store.read(claimShardName(shard));
+        if (found.status == StoreStatus::NotFound)
+            state.content = ClaimShard();
+        else if (found.status == StoreStatus::Ok)
+            state.content = ClaimShard::decode(found.value);
+        state.version = found.version;
+        state.fresh = state.content.has_value();
+        return state.fresh;
+    }
+
+    Draft apply(const ShardState &state, const LedgerBatch &batch, const Round &round)
+    {
+        Draft draft;
+        draft.content = *state.content;
+        draft.version = state.version;
+        draft.content.dropExpired(m_clock.wallMillis() - m_options.retention.count());
+        for (const Abandoned &entry : state.abandoned) {
+            const wire::ClaimRecord *found = draft.content.find(entry.key);
+            if (!found || found->attempt != entry.attempt)
+                continue;
+            draft.content.erase(entry.key);
+            draft.changed = true;
+        }
+        for (const OutcomeRecord &outcome : state.pending)
+            applyOutcome(outcome, draft);
+        for (const OutcomeRecord &outcome : batch.outcomes)
+            draft.outcomes.push_back(applyOutcome(outcome, draft));
+        for (const std::string &key : batch.executedKeys) {
+            applyExecuted(key, draft);
+            draft.executed.push_back(describe(draft.content, key));
+        }
+        for (std::size_t n = 0; n < batch.claims.size(); ++n)
+            draft.claims.push_back(applyClaim(batch.claims[n], round.claims[n], state, draft));
+        return draft;
+    }
+
+    RecordStatus applyOutcome(const OutcomeRecord &outcome, Draft &draft)
+    {
+        const std::string &key = outcome.claim.key;
+        const wire::ClaimRecord *found = draft.content.find(key);
+        const bool held = found && found->attempt == outcome.claim.attempt;
+        if (outcome.answer.outcome == Outcome::NotRun) {
+            if (held) {
+                draft.content.erase(key);
+                draft.changed = true;
+            }
+            return RecordStatus::Recorded;
+        }
+        if (!held)
+            return RecordStatus::NotHeld;
+        const bool final = isFinal(*found) && !found->fromStatusLookup;
+        const bool repeated = found->state == static_cast<std::int32_t>(ClaimState::Unknown)
+                && outcome.answer.outcome == Outcome::Unknown;
+        const bool lessKnown = isFinal(*found) && outcome.answer.outcome == Outcome::Unknown;
+        if (final || repeated || lessKnown)
+            return RecordStatus::Recorded;
+        draft.content.setAnswer(key, outcome.answer, m_options.answerLimitBytes,
+                                m_options.shardLimitBytes);
+        draft.changed = true;
+        return RecordStatus::Recorded;
+    }
+
+    void applyExecuted(const std::string &key, Draft &draft)
+    {
+        const wire::ClaimRecord *found = draft.content.find(key);
+        if (!found || isFinal(*found))
+            return;
+        draft.content.setAnswer(key,
+                                {.outcome = Outcome::Complete,
+                                 .code = ResultCode::Ok,
+                                 .httpStatus = httpOk,
+                                 .contentType = {},
+                                 .body = {},
+                                 .bodyOmitted = true,
+                                 .fromStatusLookup = true},
+                                m_options.answerLimitBytes, m_options.shardLimitBytes);
+        draft.changed = true;
+    }
+
+    ClaimResult applyClaim(const ClaimRequest &request, const Claim &claim, const ShardState &state,
+                           Draft &draft)
+    {
+        const wire::ClaimRecord *found = draft.content.find(request.key);
+        if (found && found->attempt == claim.attempt)
+            return {.status = ClaimStatus::Granted, .claim = claim, .answer = {}};
+        if (found) {
+            // An open claim may have got its outcome since the cached read.
+            draft.needsFresh = draft.needsFresh || (!state.fresh && !isFinal(*found));
+            return describeClaimed(*found, request);
+        }
+        wire::ClaimRecord record;
+        record.key = request.key;
+        record.fingerprint = request.fingerprint;
+        record.attempt = claim.attempt;
+        record.node = m_options.node;
+        record.claimedAtMillis = m_clock.wallMillis();
+        record.sendBeforeMillis = claim.sendBeforeWall;
+        record.expectedByMillis = claim.sendBeforeWall + request.callTimeout.count();
+        const std::size_t size = draft.content.sizeBound() + ClaimShard::recordSizeBound(record);
+        if (size + m_options.answerReserveBytes > m_options.shardLimitBytes)
+            return {.status = ClaimStatus::ShardFull, .claim = {}, .answer = {}};
+        draft.content.insert(record);
+        draft.changed = true;
+        return {.status = ClaimStatus::Granted, .claim = claim, .answer = {}};
+    }
+
+    ClaimResult describeClaimed(const wire::ClaimRecord &record, const ClaimRequest &request) const
+    {
+        if (record.fingerprint != request.fingerprint)
+            return {.status = ClaimStatus::KeyReused, .claim = {}, .answer = {}};
+        if (isFinal(record)) {
+            return {.status = ClaimStatus::CompletedEarlier,
+                    .claim = {},
+                    .answer = recordedAnswer(record)};
+        }
+        return {.status = isOverdue(record) ? ClaimStatus::Unknown : ClaimStatus::InProgress,
+                .claim = {},
+                .answer = {}};
+    }
+
+    LookupResult describe(const ClaimShard &content, std::string_view key) const
+    {
+        const wire::ClaimRecord *found = content.find(key);
+        if (!found)
+            return {.status = LookupStatus::NotClaimed, .answer = {}};
+        if (isFinal(*found))
+            return {.status = LookupStatus::Completed, .answer = recordedAnswer(*found)};
+        return {.status = isOverdue(*found) ? LookupStatus::Unknown : LookupStatus::InProgress,
+                .answer = {}};
+    }
+
+    static bool isFinal(const wire::ClaimRecord &record)
+    {
+        const auto state = static_cast<ClaimState>(record.state);
+        return state == ClaimState::Complete || state == ClaimState::Failed;
+    }
+
+    bool isOverdue(const wire::ClaimRecord &record) const
+    {
+        return record.state == static_cast<std::int32_t>(ClaimState::Unknown)
+                || m_clock.wallMillis()
+                >= record.expectedByMillis + m_options.clockTolerance.count();
+    }
+
+    CommitResult finish(ShardState &state, Draft draft)
+    {
+        const bool written = draft.changed;
+        state.pending.clear();
+        // Without a write, a lost write that still applies to this version can arrive later.
+        std::erase_if(state.abandoned, [&](const Abandoned &entry) {
+            return written || draft.version != entry.expectedVersion;
+        });
+        const bool cached = draft.content.sizeBound() <= m_options.cacheLimitBytes;
+        state.version = draft.version;
+        state.content.reset();
+        if (cached)
+            state.content = std::move(draft.content);
+        return {.claims = std::move(draft.claims),
+                .outcomes = std::move(draft.outcomes),
+                .executed = std::move(draft.executed),
+                .stored = true};
+    }
+
+    CommitResult giveUp(ShardState &state, const LedgerBatch &batch, const Round &round,
+                        bool uncertain)
+    {
+        CommitResult result;
+        for (const Claim &claim : round.claims) {
+            result.claims.emplace_back();
+            if (uncertain)
+                state.abandoned.push_back({claim.key, claim.attempt, round.lastExpected});
+        }
+        for (const OutcomeRecord &outcome : batch.outcomes) {
+            state.pending.push_back(outcome);
+            result.outcomes.push_back(RecordStatus::Pending);
+        }
+        result.executed.resize(batch.executedKeys.size());
+        return result;
+    }
+
+    static constexpr int httpOk = 200;
+
+    Store &m_store;
+    const ClockType &m_clock;
+    ClaimLedgerOptions m_options;
+    std::vector<ShardState> m_shards;
+};
+
+} // namespace sesame
--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -2,6 +2,8 @@
 
 //! Public header of the sesamecore library: the decision code, free of sockets, threads and clocks.
 
+#include "Core/claimledger.h"
+#include "Core/claimshard.h"
 #include "Core/fleetconfig.h"
 #include "Core/invariant.h"
 #include "Core/lastreason.h"
--- /dev/null
+++ b/Source/Node/claimcommitter.h
@@ -0,0 +1,219 @@
+#pragma once
+
+#include "Core/claimledger.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace sesame {
+
+/*!
+    Thread-safe access to a ClaimLedger with group commit: while one thread waits for the store's
+    answer on a shard, the calls of other threads for this shard collect, and the next of them
+    writes all in one update. No lock is held during the calls to the store.
+*/
+template <ObjectStore Store, Clock ClockType>
+class ClaimCommitter
+{
+public:
+    /*!
+        \a options.shards is the configured number; the number in force is read from the store
+        by the first call that reaches it.
+    */
+    ClaimCommitter(Store &store, const ClockType &clock, ClaimLedgerOptions options)
+        : m_store(store), m_clock(clock), m_options(std::move(options))
+    {
+    }
+
+    /*!
+        As ClaimLedger::claim(). Blocks until the store has answered.
+    */
+    ClaimResult claim(const ClaimRequest &request)
+    {
+        Job job;
+        job.claim = &request;
+        run(request.key, job);
+        return std::move(job.claimResult);
+    }
+
+    /*!
+        As ClaimLedger::mayStillSend().
+    */
+    bool mayStillSend(const Claim &claim, Timestamp now) const
+    {
+        return isBeforeDeadline(claim, now, m_clock.wallMillis());
+    }
+
+    /*!
+        As ClaimLedger::recordOutcome().
+    */
+    RecordStatus recordOutcome(const Claim &claim, RecordedAnswer answer)
+    {
+        const OutcomeRecord record {.claim = claim, .answer = std::move(answer)};
+        Job job;
+        job.outcome = &record;
+        run(claim.key, job);
+        return job.recordStatus;
+    }
+
+    /*!
+        As ClaimLedger::lookup().
+    */
+    LookupResult lookup(std::string_view key) { return settle(key, false); }
+
+    /*!
+        As ClaimLedger::settle().
+    */
+    LookupResult settle(std::string_view key, bool executed)
+    {
+        const std::string copy(key);
+        Job job;
+        job.key = &copy;
+        job.executed = executed;
+        run(copy, job);
+        return std::move(job.lookupResult);
+    }
+
+    /*!
+        Writes outcomes that the store could not take earlier. Should be called every second.
+    */
+    void flush()
+    {
+        if (!hasLedger())
+            return;
+        for (std::uint32_t shard = 0; shard < m_lanes.size(); ++shard) {
+            Job job;
+            job.flushOnly = true;
+            runInLane(shard, job);
+        }
+    }
+
+private:
+    struct Job
+    {
+        const ClaimRequest *claim = nullptr;
+        const OutcomeRecord *outcome = nullptr;
+        const std::string *key = nullptr; //!< To look up, or to settle if \c executed.
+        bool executed = false;
+        bool flushOnly = false;
+        bool done = false;
+        ClaimResult claimResult;
+        RecordStatus recordStatus = RecordStatus::Pending;
+        LookupResult lookupResult;
+    };
+
+    //! Serialises the use of one shard.
+    struct Lane
+    {
+        std::mutex mutex;
+        std::condition_variable changed;
+        std::vector<Job *> waiting;
+        bool busy = false;
+    };
+
+    using Ledger = ClaimLedger<Store, ClockType>;
+
+    bool hasLedger()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_ledger.has_value();
+    }
+
+    bool prepareLedger()
+    {
+        if (hasLedger())
+            return true;
+        const auto shards = agreeOnShardCount(m_store, m_options.shards);
+        if (!shards)
+            return false;
+        const std::lock_guard lock(m_mutex);
+        if (m_ledger)
+            return true;
+        ClaimLedgerOptions options = m_options;
+        options.shards = *shards;
+        m_lanes = std::vector<Lane>(*shards);
+        m_ledger.emplace(m_store, m_clock, std::move(options));
+        return true;
+    }
+
+    void run(std::string_view key, Job &job)
+    {
+        if (prepareLedger())
+            runInLane(m_ledger->shardOf(key), job);
+    }
+
+    void runInLane(std::uint32_t shard, Job &job)
+    {
+        Lane &lane = m_lanes[shard];
+        std::unique_lock lock(lane.mutex);
+        lane.waiting.push_back(&job);
+        lane.changed.wait(lock, [&] {
+            return job.done || !lane.busy;
+        });
+        if (job.done)
+            return;
+        lane.busy = true;
+        const std::vector<Job *> jobs = std::exchange(lane.waiting, {});
+        lock.unlock();
+        commit(shard, jobs);
+        lock.lock();
+        for (Job *it : jobs)
+            it->done = true;
+        lane.busy = false;
+        lane.changed.notify_all();
+    }
+
+    void commit(std::uint32_t shard, const std::vector<Job *> &jobs)
+    {
+        std::vector<ClaimRequest> claims;
+        std::vector<OutcomeRecord> outcomes;
+        std::vector<std::string> executed;
+        for (const Job *job : jobs) {
+            if (job->claim)
+                claims.push_back(*job->claim);
+            if (job->outcome)
+                outcomes.push_back(*job->outcome);
+            if (job->executed)
+                executed.push_back(*job->key);
+        }
+        const bool writes = !claims.empty() || !outcomes.empty() || !executed.empty();
+        CommitResult result;
+        if (writes || m_ledger->needsFlush(shard)) {
+            result = m_ledger->commit(
+                    shard, {.claims = claims, .outcomes = outcomes, .executedKeys = executed});
+        }
+        distribute(jobs, std::move(result));
+    }
+
+    void distribute(const std::vector<Job *> &jobs, CommitResult result)
+    {
+        auto claim = result.claims.begin();
+        auto outcome = result.outcomes.begin();
+        auto executed = result.executed.begin();
+        for (Job *job : jobs) {
+            if (job->claim)
+                job->claimResult = std::move(*claim++);
+            else if (job->outcome)
+                job->recordStatus = *outcome++;
+            else if (job->executed)
+                job->lookupResult = std::move(*executed++);
+            else if (job->key)
+                job->lookupResult = m_ledger->lookup(*job->key);
+        }
+    }
+
+    Store &m_store;
+    const ClockType &m_clock;
+    const ClaimLedgerOptions m_options;
+    std::mutex m_mutex; //!< Guards the creation of the ledger and its lanes.
+    std::optional<Ledger> m_ledger;
+    std::vector<Lane> m_lanes;
+};
+
+} // namespace sesame
--- a/Source/Node/sesamenode.h
+++ b/Source/Node/sesamenode.h
@@ -1,4 +1,5 @@
 #pragma once
 
 //! Public header of the sesamenode library.
+#include "Node/claimcommitter.h"
 #include "Node/nodeversion.h"
--- /dev/null
+++ b/Tests/support/fakestore.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "Core/ports.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sesame {
+
+/*!
+    Virtual time of a seeded run. Monotonic and wall time advance together.
+*/
+class FakeClock
+{
+public:
+    Timestamp now() const { return m_now; }
+    WallMillis wallMillis() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(m_now.time_since_epoch())
+                .count();
+    }
+    void advance(Duration time) { m_now += time; }
+
+private:
+    Timestamp m_now {std::chrono::hours(1000)};
+};
+
+/*!
+    What happens to one call of a FakeStore.
+*/
+enum class StoreFault {
+    None,
+    Refused, //!< The call is refused and changes nothing.
+    LostAfter, //!< A write takes effect and its answer is lost.
+    LostBefore, //!< A write is lost before it takes effect.
+    LostLate //!< The answer is lost and the write is tried when applyLateWrites() is called.
+};
+
+/*!
+    Object service in memory. \c fault chooses what happens to each call, and \c between runs
+    before and after each effect, so that a test can let other nodes act there.
+*/
+class FakeStore
+{
+public:
+    std::function<StoreFault(bool isWrite)> fault;
+    std::function<void()> between;
+    bool ignoreVersions = false; //!< Makes every write unconditional, to show what fails then.
+    bool confirmLostWrites = false; //!< Reports lost writes as successful.
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+
+    StoreResult read(std::string_view key)
+    {
+        ++reads;
+        pause();
+        const bool failed = fault && fault(false) != StoreFault::None;
+        const auto it = m_objects.find(key);
+        StoreResult result;
+        if (it != m_objects.end())
+            result = {StoreStatus::Ok, it->second.version, it->second.value};
+        else
+            result.status = StoreStatus::NotFound;
+        pause();
+        return failed ? StoreResult {} : result;
+    }
+
+    StoreResult writeIf(std::string_view key, std::string_view value, std::uint64_t expected)
+    {
+        ++writes;
+        pause();
+        StoreResult result;
+        switch (fault ? fault(true) : StoreFault::None) {
+        case StoreFault::None:
+            result = apply(key, value, expected);
+            break;
+        case StoreFault::Refused:
+            break;
+        case StoreFault::LostAfter:
+            apply(key, value, expected);
+            result.status = StoreStatus::AnswerLost;
+            break;
+        case StoreFault::LostBefore:
+            result.status = StoreStatus::AnswerLost;
+            break;
+        case StoreFault::LostLate:
+            m_late.push_back({std::string(key), std::string(value), expected});
+            result.status = StoreStatus::AnswerLost;
+            break;
+        }
+        if (confirmLostWrites && result.status == StoreStatus::AnswerLost)
+            result = {StoreStatus::Ok, expected + 1, {}};
+        pause();
+        return result;
+    }
+
+    void applyLateWrites()
+    {
+        std::vector<LateWrite> late;
+        late.swap(m_late);
+        for (const LateWrite &it : late)
+            apply(it.key, it.value, it.expected);
+    }
+
+private:
+    struct Object
+    {
+        std::string value;
+        std::uint64_t version = 0;
+    };
+
+    struct LateWrite
+    {
+        std::string key;
+        std::string value;
+        std::uint64_t expected = 0;
+    };
+
+    void pause() const
+    {
+        if (between)
+            between();
+    }
+
+    StoreResult apply(std::string_view key, std::string_view value, std::uint64_t expected)
+    {
+        const auto it = m_objects.find(key);
+        const std::uint64_t current = it == m_objects.end() ? 0 : it->second.version;
+        if (current != expected && !ignoreVersions)
+            return {StoreStatus::Conflict, current, {}};
+        const std::uint64_t version = ++m_revision;
+        m_objects[std::string(key)] = {std::string(value), version};
+        return {StoreStatus::Ok, version, {}};
+    }
+
+    std::map<std::string, Object, std::less<>> m_objects;
+    std::vector<LateWrite> m_late;
+    std::uint64_t m_revision = 0;
+};
+
+static_assert(Clock<FakeClock>);
+static_assert(ObjectStore<FakeStore>);
+
+} // namespace sesame
