--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -3,6 +3,8 @@
 //! Public header of the sesamecore library: the decision code, free of sockets, threads and clocks.
 
 #include "Core/burnreport.h"
+#include "Core/claimledger.h"
+#include "Core/claimshard.h"
 #include "Core/fleetconfig.h"
 #include "Core/fleetdocument.h"
 #include "Core/fleetexceptions.h"
