Add membership, the backend table, the peer service and the cloud client

Nodes need to find out about each other's failures and about leaving backend servers without a store that every node writes heartbeats to. MembershipTable is a SWIM style detector that also spreads leave notices; BackendTable keeps which backend servers may receive new work, and asserts that a leaving incarnation is never among them.

Peers exchange sealed Thrift messages. The authentication code of an answer covers the code of its request, so that a recorded answer cannot be passed off as the answer to another request. Thrift's non-blocking server was ruled out, because it needs the headers of libevent, which is no dependency so far; the thread pool server serves one message for each connection instead.

Ping gains wantsState, with which a joining node asks for all rumours.

--- a/Generated/peer_types.cpp
+++ b/Generated/peer_types.cpp
@@ -173,6 +173,10 @@
 void Ping::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
+
+void Ping::__set_wantsState(const bool val) {
+  this->wantsState = val;
+}
 std::ostream& operator<<(std::ostream& out, const Ping& obj)
 {
   obj.printTo(out);
@@ -209,6 +213,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantsState);
+          this->__isset.wantsState = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -230,6 +242,10 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("wantsState", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->wantsState);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -238,15 +254,18 @@
 void swap(Ping &a, Ping &b) {
   using ::std::swap;
   swap(a.sequence, b.sequence);
+  swap(a.wantsState, b.wantsState);
   swap(a.__isset, b.__isset);
 }
 
 Ping::Ping(const Ping& other2) noexcept {
   sequence = other2.sequence;
+  wantsState = other2.wantsState;
   __isset = other2.__isset;
 }
 Ping& Ping::operator=(const Ping& other3) noexcept {
   sequence = other3.sequence;
+  wantsState = other3.wantsState;
   __isset = other3.__isset;
   return *this;
 }
@@ -254,6 +273,7 @@
   using ::apache::thrift::to_string;
   out << "Ping(";
   out << "sequence=" << to_string(sequence);
+  out << ", " << "wantsState=" << to_string(wantsState);
   out << ")";
 }
 
--- a/Generated/peer_types.h
+++ b/Generated/peer_types.h
@@ -115,12 +115,13 @@
 std::ostream& operator<<(std::ostream& out, const Rumour& obj);
 
 typedef struct _Ping__isset {
-  _Ping__isset() : sequence(false) {}
+  _Ping__isset() : sequence(false), wantsState(false) {}
   bool sequence :1;
+  bool wantsState :1;
 } _Ping__isset;
 
 /**
- * Direct probe. The answer is an Ack.
+ * Direct probe. The answer says that the receiver is alive.
  */
 class Ping : public virtual ::apache::thrift::TBase {
  public:
@@ -128,20 +129,32 @@
   Ping(const Ping&) noexcept;
   Ping& operator=(const Ping&) noexcept;
   Ping() noexcept
-       : sequence(0) {
+       : sequence(0),
+         wantsState(0) {
   }
 
   virtual ~Ping() noexcept;
+  /**
+   * Number of the probe; 0 if the message only carries rumours.
+   */
   int64_t sequence;
+  /**
+   * The answer is to carry everything that the receiver knows, for a node that joins.
+   */
+  bool wantsState;
 
   _Ping__isset __isset;
 
   void __set_sequence(const int64_t val);
 
+  void __set_wantsState(const bool val);
+
   bool operator == (const Ping & rhs) const
   {
     if (!(sequence == rhs.sequence))
       return false;
+    if (!(wantsState == rhs.wantsState))
+      return false;
     return true;
   }
   bool operator != (const Ping &rhs) const {
@@ -611,7 +624,8 @@
   int64_t sentAtMillis;
   std::string body;
   /**
-   * HMAC-SHA-256 over sender, sentAtMillis and body under the deployment's peer key.
+   * HMAC-SHA-256 over context, sender, sentAtMillis and body under the deployment's peer key.
+   * The context is "request", or the authentication code of the request in an answer.
    */
   std::string authenticationCode;
 
--- a/Interface/peer.thrift
+++ b/Interface/peer.thrift
@@ -10,9 +10,12 @@
   4: string detail
 }
 
-/** Direct probe. The answer is an Ack. */
+/** Direct probe. The answer says that the receiver is alive. */
 struct Ping {
+  /** Number of the probe; 0 if the message only carries rumours. */
   1: i64 sequence
+  /** The answer is to carry everything that the receiver knows, for a node that joins. */
+  2: bool wantsState
 }
 
 /** Asks the receiver to probe another node on behalf of the sender. */
@@ -70,7 +73,10 @@
   1: string sender
   2: i64 sentAtMillis
   3: binary body
-  /** HMAC-SHA-256 over sender, sentAtMillis and body under the deployment's peer key. */
+  /**
+   * HMAC-SHA-256 over context, sender, sentAtMillis and body under the deployment's peer key.
+   * The context is "request", or the authentication code of the request in an answer.
+   */
   4: binary authenticationCode
 }
 
--- /dev/null
+++ b/Source/Adapter/cloudclient.cpp
@@ -0,0 +1,180 @@
+#include "Adapter/cloudclient.h"
+
+#include "Core/lastreason.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace sesame {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusConflict = 409;
+
+constexpr std::array<std::string_view, 3> kindNames {"entry", "engine", "service"};
+constexpr std::array<std::string_view, 2> marketNames {"reclaimable", "on_demand"};
+
+template <std::size_t count>
+std::optional<std::size_t> findName(const std::array<std::string_view, count> &names,
+                                    std::string_view name)
+{
+    const auto it = std::find(names.begin(), names.end(), name);
+    if (it == names.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(it - names.begin());
+}
+
+json_t *jsonText(std::string_view text)
+{
+    return json_stringn(text.data(), text.size());
+}
+
+} // namespace
+
+std::optional<Market> marketFromName(std::string_view name)
+{
+    const auto index = findName(marketNames, name);
+    if (!index)
+        return std::nullopt;
+    return static_cast<Market>(*index);
+}
+
+JsonPtr toJson(const ListedInstance &instance)
+{
+    JsonPtr value(json_object());
+    json_t *object = value.get();
+    json_object_set_new(object, "id", jsonText(instance.id));
+    json_object_set_new(object, "incarnation", json_integer(instance.incarnation));
+    json_object_set_new(object, "kind", jsonText(kindNames[static_cast<size_t>(instance.kind)]));
+    json_object_set_new(object, "class", jsonText(instance.className));
+    json_object_set_new(object, "service", jsonText(instance.service));
+    json_object_set_new(object, "address", jsonText(instance.address));
+    json_object_set_new(object, "zone", jsonText(instance.zone));
+    json_object_set_new(object, "market",
+                        jsonText(marketNames[static_cast<size_t>(instance.market)]));
+    json_object_set_new(object, "price_per_hour", json_real(instance.pricePerHour));
+    json_object_set_new(object, "state", jsonText(instance.leaving ? "leaving" : "running"));
+    return value;
+}
+
+std::optional<ListedInstance> instanceFromJson(const json_t *value)
+{
+    const auto kind = findName(kindNames, jsonString(value, "kind"));
+    const auto market = marketFromName(jsonString(value, "market", "reclaimable"));
+    const std::string state = jsonString(value, "state", "running");
+    ListedInstance instance {.id = jsonString(value, "id"),
+                             .incarnation = jsonInteger(value, "incarnation"),
+                             .kind = static_cast<InstanceKind>(kind.value_or(0)),
+                             .className = jsonString(value, "class"),
+                             .service = jsonString(value, "service"),
+                             .address = jsonString(value, "address"),
+                             .zone = jsonString(value, "zone"),
+                             .market = market.value_or(Market::Reclaimable),
+                             .pricePerHour = jsonNumber(value, "price_per_hour"),
+                             .leaving = state == "leaving"};
+    if (instance.id.empty() || !kind || !market || (state != "running" && state != "leaving"))
+        return std::nullopt;
+    return instance;
+}
+
+CloudClient::CloudClient(std::string url, std::chrono::milliseconds timeout)
+    : m_url(std::move(url)), m_timeout(timeout)
+{
+}
+
+BackendReply CloudClient::send(std::string method, std::string_view path, std::string body) const
+{
+    HttpCall call;
+    call.method = std::move(method);
+    call.url = m_url;
+    call.url.append(path);
+    call.timeout = m_timeout;
+    if (!body.empty())
+        call.headers.emplace_back("Content-Type", "application/json");
+    call.body = std::move(body);
+    return callBackend(call);
+}
+
+JsonPtr CloudClient::read(std::string_view path) const
+{
+    const BackendReply reply = send("GET", path);
+    if (reply.status != CallStatus::Replied || reply.reply.status != statusOk) {
+        fail(ResultCode::BackendFailed, "cloud API: " + reply.reason);
+        return nullptr;
+    }
+    JsonPtr value = parseJson(reply.reply.body);
+    if (!value)
+        fail(ResultCode::BackendFailed, "cloud API: answer is not JSON");
+    return value;
+}
+
+std::optional<std::vector<ListedInstance>> CloudClient::instances() const
+{
+    const JsonPtr value = read("/v1/instances");
+    if (!value)
+        return std::nullopt;
+    const json_t *list = json_object_get(value.get(), "instances");
+    if (!json_is_array(list))
+        return fail(ResultCode::BackendFailed, "cloud API: no list of instances");
+    std::vector<ListedInstance> instances;
+    for (std::size_t n = 0; n < json_array_size(list); ++n) {
+        auto instance = instanceFromJson(json_array_get(list, n));
+        if (instance && !instance->address.empty())
+            instances.push_back(std::move(*instance));
+    }
+    return instances;
+}
+
+std::optional<NoticeBatch> CloudClient::notices(std::int64_t after) const
+{
+    const JsonPtr value = read("/v1/notices?after=" + std::to_string(after));
+    if (!value)
+        return std::nullopt;
+    NoticeBatch batch {.sequence = jsonInteger(value.get(), "sequence", after), .notices = {}};
+    const json_t *list = json_object_get(value.get(), "notices");
+    for (std::size_t n = 0; n < json_array_size(list); ++n) {
+        const json_t *notice = json_array_get(list, n);
+        batch.notices.push_back({.sequence = jsonInteger(notice, "sequence"),
+                                 .instance = jsonString(notice, "instance"),
+                                 .zone = jsonString(notice, "zone"),
+                                 .deadline = jsonInteger(notice, "deadline_unix_ms")});
+    }
+    return batch;
+}
+
+StartResult CloudClient::start(const StartOrder &order) const
+{
+    const JsonPtr body(json_object());
+    json_object_set_new(body.get(), "client_token", jsonText(order.clientToken));
+    json_object_set_new(body.get(), "class", jsonText(order.className));
+    json_object_set_new(body.get(), "zone", jsonText(order.zone));
+    json_object_set_new(body.get(), "market",
+                        jsonText(marketNames[static_cast<std::size_t>(order.market)]));
+    const BackendReply reply = send("POST", "/v1/instances", dumpJson(body.get()));
+    if (reply.status == CallStatus::NotSent)
+        return {.status = StartStatus::Unavailable, .instance = {}};
+    if (reply.status != CallStatus::Replied)
+        return {.status = StartStatus::AnswerLost, .instance = {}};
+    if (reply.reply.status == statusConflict)
+        return {.status = StartStatus::Refused, .instance = {}};
+    // An error status does not tell whether an instance was started before the error.
+    if (reply.reply.status != statusOk)
+        return {.status = StartStatus::AnswerLost, .instance = {}};
+    const JsonPtr value = parseJson(reply.reply.body);
+    return {.status = StartStatus::Started, .instance = jsonString(value.get(), "id")};
+}
+
+bool CloudClient::stop(std::string_view instance) const
+{
+    const BackendReply reply = send("DELETE", "/v1/instances?id=" + std::string(instance));
+    if (reply.status == CallStatus::Replied
+        && (reply.reply.status == statusOk || reply.reply.status == statusNotFound))
+        return true;
+    fail(ResultCode::BackendFailed, "cloud API: " + reply.reason);
+    return false;
+}
+
+} // namespace sesame
--- a/Source/Adapter/sesameadapter.h
+++ b/Source/Adapter/sesameadapter.h
@@ -2,9 +2,14 @@
 
 //! Public header of the sesameadapter library.
 #include "Adapter/backendclient.h"
+#include "Adapter/cloudclient.h"
 #include "Adapter/httpclient.h"
 #include "Adapter/httpmessage.h"
 #include "Adapter/httpserver.h"
 #include "Adapter/json.h"
 #include "Adapter/log.h"
+#include "Adapter/messageseal.h"
+#include "Adapter/peerclient.h"
+#include "Adapter/peermessage.h"
+#include "Adapter/peerserver.h"
 #include "Adapter/systemclock.h"
--- /dev/null
+++ b/Source/Core/backendtable.cpp
@@ -0,0 +1,367 @@
+#include "Core/backendtable.h"
+
+#include "Core/invariant.h"
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+
+namespace sesame {
+
+namespace {
+
+bool isEngineFor(const ListedInstance &listed, std::span<const std::string> classes)
+{
+    return listed.kind == InstanceKind::Engine
+            && std::find(classes.begin(), classes.end(), listed.className) != classes.end();
+}
+
+bool hasLoaded(const std::optional<LoadReport> &report, std::string_view model)
+{
+    return !report || report->models.empty()
+            || std::find(report->models.begin(), report->models.end(), model)
+            != report->models.end();
+}
+
+Rumour leaveRumour(std::string_view id, std::int64_t incarnation, std::string_view detail)
+{
+    return {.kind = RumourKind::BackendLeaving,
+            .subject = std::string(id),
+            .incarnation = incarnation,
+            .detail = std::string(detail)};
+}
+
+} // namespace
+
+BackendTable::BackendTable(BackendOptions options) : m_options(options) { }
+
+std::vector<Rumour> BackendTable::applyList(std::span<const ListedInstance> list, Timestamp now)
+{
+    std::vector<Rumour> rumours;
+    std::set<std::string_view> ids;
+    for (const ListedInstance &listed : list) {
+        if (listed.kind == InstanceKind::Entry)
+            continue;
+        ids.insert(listed.id);
+        applyListed(listed, now, rumours);
+    }
+    for (auto &[id, server] : m_servers) {
+        if (list.empty() || server.state == BackendState::Gone || ids.contains(id))
+            continue;
+        server.state = BackendState::Gone;
+        server.since = now;
+    }
+    forget(now);
+    return rumours;
+}
+
+void BackendTable::applyListed(const ListedInstance &listed, Timestamp now,
+                               std::vector<Rumour> &rumours)
+{
+    Server *server = findServer(listed.id);
+    if (!server)
+        server = &addServer(listed, now);
+    if (listed.incarnation < server->listed.incarnation)
+        return;
+    if (listed.incarnation > server->listed.incarnation)
+        restart(*server, listed.incarnation, now);
+    server->listed = listed;
+    if (listed.leaving && noteLeave(listed.id, listed.incarnation, now))
+        rumours.push_back(leaveRumour(listed.id, listed.incarnation, {}));
+    if (server->state == BackendState::Gone) {
+        server->since = now;
+        server->state = hasLeft(listed.id, listed.incarnation) ? BackendState::Leaving
+                                                               : BackendState::Active;
+    }
+}
+
+BackendTable::Server &BackendTable::addServer(const ListedInstance &listed, Timestamp now)
+{
+    Server &server = m_servers[listed.id];
+    server.listed = listed;
+    restart(server, listed.incarnation, now);
+    return server;
+}
+
+// Health starts anew; calls in flight belong to the old incarnation and end there.
+void BackendTable::restart(Server &server, std::int64_t incarnation, Timestamp now)
+{
+    server.listed.incarnation = incarnation;
+    server.since = now;
+    server.report.reset();
+    server.sends.clear();
+    server.inFlight = 0;
+    server.failures = 0;
+    server.healthy = true;
+    server.goodSince.reset();
+    setFullShare(server, true);
+    const auto it = m_leaves.find(server.listed.id);
+    if (it != m_leaves.end() && now < it->second.coverUntil)
+        it->second.incarnation = std::max(it->second.incarnation, incarnation);
+    server.state = hasLeft(server.listed.id, incarnation) ? BackendState::Leaving
+                                                          : BackendState::Active;
+}
+
+std::vector<Rumour> BackendTable::applyNotice(const ReclaimNotice &notice, Timestamp now,
+                                              WallMillis wallNow)
+{
+    std::vector<std::string> ids;
+    if (!notice.instance.empty())
+        ids.push_back(notice.instance);
+    for (const auto &[id, server] : m_servers) {
+        if (notice.instance.empty() && server.listed.zone == notice.zone)
+            ids.push_back(id);
+    }
+    std::vector<Rumour> rumours;
+    for (const std::string &id : ids) {
+        const Server *server = findServer(id);
+        const std::int64_t incarnation = server ? server->listed.incarnation : 0;
+        if (noteReclaim(id, incarnation, coverTime(notice.deadline, wallNow), now))
+            rumours.push_back(leaveRumour(id, incarnation, std::to_string(notice.deadline)));
+    }
+    return rumours;
+}
+
+void BackendTable::applyRumour(const Rumour &rumour, Timestamp now, WallMillis wallNow)
+{
+    if (rumour.kind != RumourKind::BackendLeaving)
+        return;
+    WallMillis deadline = 0;
+    const std::string &detail = rumour.detail;
+    std::from_chars(detail.data(), detail.data() + detail.size(), deadline);
+    noteReclaim(rumour.subject, rumour.incarnation, coverTime(deadline, wallNow), now);
+}
+
+Duration BackendTable::coverTime(WallMillis deadline, WallMillis wallNow) const
+{
+    const Duration limit = m_options.noticeCoverLimit;
+    if (deadline <= wallNow)
+        return Duration::zero();
+    if (deadline - wallNow > std::chrono::duration_cast<std::chrono::milliseconds>(limit).count())
+        return limit;
+    return std::chrono::milliseconds(deadline - wallNow);
+}
+
+std::optional<Rumour> BackendTable::applyReport(std::string_view id, const LoadReport &report,
+                                                Timestamp now)
+{
+    Server *server = findServer(id);
+    if (!server || report.incarnation < server->listed.incarnation)
+        return std::nullopt;
+    if (report.incarnation > server->listed.incarnation)
+        restart(*server, report.incarnation, now);
+    server->report = report;
+    server->measured = now - report.age;
+    while (!server->sends.empty() && server->sends.front() <= server->measured)
+        server->sends.pop_front();
+    recordHealth(id, CallHealth::Good, now);
+    if (!report.leaving)
+        return std::nullopt;
+    return markLeaving(id, report.incarnation, now);
+}
+
+std::optional<Rumour> BackendTable::markLeaving(std::string_view id, std::int64_t incarnation,
+                                                Timestamp now)
+{
+    if (!noteLeave(id, incarnation, now))
+        return std::nullopt;
+    return leaveRumour(id, incarnation, {});
+}
+
+bool BackendTable::noteLeave(std::string_view id, std::int64_t incarnation, Timestamp now)
+{
+    const auto [it, inserted] = m_leaves.try_emplace(
+            std::string(id), Leave {.incarnation = incarnation, .since = now, .coverUntil = {}});
+    if (!inserted && incarnation <= it->second.incarnation)
+        return false;
+    it->second.incarnation = incarnation;
+    it->second.since = now;
+    Server *server = findServer(id);
+    if (server && server->state == BackendState::Active
+        && server->listed.incarnation <= incarnation) {
+        server->state = BackendState::Leaving;
+        server->since = now;
+    }
+    return true;
+}
+
+// The whole instance goes away, so its process cannot escape by restarting. The list may also
+// lag and have named an older incarnation so far.
+bool BackendTable::noteReclaim(std::string_view id, std::int64_t incarnation, Duration cover,
+                               Timestamp now)
+{
+    const Server *server = findServer(id);
+    if (server && cover > Duration::zero())
+        incarnation = std::max(incarnation, server->listed.incarnation);
+    const bool isNew = noteLeave(id, incarnation, now);
+    Leave &leave = m_leaves.find(id)->second;
+    if (now + cover <= leave.coverUntil)
+        return isNew;
+    // Extensions by rounding of the wall clock are no news.
+    const bool wasCovered = leave.coverUntil > now;
+    leave.coverUntil = now + cover;
+    return isNew || !wasCovered;
+}
+
+bool BackendTable::hasLeft(std::string_view id, std::int64_t incarnation) const
+{
+    const auto it = m_leaves.find(id);
+    return it != m_leaves.end() && incarnation <= it->second.incarnation;
+}
+
+void BackendTable::recordHealth(std::string_view id, CallHealth health, Timestamp now)
+{
+    Server *server = findServer(id);
+    if (!server || health == CallHealth::Neutral)
+        return;
+    if (health == CallHealth::Good) {
+        server->failures = 0;
+        if (!server->healthy) {
+            server->healthy = true;
+            server->goodSince = now;
+        }
+        updateShare(*server, now);
+        return;
+    }
+    // While it recovers, a single failure is enough: the grace period asks for good health.
+    ++server->failures;
+    if (server->failures >= m_options.failuresToUnhealthy || server->goodSince) {
+        server->healthy = false;
+        server->goodSince.reset();
+        setFullShare(*server, false);
+    }
+}
+
+void BackendTable::updateShare(Server &server, Timestamp now)
+{
+    if (!server.goodSince || now - *server.goodSince < m_options.recoveryGrace)
+        return;
+    server.goodSince.reset();
+    setFullShare(server, true);
+}
+
+void BackendTable::setFullShare(Server &server, bool full)
+{
+    m_shareSwitches += server.fullShare == full ? 0 : 1;
+    server.fullShare = full;
+}
+
+template <typename Predicate>
+std::vector<BackendView> BackendTable::usable(Predicate matches, Timestamp now)
+{
+    std::vector<BackendView> healthy;
+    std::vector<BackendView> unhealthy;
+    for (auto &[id, server] : m_servers) {
+        if (server.state != BackendState::Active || !matches(server))
+            continue;
+        requireInvariant(!hasLeft(id, server.listed.incarnation),
+                         "a leaving incarnation is never usable");
+        updateShare(server, now);
+        (server.healthy ? healthy : unhealthy).push_back(view(server, now));
+    }
+    if (!healthy.empty())
+        return healthy;
+    // If everything looks unhealthy, the fault is more likely on this side.
+    for (BackendView &it : unhealthy)
+        it.share = 1.0;
+    return unhealthy;
+}
+
+std::vector<BackendView> BackendTable::usableEngines(std::string_view model,
+                                                     std::span<const std::string> classes,
+                                                     Timestamp now)
+{
+    return usable(
+            [&](const Server &server) {
+                return isEngineFor(server.listed, classes) && hasLoaded(server.report, model);
+            },
+            now);
+}
+
+std::vector<BackendView> BackendTable::usableServices(std::string_view service, Timestamp now)
+{
+    return usable(
+            [&](const Server &server) {
+                return server.listed.kind == InstanceKind::Service
+                        && server.listed.service == service;
+            },
+            now);
+}
+
+std::vector<BackendView> BackendTable::engines(Timestamp now) const
+{
+    std::vector<BackendView> views;
+    for (const auto &[id, server] : m_servers) {
+        if (server.listed.kind == InstanceKind::Engine && server.state != BackendState::Gone)
+            views.push_back(view(server, now));
+    }
+    return views;
+}
+
+bool BackendTable::beginCall(std::string_view id, std::int64_t incarnation, Timestamp now)
+{
+    Server *server = findServer(id);
+    if (!server || server->state != BackendState::Active
+        || server->listed.incarnation != incarnation)
+        return false;
+    requireInvariant(!hasLeft(id, incarnation), "a leaving incarnation receives no new call");
+    ++server->inFlight;
+    server->sends.push_back(now);
+    return true;
+}
+
+void BackendTable::endCall(std::string_view id, std::int64_t incarnation, CallHealth health,
+                           Timestamp now)
+{
+    Server *server = findServer(id);
+    if (!server || server->listed.incarnation != incarnation)
+        return;
+    if (server->inFlight > 0)
+        --server->inFlight;
+    recordHealth(id, health, now);
+}
+
+std::optional<BackendState> BackendTable::state(std::string_view id) const
+{
+    const auto it = m_servers.find(id);
+    if (it == m_servers.end())
+        return std::nullopt;
+    return it->second.state;
+}
+
+BackendTable::Server *BackendTable::findServer(std::string_view id)
+{
+    const auto it = m_servers.find(id);
+    return it == m_servers.end() ? nullptr : &it->second;
+}
+
+BackendView BackendTable::view(const Server &server, Timestamp now) const
+{
+    return {.id = server.listed.id,
+            .incarnation = server.listed.incarnation,
+            .className = server.listed.className,
+            .address = server.listed.address,
+            .zone = server.listed.zone,
+            .market = server.listed.market,
+            .pricePerHour = server.listed.pricePerHour,
+            .report = server.report,
+            .reportAge = server.report ? now - server.measured : Duration::zero(),
+            .sentSinceReport = static_cast<std::uint32_t>(server.sends.size()),
+            .inFlight = server.inFlight,
+            .share = server.fullShare ? 1.0 : m_options.recoveringShare};
+}
+
+// A leave is kept as long as its server is listed, however long the list lags.
+void BackendTable::forget(Timestamp now)
+{
+    std::erase_if(m_servers, [&](const auto &entry) {
+        return entry.second.state == BackendState::Gone
+                && now - entry.second.since > m_options.goneRetention;
+    });
+    std::erase_if(m_leaves, [&](const auto &entry) {
+        return now - entry.second.since > m_options.goneRetention
+                && !m_servers.contains(entry.first);
+    });
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Core/membershiptable.h
@@ -0,0 +1,196 @@
+#pragma once
+
+#include "Core/nodesettings.h"
+#include "Core/ports.h"
+#include "Core/rumour.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sesame {
+
+struct MembershipOptions
+{
+    Duration probeInterval = std::chrono::milliseconds(500);
+    Duration probeTimeout = std::chrono::milliseconds(200); //!< Then peers are asked to probe.
+    //! Time to refute a suspicion at up to 10 nodes; grows with the logarithm of the node count.
+    Duration suspicionTime = std::chrono::milliseconds(2000);
+    std::size_t indirectProbes = 3; //!< Peers asked to probe a silent node.
+    std::size_t transmitFactor = 3; //!< A rumour is sent this many times log2(nodes + 1).
+    std::size_t urgentFanout = 4; //!< Peers that an urgent rumour is pushed to at once.
+    Duration joinInterval = std::chrono::milliseconds(1000); //!< Between attempts to join.
+    Duration stateInterval = std::chrono::seconds(30); //!< Between full exchanges with a peer.
+    Duration deadProbeInterval = std::chrono::seconds(5); //!< Finds out that a partition healed.
+    Duration leavingRetention = std::chrono::seconds(120); //!< Memory of nodes that left.
+    Duration deadRetention = std::chrono::hours(1); //!< Memory of dead nodes.
+    Duration noticeRetention = std::chrono::minutes(10); //!< Memory of the other rumours.
+};
+
+enum class PeerState { Alive, Suspect, Dead, Leaving };
+
+struct Peer
+{
+    std::string node;
+    Endpoint address;
+    std::string zone;
+    std::int64_t incarnation = 0;
+    PeerState state = PeerState::Alive;
+    Timestamp since; //!< Time of the last change of state on this node.
+};
+
+enum class ProbeKind {
+    Ping, //!< The answer to it is passed to recordAck().
+    PingRequest, //!< Asks a peer to probe ProbeAction::target; if it answers, recordAck().
+    Push, //!< Carries rumours only; nothing follows if it is lost.
+    StatePull //!< As Push, and asks for everything the peer knows (allRumours()).
+};
+
+/*!
+    A message that the node is to send without waiting for the other ones.
+*/
+struct ProbeAction
+{
+    ProbeKind kind = ProbeKind::Ping;
+    std::int64_t sequence = 0;
+    std::string node; //!< Receiver; empty if only its address is known.
+    Endpoint address; //!< Address of the receiver.
+    std::string target; //!< Node to be probed by the receiver of a PingRequest.
+};
+
+/*!
+    SWIM failure detection and the spread of rumours. Probes have a constant cost per node.
+
+    A node refutes its own suspicion or death by raising its incarnation; a leave is final for
+    an incarnation. After a pause of the own process (tick() called much too late) no timeout is
+    charged to a peer.
+*/
+class MembershipTable
+{
+public:
+    MembershipTable(Peer self, MembershipOptions options, std::mt19937_64 random);
+
+    /*!
+        Starts to join through \a seeds; tick() sends to them until a peer is known.
+    */
+    void join(std::vector<Endpoint> seeds);
+
+    /*!
+        Applies the timeouts that passed and returns the messages to send. To be called about
+        every 50 ms.
+    */
+    std::vector<ProbeAction> tick(Timestamp now);
+
+    /*!
+        Notes that the target of probe \a sequence answered, directly or to another peer.
+    */
+    void recordAck(std::int64_t sequence);
+
+    /*!
+        Applies \a rumours from a peer and returns those that were new here.
+    */
+    std::vector<Rumour> receive(std::span<const Rumour> rumours, Timestamp now);
+
+    /*!
+        Starts to spread \a rumour. Returns false if it was known.
+    */
+    bool announce(const Rumour &rumour, Timestamp now);
+
+    /*!
+        Returns up to \a limit rumours for a message to \a receiver, most urgent and least often
+        sent first, and counts them as sent. A receiver that is suspected, dead or unknown here
+        is always told so, that it can refute.
+    */
+    std::vector<Rumour> rumoursToSend(std::size_t limit, std::string_view receiver = {});
+
+    /*!
+        Returns everything that a joining node needs to know.
+    */
+    std::vector<Rumour> allRumours() const;
+
+    /*!
+        Spreads that this node is leaving. Peers send it no new work; it keeps answering.
+    */
+    void leave(Timestamp now);
+
+    /*!
+        Returns the alive and suspected nodes, and the own node unless it is leaving.
+    */
+    std::vector<Peer> liveNodes() const;
+
+    /*!
+        Returns what is known about \a node, which may be the own one.
+    */
+    std::optional<Peer> find(std::string_view node) const;
+
+    const Peer &self() const { return m_self; }
+
+    /*!
+        Returns how often this node suspected a peer by its own probes.
+    */
+    std::uint64_t suspicionCount() const { return m_suspicionCount; }
+
+private:
+    struct Probe
+    {
+        std::int64_t sequence = 0;
+        std::string node;
+        Timestamp started;
+        bool indirect = false;
+    };
+    struct QueuedRumour
+    {
+        Rumour rumour;
+        std::size_t sent = 0;
+        bool pushed = false;
+    };
+    struct Notice
+    {
+        Rumour rumour;
+        Timestamp since;
+    };
+
+    static std::string queueKey(const Rumour &rumour);
+    Rumour describe(const Peer &peer) const;
+    bool accept(const Rumour &rumour, Timestamp now);
+    bool acceptNodeRumour(const Rumour &rumour, Timestamp now);
+    bool acceptOwnRumour(const Rumour &rumour);
+    void changeState(Peer &peer, PeerState state, Timestamp now);
+    void enqueue(const Rumour &rumour);
+    void skipPause(Timestamp now);
+    void checkProbe(Timestamp now, std::vector<ProbeAction> &actions);
+    void checkSuspicions(Timestamp now);
+    void forget(Timestamp now);
+    void startProbe(Timestamp now, std::vector<ProbeAction> &actions);
+    void pullState(Timestamp now, std::vector<ProbeAction> &actions);
+    void probeDead(Timestamp now, std::vector<ProbeAction> &actions);
+    void pushUrgent(std::vector<ProbeAction> &actions);
+    std::vector<const Peer *> pickLive(std::size_t count, std::string_view except);
+    std::optional<std::string> nextTarget();
+    Duration suspicionTime() const;
+    std::size_t transmitLimit() const;
+
+    Peer m_self;
+    bool m_leaving = false;
+    MembershipOptions m_options;
+    std::mt19937_64 m_random;
+    std::map<std::string, Peer, std::less<>> m_peers;
+    std::map<std::string, QueuedRumour> m_queue;
+    std::map<std::string, Notice> m_notices; //!< Accepted rumours that are not about nodes.
+    std::vector<Endpoint> m_seeds;
+    std::vector<std::string> m_round; //!< Remaining probe targets of this round, shuffled.
+    std::optional<Probe> m_probe;
+    std::int64_t m_sequence = 0;
+    std::optional<Timestamp> m_lastTick;
+    Timestamp m_nextProbe;
+    Timestamp m_nextStatePull;
+    Timestamp m_nextDeadProbe;
+    std::uint64_t m_suspicionCount = 0;
+};
+
+} // namespace sesame
--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -2,9 +2,12 @@
 
 //! Public header of the sesamecore library: the decision code, free of sockets, threads and clocks.
 
+#include "Core/backendtable.h"
 #include "Core/fleetconfig.h"
 #include "Core/invariant.h"
 #include "Core/lastreason.h"
+#include "Core/membershiptable.h"
 #include "Core/nodesettings.h"
 #include "Core/ports.h"
 #include "Core/resultcode.h"
+#include "Core/rumour.h"
--- /dev/null
+++ b/Tests/peerservicetest.cpp
@@ -0,0 +1,295 @@
+#include "Adapter/sesameadapter.h"
+#include "Core/lastreason.h"
+
+#include <Peer.h>
+#include <criterion/criterion.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thrift/TConfiguration.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TSocket.h>
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <random>
+#include <thread>
+#include <unistd.h>
+
+using namespace sesame;
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TFramedTransport;
+using apache::thrift::transport::TSocket;
+
+namespace {
+
+constexpr const char *host = "127.0.0.1";
+constexpr const char *key = "test peer key";
+
+std::uint16_t freePort()
+{
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    cr_assert_eq(bind(fd, reinterpret_cast<sockaddr *>(&address), length), 0);
+    getsockname(fd, reinterpret_cast<sockaddr *>(&address), &length);
+    close(fd);
+    return ntohs(address.sin_port);
+}
+
+// A server that counts the requests that reached its handler.
+struct Service
+{
+    Endpoint address {.host = host, .port = freePort()};
+    std::atomic<int> handled = 0;
+    std::optional<PeerServer> server;
+
+    Service()
+    {
+        PeerServerOptions options;
+        options.address = address;
+        options.identity = {.node = "server", .key = key};
+        server = PeerServer::start(options, [this](const auto &request, auto sender) {
+            ++handled;
+            wire::PeerAnswer answer;
+            answer.alive = request.ping.sequence == 7 && sender == "client";
+            answer.rumours = request.rumours;
+            return answer;
+        });
+        cr_assert(server.has_value());
+    }
+
+    PeerCall call() const
+    {
+        return {.address = address, .node = "server", .timeout = std::chrono::milliseconds(2000)};
+    }
+
+    // Guards against a server that stops working after a bad message.
+    void expectStillAnswers() const
+    {
+        wire::PeerRequest request;
+        wire::Ping ping;
+        ping.sequence = 7;
+        request.__set_ping(ping);
+        const auto reply = PeerClient({.node = "client", .key = key}).exchange(call(), request);
+        cr_assert(reply.has_value());
+        cr_expect(reply->answer.alive);
+    }
+
+    wire::SealedMessage sendRaw(const wire::SealedMessage &message) const
+    {
+        const auto socket = std::make_shared<TSocket>(host, address.port);
+        socket->open();
+        wire::PeerClient client(
+                std::make_shared<TCompactProtocol>(std::make_shared<TFramedTransport>(socket)));
+        wire::SealedMessage answer;
+        client.exchange(answer, message);
+        return answer;
+    }
+
+    // Returns 1700 if the message was refused, 0 if it was answered.
+    int codeFor(const wire::SealedMessage &message) const
+    {
+        try {
+            sendRaw(message);
+            return 0;
+        } catch (const wire::PeerRefused &e) {
+            return e.code;
+        }
+    }
+
+    // Sends bytes without any protocol and waits for the server to close the connection.
+    void sendBytes(const std::string &bytes) const
+    {
+        const int fd = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in target {};
+        target.sin_family = AF_INET;
+        target.sin_port = htons(address.port);
+        inet_pton(AF_INET, host, &target.sin_addr);
+        cr_assert_eq(connect(fd, reinterpret_cast<sockaddr *>(&target), sizeof(target)), 0);
+        cr_expect_geq(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL), 0);
+        shutdown(fd, SHUT_WR);
+        char buf = 0;
+        while (recv(fd, &buf, 1, 0) > 0) { }
+        close(fd);
+    }
+};
+
+wire::SealedMessage sealedPing(const PeerIdentity &identity, WallMillis at)
+{
+    wire::PeerRequest request;
+    request.__set_ping({});
+    return sealRequest(identity, request, at);
+}
+
+const SystemClock systemClock;
+
+// The garbage test causes hundreds of log lines.
+void quietLog()
+{
+    initializeLog("error", "test");
+}
+
+} // namespace
+
+TestSuite(peerservice, .init = quietLog);
+
+Test(peerservice, sealedExchangeCarriesRumours)
+{
+    const Service service;
+    wire::PeerRequest request;
+    wire::Ping ping;
+    ping.sequence = 7;
+    request.__set_ping(ping);
+    const std::vector<Rumour> rumours {{.kind = RumourKind::BackendLeaving,
+                                        .subject = "engine-1",
+                                        .incarnation = 3,
+                                        .detail = "1234"}};
+    request.rumours = toWire(rumours);
+    const PeerClient client({.node = "client", .key = key});
+    const auto reply = client.exchange(service.call(), request);
+    cr_assert(reply.has_value());
+    cr_expect_eq(reply->sender, "server");
+    cr_expect(reply->answer.alive);
+    cr_expect(fromWire(reply->answer.rumours) == rumours);
+}
+
+// Guards against a stranger on the network who starts handovers or spreads rumours.
+Test(peerservice, wrongKeyIsRefused)
+{
+    const Service service;
+    const PeerClient client({.node = "client", .key = "another key"});
+    cr_expect_not(client.exchange(service.call(), {}).has_value());
+    cr_expect_eq(lastReason().code, ResultCode::PeerUnauthenticated);
+    wire::SealedMessage unsealed = sealedPing({"client", key}, systemClock.wallMillis());
+    unsealed.authenticationCode.clear();
+    cr_expect_eq(service.codeFor(unsealed), 1700);
+    wire::SealedMessage altered = sealedPing({"client", key}, systemClock.wallMillis());
+    altered.sender = "other";
+    cr_expect_eq(service.codeFor(altered), 1700);
+    cr_expect_eq(service.handled, 0);
+    service.expectStillAnswers();
+}
+
+// Guards against recorded messages that are sent again later.
+Test(peerservice, replayOutsideTheWindowIsRefused)
+{
+    const Service service;
+    const WallMillis now = systemClock.wallMillis();
+    cr_expect_eq(service.codeFor(sealedPing({"client", key}, now - 25000)), 0);
+    cr_expect_eq(service.codeFor(sealedPing({"client", key}, now - 31000)), 1700);
+    cr_expect_eq(service.codeFor(sealedPing({"client", key}, now + 35000)), 1700);
+    cr_expect_eq(service.handled, 1);
+    service.expectStillAnswers();
+}
+
+// Guards against a recorded answer that is passed off as the answer to another request.
+Test(peerservice, answerIsBoundToItsRequest)
+{
+    const PeerIdentity identity {"server", key};
+    const WallMillis now = systemClock.wallMillis();
+    const wire::SealedMessage answer = sealAnswer(identity, {}, "code of one request", now);
+    cr_expect(openAnswer(key, answer, "code of one request", now).has_value());
+    cr_expect_not(openAnswer(key, answer, "code of another request", now).has_value());
+    cr_expect_not(openRequest(key, answer, now).has_value());
+}
+
+// Guards against a node that answers at the address of one that is gone.
+Test(peerservice, answerOfAnotherNodeIsRefused)
+{
+    const Service service;
+    PeerCall call = service.call();
+    call.node = "former";
+    const PeerClient client({.node = "client", .key = key});
+    cr_expect_not(client.exchange(call, {}).has_value());
+    cr_expect_eq(lastReason().code, ResultCode::PeerUnreachable);
+}
+
+Test(peerservice, garbageBytesDoNoHarm)
+{
+    const Service service;
+    std::mt19937_64 random(20261204);
+    for (int n = 0; n < 200; ++n) {
+        std::string bytes(1 + random() % 300, '\0');
+        for (char &it : bytes)
+            it = static_cast<char>(random());
+        // Half of the messages have a valid frame length, so that the protocol reads them.
+        if (n % 2 == 0 && bytes.size() > 4) {
+            const std::uint32_t length = htonl(static_cast<std::uint32_t>(bytes.size() - 4));
+            std::memcpy(bytes.data(), &length, sizeof(length));
+        }
+        service.sendBytes(bytes);
+    }
+    service.sendBytes("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    // A sealed body that is no PeerRequest: a holder of the key with a fault.
+    wire::SealedMessage message;
+    message.sender = "client";
+    message.sentAtMillis = systemClock.wallMillis();
+    message.body = "\xff\xff\xff\xff\xff garbage";
+    message.authenticationCode = computeSeal(key,
+                                             {.context = requestContext,
+                                              .sender = message.sender,
+                                              .sentAt = message.sentAtMillis,
+                                              .body = message.body});
+    cr_expect_eq(service.codeFor(message), 1700);
+    cr_expect_eq(service.handled, 0);
+    service.expectStillAnswers();
+}
+
+// Guards against memory use by frames beyond the limit of 2 MB.
+Test(peerservice, oversizedFrameIsRefused)
+{
+    const Service service;
+    wire::PeerRequest request;
+    wire::OpenRequest open;
+    open.body.assign(peerFrameLimitBytes, 'x');
+    wire::Handover handover;
+    handover.requests.push_back(open);
+    request.__set_handover(handover);
+    const PeerClient client({.node = "client", .key = key});
+    cr_expect_not(client.exchange(service.call(), request).has_value());
+    cr_expect_eq(service.handled, 0);
+    service.expectStillAnswers();
+    handover.requests.front().body.resize(peerFrameLimitBytes - 4096);
+    request.__set_handover(handover);
+    cr_expect(client.exchange(service.call(), request).has_value());
+}
+
+// Guards against idle connections that keep peers from being served.
+Test(peerservice, idleConnectionsDoNotBlockPeers)
+{
+    const Service service;
+    std::vector<int> open;
+    for (int n = 0; n < 64; ++n) {
+        const int fd = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in target {};
+        target.sin_family = AF_INET;
+        target.sin_port = htons(service.address.port);
+        inet_pton(AF_INET, host, &target.sin_addr);
+        cr_assert_eq(connect(fd, reinterpret_cast<sockaddr *>(&target), sizeof(target)), 0);
+        open.push_back(fd);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    PeerCall call = service.call();
+    call.timeout = std::chrono::milliseconds(5000);
+    const auto start = systemClock.now();
+    const PeerClient client({.node = "client", .key = key});
+    cr_expect(client.exchange(call, {}).has_value());
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(systemClock.now()
+                                                                              - start);
+    cr_log_warn("64 idle connections delayed one exchange by %ld ms", waited.count());
+    for (const int fd : open)
+        close(fd);
+}
+
+Test(peerservice, deadPeerIsUnreachableInTime)
+{
+    const PeerClient client({.node = "client", .key = key});
+    const PeerCall call {.address = {.host = host, .port = freePort()}, .node = {}};
+    const auto start = systemClock.now();
+    cr_expect_not(client.exchange(call, {}).has_value());
+    cr_expect_eq(lastReason().code, ResultCode::PeerUnreachable);
+    cr_expect(systemClock.now() - start < std::chrono::milliseconds(1000));
+}
