--- /dev/null
+++ b/Source/Core/admissioncontroller.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "Core/fleetconfig.h"
+#include "Core/ports.h"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace sesame {
+
+using Ticket = std::uint64_t;
+
+struct WorkItem
+{
+    std::string pool; //!< Model name or service name.
+    Rank rank = Rank::Standard;
+    std::string account;
+    double accountShare = 1.0; //!< Weight of the account within its rank; above zero.
+    std::uint32_t promptTokens = 0;
+    std::uint32_t outputTokens = 1; //!< Expected; finish() corrects the charge.
+    std::optional<Timestamp> deadline {}; //!< Latest useful first token.
+    Duration prefillTime {0}; //!< Expected time from dispatch to the first token.
+};
+
+struct AdmissionOptions
+{
+    std::array<RankPolicy, rankCount> ranks {};
+    std::size_t queueItems = 4000; //!< Waiting items per pool and rank, over all nodes.
+    //! Cost of a prompt token relative to an output token. Prefill handles tokens in bulk.
+    double promptTokenWeight = 0.02;
+    //! Share of the slots that a rank leaves free for the ranks above it. Without it an
+    //! urgent request that arrives in a flood of long batch work waits for a slot.
+    std::array<double, rankCount> headroom {0.0, 0.1, 0.2};
+    bool fairShares = true; //!< False: first in, first out within a rank (measurements only).
+    bool earlyRefusal = true; //!< False: only the queue length refuses (measurements only).
+};
+
+struct PoolCapacity
+{
+    std::uint32_t fleetSlots = 0; //!< Slots of all usable backend servers of the pool.
+    std::uint32_t fleetFree = 0; //!< Slots that the last load reports show free.
+    std::uint32_t liveNodes = 1; //!< Entry nodes alive, this node included.
+};
+
+enum class CancelResult {
+    Waiting, //!< The item left the queue and never ran.
+    Running, //!< The item was dispatched; it keeps its slot until finish().
+    NotFound
+};
+
+/*!
+    Decides which requests an entry node accepts and in which order it dispatches them.
+    Accepted items stay until they are taken, finished or cancelled by the caller.
+
+    Limits hold over all nodes without a coordinator: a node uses its part of the live
+    nodes, and borrows its part of the slots that the load reports show free.
+*/
+class AdmissionController
+{
+public:
+    explicit AdmissionController(AdmissionOptions options = {});
+
+    void setOptions(AdmissionOptions options) { m_options = options; }
+    void setCapacity(std::string_view pool, const PoolCapacity &capacity);
+
+    /*!
+        Accepts \a item and returns its ticket, or refuses it with code 1200 (overloaded)
+        or 1201 (deadline unreachable); retryAfter() then tells when to try again.
+    */
+    std::optional<Ticket> submit(const WorkItem &item, Timestamp now);
+
+    /*!
+        Returns the delay to report with the last refusal of submit().
+    */
+    Duration retryAfter() const { return m_retryAfter; }
+
+    /*!
+        Takes the next item of \a pool to dispatch, or returns std::nullopt if nothing
+        waits or this node has no free slot. The item occupies a slot until finish().
+    */
+    std::optional<Ticket> takeNext(std::string_view pool, Timestamp now);
+
+    /*!
+        Returns a taken item to the head of its queue, for example because no backend
+        server may run it now. The charge for it is undone.
+    */
+    void putBack(Ticket ticket);
+
+    /*!
+        Frees the slot of \a ticket, which produced \a outputTokens.
+    */
+    void finish(Ticket ticket, std::uint32_t outputTokens, Timestamp now);
+
+    CancelResult cancel(Ticket ticket);
+
+    /*!
+        Returns the item of \a ticket, or a null pointer if it is finished or unknown.
+    */
+    const WorkItem *item(Ticket ticket) const;
+
+    /*!
+        Returns the expected time until an item like \a item is dispatched. Zero while
+        no service rate was measured.
+    */
+    Duration expectedWait(const WorkItem &item) const;
+
+    std::size_t waiting(std::string_view pool, Rank rank) const;
+    std::uint32_t inFlight(std::string_view pool) const;
+    std::uint32_t slotLimit(std::string_view pool) const;
+
+private:
+    struct AccountQueue
+    {
+        std::deque<Ticket> tickets;
+        double counter = 0.0; //!< Cost served so far, divided by the share.
+        double backlog = 0.0; //!< Cost waiting.
+        double share = 1.0;
+    };
+    struct RankQueue
+    {
+        std::map<std::string, AccountQueue, std::less<>> accounts;
+        std::size_t waiting = 0;
+        double backlog = 0.0;
+        double credit = 0.0; //!< Cost owed to this rank under its floor.
+        double virtualTime = 0.0;
+        double arrivalCost = 0.0; //!< Cost arrived, decaying with rateWindow.
+    };
+    struct Pool
+    {
+        std::array<RankQueue, rankCount> ranks;
+        std::uint32_t inFlight = 0;
+        std::uint32_t limit = 0;
+        std::uint32_t liveNodes = 1;
+        double servedCost = 0.0; //!< With servedSeconds, the decaying mean cost per slot-second.
+        double servedSeconds = 0.0;
+        Timestamp decayedAt {};
+    };
+    struct Entry
+    {
+        WorkItem item;
+        double cost = 0.0;
+        double paidCredit = 0.0; //!< What charge() returned for the item.
+        bool running = false;
+        Timestamp startedAt {};
+    };
+
+    double costOf(const WorkItem &item, std::uint32_t outputTokens) const;
+    Pool &poolFor(std::string_view name);
+    const Pool *findPool(std::string_view name) const;
+    static void decayArrivals(Pool &pool, Timestamp now);
+    double rankWorkAhead(const Pool &pool, const WorkItem &item) const;
+    bool isQueueFull(const Pool &pool, const WorkItem &item) const;
+    std::optional<Rank> pickRank(const Pool &pool) const;
+    static AccountQueue *pickAccount(RankQueue &queue, bool fair);
+    double headCost(const RankQueue &queue) const;
+    double charge(Pool &pool, Rank rank, double cost) const;
+    static void removeWaiting(RankQueue &queue, AccountQueue &account, double cost);
+
+    AdmissionOptions m_options;
+    std::map<std::string, Pool, std::less<>> m_pools;
+    std::unordered_map<Ticket, Entry> m_entries;
+    Ticket m_lastTicket = 0;
+    Duration m_retryAfter {0};
+};
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Core/enginerouter.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "Core/fleetconfig.h"
+#include "Core/ports.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace sesame {
+
+/*!
+    What the router needs to know about one usable model engine.
+*/
+struct EngineView
+{
+    std::string id;
+    std::string zone;
+    double pricePerHour = 0.0;
+    double zoneRisk = 0.0; //!< Expected reclaims per hour of the instance.
+    std::uint32_t slots = 8;
+    std::uint32_t queued = 0; //!< From the last load report.
+    std::uint32_t running = 0; //!< From the last load report.
+    std::uint32_t ownSends = 0; //!< This node's dispatches since that report.
+    std::uint32_t ownPrefillTokens = 0; //!< Uncached prompt tokens of these dispatches.
+    std::uint32_t ownInFlight = 0; //!< This node's requests at the engine.
+    Duration reportAge {0};
+    double tokenMs = 30.0; //!< Recent time between two tokens of a stream.
+    double prefillTokensPerSecond = 8000.0;
+};
+
+struct RouteQuery
+{
+    std::span<const std::uint64_t> blocks {}; //!< promptBlocks() of the prompt.
+    std::uint32_t promptTokens = 0;
+    std::uint32_t outputTokens = 100; //!< Expected.
+    Rank rank = Rank::Standard;
+    std::string_view entryZone {}; //!< Zone of this node.
+    std::uint32_t liveNodes = 1;
+    std::span<const std::string> excluded {}; //!< Engine ids that must not be chosen again.
+};
+
+struct RouteChoice
+{
+    std::size_t engine = 0; //!< Index into the candidates.
+    Duration firstToken {0}; //!< Expected time to the first token.
+    std::uint32_t cachedTokens = 0; //!< Prompt tokens expected in the engine's cache.
+    bool sameZone = false; //!< The zone rule was relaxed: the engine is in the entry zone.
+};
+
+struct CacheEvent
+{
+    std::uint64_t sequence = 0;
+    std::uint64_t block = 0;
+    bool added = true; //!< False: the engine evicted the block.
+};
+
+struct EngineRouterOptions
+{
+    Duration hintHalfLife {std::chrono::minutes(5)}; //!< Age at which a hint counts half.
+    std::size_t hintsPerEngine = 50000; //!< Bounds the memory; the oldest hints go first.
+    //! Milliseconds of first token that a price of one average engine hour is worth, by rank.
+    std::array<double, rankCount> priceWeightMs {10.0, 40.0, 120.0};
+    //! Milliseconds that one expected reclaim per hour is worth.
+    double riskWeightMs = 20.0;
+    bool usePrefixHints = true; //!< False only in measurements.
+    bool useZoneRule = true; //!< False only in measurements.
+};
+
+/*!
+    Chooses the engine with the least expected time to first token. Remembers which prompt
+    blocks each engine probably caches; these hints come from the node's own sends and
+    from cache events, which are late and have gaps, so a hint loses weight with its age.
+*/
+class EngineRouter
+{
+public:
+    explicit EngineRouter(EngineRouterOptions options = {});
+
+    /*!
+        Returns the best engine of \a candidates. Engines outside the entry zone go first,
+        so that the loss of one zone takes either the entry node or the engine. Fails with
+        code 1202 if there is no candidate and with 1200 if none has room.
+    */
+    std::optional<RouteChoice> choose(const RouteQuery &query,
+                                      std::span<const EngineView> candidates, Timestamp now) const;
+
+    /*!
+        Returns whether this node may send one more request to \a engine: a slot is free
+        by the last report and the node's own sends, or the node uses less than its part.
+    */
+    static bool hasRoom(const EngineView &engine, std::uint32_t liveNodes);
+
+    /*!
+        Returns the part of the prompt, 0 to 1, that \a engine probably caches.
+    */
+    double cachedShare(const std::string &engine, std::span<const std::uint64_t> blocks,
+                       Timestamp now) const;
+
+    void recordSend(const std::string &engine, std::span<const std::uint64_t> blocks,
+                    Timestamp now);
+    void applyCacheEvents(const std::string &engine, std::span<const CacheEvent> events,
+                          Timestamp now);
+    void forget(const std::string &engine);
+
+private:
+    struct EngineHints
+    {
+        std::unordered_map<std::uint64_t, Timestamp> learned;
+        std::uint64_t lastSequence = 0;
+        Timestamp lastGap {Timestamp::min()}; //!< Hints from before may miss an eviction.
+    };
+
+    double hintWeight(const EngineHints &hints, Timestamp learned, Timestamp now) const;
+    void trim(EngineHints &hints) const;
+    double scoreMs(const RouteQuery &query, const EngineView &engine, double averagePrice,
+                   RouteChoice &choice, Timestamp now) const;
+
+    EngineRouterOptions m_options;
+    std::unordered_map<std::string, EngineHints> m_hints;
+};
+
+} // namespace sesame
--- /dev/null
+++ b/Tests/engineroutertest.cpp
@@ -0,0 +1,195 @@
+#include "Core/sesamecore.h"
+#include "support/seededrun.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace sesame;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Timestamp start {Duration(1h)};
+
+std::vector<EngineView> engines(std::size_t n)
+{
+    std::vector<EngineView> views(n);
+    for (std::size_t i = 0; i < n; ++i) {
+        views[i].id = "e" + std::to_string(i);
+        views[i].zone = "z" + std::to_string(i % 4);
+        views[i].pricePerHour = 2.0;
+    }
+    return views;
+}
+
+std::string promptOf(char fill, std::size_t blocks)
+{
+    return std::string(blocks * promptBlockBytes, fill);
+}
+
+} // namespace
+
+// Guards against block hashes that ignore the prefix, or that differ between processes.
+Test(engineRouter, blockHashesCoverThePrefix)
+{
+    const auto a = promptBlocks(promptOf('a', 3));
+    const auto b = promptBlocks(promptOf('b', 1) + promptOf('a', 2) + "rest");
+    cr_assert_eq(a.size(), 3U);
+    cr_assert_eq(b.size(), 3U);
+    cr_expect_neq(a[0], a[1]);
+    cr_expect_neq(a[1], b[1]);
+    cr_expect_eq(a[0], promptBlocks(promptOf('a', 1))[0]);
+    cr_expect_neq(requestFingerprint("x", "body"), requestFingerprint("y", "body"));
+}
+
+// Guards against recomputing a long prompt although another engine has its prefix.
+Test(engineRouter, cachedPrefixWinsUntilTheQueueCostsMore)
+{
+    EngineRouter router;
+    auto views = engines(8);
+    const auto blocks = promptBlocks(promptOf('a', 100));
+    const RouteQuery query {.blocks = blocks, .promptTokens = 6400, .entryZone = "z0"};
+    router.recordSend("e5", blocks, start);
+    const auto cached = router.choose(query, views, start + 1s);
+    cr_assert(cached.has_value());
+    cr_expect_eq(cached->engine, 5U);
+    cr_expect_geq(cached->cachedTokens, 6300U);
+    views[5].ownPrefillTokens = 20000;
+    const auto busy = router.choose(query, views, start + 1s);
+    cr_assert(busy.has_value());
+    cr_expect_neq(busy->engine, 5U);
+}
+
+// Guards against trust in old hints, in evicted blocks, and in hints from before a gap.
+Test(engineRouter, hintsLoseWeight)
+{
+    EngineRouter router;
+    const auto blocks = promptBlocks(promptOf('a', 10));
+    router.recordSend("e1", blocks, start);
+    cr_expect_gt(router.cachedShare("e1", blocks, start), 0.99);
+    const double aged = router.cachedShare("e1", blocks, start + 5min);
+    cr_expect_float_eq(aged, 0.5, 0.01);
+    const CacheEvent before {.sequence = 7, .block = 1};
+    const CacheEvent afterGap {.sequence = 9, .block = 2};
+    router.applyCacheEvents("e1", std::vector {before, afterGap}, start + 1s);
+    cr_expect_float_eq(router.cachedShare("e1", blocks, start + 1s), 0.5, 0.01);
+    const CacheEvent evicted {.sequence = 10, .block = blocks[5], .added = false};
+    router.applyCacheEvents("e1", std::vector {evicted}, start + 1s);
+    cr_expect_float_eq(router.cachedShare("e1", blocks, start + 1s), 0.25, 0.01);
+    router.forget("e1");
+    cr_expect_eq(router.cachedShare("e1", blocks, start), 0.0);
+}
+
+// Guards against losing the entry node and the engine with one zone, and against refusing
+// work when only the entry zone is left.
+Test(engineRouter, prefersAnotherZoneAndRelaxes)
+{
+    EngineRouter router;
+    auto views = engines(8);
+    views[0].pricePerHour = 0.01;
+    const RouteQuery query {.promptTokens = 100, .entryZone = "z0"};
+    const auto other = router.choose(query, views, start);
+    cr_assert(other.has_value());
+    cr_expect_not(other->sameZone);
+    std::erase_if(views, [](const EngineView &engine) {
+        return engine.zone != "z0";
+    });
+    const auto relaxed = router.choose(query, views, start);
+    cr_assert(relaxed.has_value());
+    cr_expect(relaxed->sameZone);
+}
+
+// Guards against a retry on the engine that has just failed, and against a wrong code.
+Test(engineRouter, excludedEnginesAreNotChosen)
+{
+    EngineRouter router;
+    auto views = engines(2);
+    const std::vector<std::string> excluded {"e0", "e1"};
+    RouteQuery query {.promptTokens = 100, .entryZone = "z3"};
+    query.excluded = std::span(excluded).first(1);
+    cr_expect_eq(router.choose(query, views, start)->engine, 1U);
+    query.excluded = excluded;
+    cr_expect_not(router.choose(query, views, start));
+    cr_expect_eq(lastReason().code, ResultCode::NoBackendServer);
+    query.excluded = {};
+    for (EngineView &engine : views)
+        engine.running = engine.ownInFlight = engine.slots;
+    cr_expect_not(router.choose(query, views, start));
+    cr_expect_eq(lastReason().code, ResultCode::Overloaded);
+}
+
+// Guards against price that outweighs urgency.
+Test(engineRouter, priceCountsMoreForLowerRanks)
+{
+    EngineRouter router;
+    auto views = engines(2);
+    views[0].pricePerHour = 8.0;
+    views[1].tokenMs = 90.0;
+    RouteQuery query {.promptTokens = 100, .rank = Rank::Urgent, .entryZone = "z3"};
+    cr_expect_eq(router.choose(query, views, start)->engine, 0U);
+    query.rank = Rank::Batch;
+    cr_expect_eq(router.choose(query, views, start)->engine, 1U);
+}
+
+// Guards against an overfull engine: with lagging reports, the nodes together must not
+// send more than the slots and one request per node beyond them.
+Test(engineRouter, nodesDoNotOverfillAnEngineInRandomRuns)
+{
+    const auto run = [](std::uint64_t seed) -> std::string {
+        std::mt19937_64 random(seed);
+        constexpr std::uint32_t nodes = 7;
+        EngineView engine;
+        std::vector<std::uint32_t> inFlight(nodes);
+        std::vector<std::uint32_t> sends(nodes);
+        for (int step = 0; step < 20000; ++step) {
+            const auto n = random() % nodes;
+            std::uint32_t total = 0;
+            for (const std::uint32_t count : inFlight)
+                total += count;
+            EngineView view = engine;
+            view.ownSends = sends[n];
+            view.ownInFlight = inFlight[n];
+            if (EngineRouter::hasRoom(view, nodes)) {
+                ++inFlight[n];
+                ++sends[n];
+                ++total;
+            }
+            if (total > engine.slots + nodes)
+                return std::to_string(total) + " requests at one engine";
+            if (random() % 4 == 0 && inFlight[n] > 0)
+                --inFlight[n];
+            if (random() % 20 == 0) {
+                engine.running = std::min(total, engine.slots);
+                engine.queued = total - engine.running;
+                std::fill(sends.begin(), sends.end(), 0);
+            }
+        }
+        return {};
+    };
+    cr_expect_eq(runSeeds({21, 22}, run), 0);
+}
+
+// Guards against plain calls that cross zones without need or pile up on one server.
+Test(serviceRouter, leastOutstandingWithZonePreference)
+{
+    const ServiceRouter router;
+    std::vector<ServiceView> views(3);
+    for (std::size_t i = 0; i < views.size(); ++i) {
+        views[i].id = "s" + std::to_string(i);
+        views[i].zone = "z" + std::to_string(i);
+    }
+    views[1].reported = 1;
+    ServiceQuery query {.entryZone = "z1"};
+    cr_expect_eq(*router.choose(query, views), 1U);
+    views[1].ownSends = 4;
+    views[0].reported = 2;
+    cr_expect_eq(*router.choose(query, views), 2U);
+    const std::vector<std::string> excluded {"s0", "s1", "s2"};
+    query.excluded = excluded;
+    cr_expect_not(router.choose(query, views));
+    cr_expect_eq(lastReason().code, ResultCode::NoBackendServer);
+}
