--- a/Generated/peer_types.cpp
+++ b/Generated/peer_types.cpp
@@ -826,6 +826,258 @@
 }
 
 
+SuspectRumour::~SuspectRumour() noexcept {
+}
+
+
+void SuspectRumour::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void SuspectRumour::__set_holder(const std::string& val) {
+  this->holder = val;
+}
+
+void SuspectRumour::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void SuspectRumour::__set_crashedOn(const std::vector<std::string> & val) {
+  this->crashedOn = val;
+}
+
+void SuspectRumour::__set_cleared(const std::vector<std::string> & val) {
+  this->cleared = val;
+}
+
+void SuspectRumour::__set_engine(const std::string& val) {
+  this->engine = val;
+}
+
+void SuspectRumour::__set_quarantined(const bool val) {
+  this->quarantined = val;
+}
+std::ostream& operator<<(std::ostream& out, const SuspectRumour& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SuspectRumour::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashedOn.clear();
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->crashedOn.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
+            {
+              xfer += iprot->readString(this->crashedOn[_i22]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashedOn = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cleared.clear();
+            uint32_t _size23;
+            ::apache::thrift::protocol::TType _etype26;
+            xfer += iprot->readListBegin(_etype26, _size23);
+            this->cleared.resize(_size23);
+            uint32_t _i27;
+            for (_i27 = 0; _i27 < _size23; ++_i27)
+            {
+              xfer += iprot->readString(this->cleared[_i27]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cleared = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine);
+          this->__isset.engine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->quarantined);
+          this->__isset.quarantined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SuspectRumour::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SuspectRumour");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashedOn", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->crashedOn.size()));
+    std::vector<std::string> ::const_iterator _iter28;
+    for (_iter28 = this->crashedOn.begin(); _iter28 != this->crashedOn.end(); ++_iter28)
+    {
+      xfer += oprot->writeString((*_iter28));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cleared", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->cleared.size()));
+    std::vector<std::string> ::const_iterator _iter29;
+    for (_iter29 = this->cleared.begin(); _iter29 != this->cleared.end(); ++_iter29)
+    {
+      xfer += oprot->writeString((*_iter29));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->engine);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->quarantined);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SuspectRumour &a, SuspectRumour &b) {
+  using ::std::swap;
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.holder, b.holder);
+  swap(a.sequence, b.sequence);
+  swap(a.crashedOn, b.crashedOn);
+  swap(a.cleared, b.cleared);
+  swap(a.engine, b.engine);
+  swap(a.quarantined, b.quarantined);
+  swap(a.__isset, b.__isset);
+}
+
+SuspectRumour::SuspectRumour(const SuspectRumour& other30) {
+  fingerprint = other30.fingerprint;
+  holder = other30.holder;
+  sequence = other30.sequence;
+  crashedOn = other30.crashedOn;
+  cleared = other30.cleared;
+  engine = other30.engine;
+  quarantined = other30.quarantined;
+  __isset = other30.__isset;
+}
+SuspectRumour& SuspectRumour::operator=(const SuspectRumour& other31) {
+  fingerprint = other31.fingerprint;
+  holder = other31.holder;
+  sequence = other31.sequence;
+  crashedOn = other31.crashedOn;
+  cleared = other31.cleared;
+  engine = other31.engine;
+  quarantined = other31.quarantined;
+  __isset = other31.__isset;
+  return *this;
+}
+void SuspectRumour::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SuspectRumour(";
+  out << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "crashedOn=" << to_string(crashedOn);
+  out << ", " << "cleared=" << to_string(cleared);
+  out << ", " << "engine=" << to_string(engine);
+  out << ", " << "quarantined=" << to_string(quarantined);
+  out << ")";
+}
+
+
 PeerRequest::~PeerRequest() noexcept {
 }
 
@@ -865,6 +1117,10 @@
 void PeerRequest::__set_storeReachable(const bool val) {
   this->storeReachable = val;
 }
+
+void PeerRequest::__set_suspects(const std::vector<SuspectRumour> & val) {
+  this->suspects = val;
+}
 std::ostream& operator<<(std::ostream& out, const PeerRequest& obj)
 {
   obj.printTo(out);
@@ -929,14 +1185,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rumours.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->rumours.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->rumours.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->rumours[_i22].read(iprot);
+              xfer += this->rumours[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -969,6 +1225,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspects.clear();
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->suspects.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
+            {
+              xfer += this->suspects[_i41].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1009,10 +1285,10 @@
   xfer += oprot->writeFieldBegin("rumours", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rumours.size()));
-    std::vector<Rumour> ::const_iterator _iter23;
-    for (_iter23 = this->rumours.begin(); _iter23 != this->rumours.end(); ++_iter23)
+    std::vector<Rumour> ::const_iterator _iter42;
+    for (_iter42 = this->rumours.begin(); _iter42 != this->rumours.end(); ++_iter42)
     {
-      xfer += (*_iter23).write(oprot);
+      xfer += (*_iter42).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1030,6 +1306,18 @@
   xfer += oprot->writeBool(this->storeReachable);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
+    std::vector<SuspectRumour> ::const_iterator _iter43;
+    for (_iter43 = this->suspects.begin(); _iter43 != this->suspects.end(); ++_iter43)
+    {
+      xfer += (*_iter43).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1045,30 +1333,33 @@
   swap(a.fleetVersion, b.fleetVersion);
   swap(a.incarnation, b.incarnation);
   swap(a.storeReachable, b.storeReachable);
+  swap(a.suspects, b.suspects);
   swap(a.__isset, b.__isset);
 }
 
-PeerRequest::PeerRequest(const PeerRequest& other24) {
-  ping = other24.ping;
-  pingRequest = other24.pingRequest;
-  fleetQuery = other24.fleetQuery;
-  handover = other24.handover;
-  rumours = other24.rumours;
-  fleetVersion = other24.fleetVersion;
-  incarnation = other24.incarnation;
-  storeReachable = other24.storeReachable;
-  __isset = other24.__isset;
-}
-PeerRequest& PeerRequest::operator=(const PeerRequest& other25) {
-  ping = other25.ping;
-  pingRequest = other25.pingRequest;
-  fleetQuery = other25.fleetQuery;
-  handover = other25.handover;
-  rumours = other25.rumours;
-  fleetVersion = other25.fleetVersion;
-  incarnation = other25.incarnation;
-  storeReachable = other25.storeReachable;
-  __isset = other25.__isset;
+PeerRequest::PeerRequest(const PeerRequest& other44) {
+  ping = other44.ping;
+  pingRequest = other44.pingRequest;
+  fleetQuery = other44.fleetQuery;
+  handover = other44.handover;
+  rumours = other44.rumours;
+  fleetVersion = other44.fleetVersion;
+  incarnation = other44.incarnation;
+  storeReachable = other44.storeReachable;
+  suspects = other44.suspects;
+  __isset = other44.__isset;
+}
+PeerRequest& PeerRequest::operator=(const PeerRequest& other45) {
+  ping = other45.ping;
+  pingRequest = other45.pingRequest;
+  fleetQuery = other45.fleetQuery;
+  handover = other45.handover;
+  rumours = other45.rumours;
+  fleetVersion = other45.fleetVersion;
+  incarnation = other45.incarnation;
+  storeReachable = other45.storeReachable;
+  suspects = other45.suspects;
+  __isset = other45.__isset;
   return *this;
 }
 void PeerRequest::printTo(std::ostream& out) const {
@@ -1082,6 +1373,7 @@
   out << ", " << "fleetVersion=" << to_string(fleetVersion);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "storeReachable=" << to_string(storeReachable);
+  out << ", " << "suspects=" << to_string(suspects);
   out << ")";
 }
 
@@ -1174,14 +1466,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rumours.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->rumours.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->rumours.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->rumours[_i30].read(iprot);
+              xfer += this->rumours[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1247,10 +1539,10 @@
   xfer += oprot->writeFieldBegin("rumours", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rumours.size()));
-    std::vector<Rumour> ::const_iterator _iter31;
-    for (_iter31 = this->rumours.begin(); _iter31 != this->rumours.end(); ++_iter31)
+    std::vector<Rumour> ::const_iterator _iter51;
+    for (_iter51 = this->rumours.begin(); _iter51 != this->rumours.end(); ++_iter51)
     {
-      xfer += (*_iter31).write(oprot);
+      xfer += (*_iter51).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1285,25 +1577,25 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerAnswer::PeerAnswer(const PeerAnswer& other32) {
-  alive = other32.alive;
-  fleetDocument = other32.fleetDocument;
-  acceptedRequests = other32.acceptedRequests;
-  rumours = other32.rumours;
-  fleetVersion = other32.fleetVersion;
-  incarnation = other32.incarnation;
-  storeReachable = other32.storeReachable;
-  __isset = other32.__isset;
-}
-PeerAnswer& PeerAnswer::operator=(const PeerAnswer& other33) {
-  alive = other33.alive;
-  fleetDocument = other33.fleetDocument;
-  acceptedRequests = other33.acceptedRequests;
-  rumours = other33.rumours;
-  fleetVersion = other33.fleetVersion;
-  incarnation = other33.incarnation;
-  storeReachable = other33.storeReachable;
-  __isset = other33.__isset;
+PeerAnswer::PeerAnswer(const PeerAnswer& other52) {
+  alive = other52.alive;
+  fleetDocument = other52.fleetDocument;
+  acceptedRequests = other52.acceptedRequests;
+  rumours = other52.rumours;
+  fleetVersion = other52.fleetVersion;
+  incarnation = other52.incarnation;
+  storeReachable = other52.storeReachable;
+  __isset = other52.__isset;
+}
+PeerAnswer& PeerAnswer::operator=(const PeerAnswer& other53) {
+  alive = other53.alive;
+  fleetDocument = other53.fleetDocument;
+  acceptedRequests = other53.acceptedRequests;
+  rumours = other53.rumours;
+  fleetVersion = other53.fleetVersion;
+  incarnation = other53.incarnation;
+  storeReachable = other53.storeReachable;
+  __isset = other53.__isset;
   return *this;
 }
 void PeerAnswer::printTo(std::ostream& out) const {
@@ -1446,19 +1738,19 @@
   swap(a.__isset, b.__isset);
 }
 
-SealedMessage::SealedMessage(const SealedMessage& other34) {
-  sender = other34.sender;
-  sentAtMillis = other34.sentAtMillis;
-  body = other34.body;
-  authenticationCode = other34.authenticationCode;
-  __isset = other34.__isset;
+SealedMessage::SealedMessage(const SealedMessage& other54) {
+  sender = other54.sender;
+  sentAtMillis = other54.sentAtMillis;
+  body = other54.body;
+  authenticationCode = other54.authenticationCode;
+  __isset = other54.__isset;
 }
-SealedMessage& SealedMessage::operator=(const SealedMessage& other35) {
-  sender = other35.sender;
-  sentAtMillis = other35.sentAtMillis;
-  body = other35.body;
-  authenticationCode = other35.authenticationCode;
-  __isset = other35.__isset;
+SealedMessage& SealedMessage::operator=(const SealedMessage& other55) {
+  sender = other55.sender;
+  sentAtMillis = other55.sentAtMillis;
+  body = other55.body;
+  authenticationCode = other55.authenticationCode;
+  __isset = other55.__isset;
   return *this;
 }
 void SealedMessage::printTo(std::ostream& out) const {
@@ -1564,15 +1856,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerRefused::PeerRefused(const PeerRefused& other36) : TException() {
-  code = other36.code;
-  reason = other36.reason;
-  __isset = other36.__isset;
+PeerRefused::PeerRefused(const PeerRefused& other56) : TException() {
+  code = other56.code;
+  reason = other56.reason;
+  __isset = other56.__isset;
 }
-PeerRefused& PeerRefused::operator=(const PeerRefused& other37) {
-  code = other37.code;
-  reason = other37.reason;
-  __isset = other37.__isset;
+PeerRefused& PeerRefused::operator=(const PeerRefused& other57) {
+  code = other57.code;
+  reason = other57.reason;
+  __isset = other57.__isset;
   return *this;
 }
 void PeerRefused::printTo(std::ostream& out) const {
--- a/Generated/peer_types.h
+++ b/Generated/peer_types.h
@@ -33,6 +33,8 @@
 
 class Handover;
 
+class SuspectRumour;
+
 class PeerRequest;
 
 class PeerAnswer;
@@ -409,8 +411,94 @@
 
 std::ostream& operator<<(std::ostream& out, const Handover& obj);
 
+typedef struct _SuspectRumour__isset {
+  _SuspectRumour__isset() : fingerprint(false), holder(false), sequence(false), crashedOn(false), cleared(false), engine(false), quarantined(false) {}
+  bool fingerprint :1;
+  bool holder :1;
+  bool sequence :1;
+  bool crashedOn :1;
+  bool cleared :1;
+  bool engine :1;
+  bool quarantined :1;
+} _SuspectRumour__isset;
+
+/**
+ * What a node knows about a request that may crash engines: see Core/suspecttable.h.
+ */
+class SuspectRumour : public virtual ::apache::thrift::TBase {
+ public:
+
+  SuspectRumour(const SuspectRumour&);
+  SuspectRumour& operator=(const SuspectRumour&);
+  SuspectRumour() noexcept
+                : fingerprint(0),
+                  holder(),
+                  sequence(0),
+                  engine(),
+                  quarantined(0) {
+  }
+
+  virtual ~SuspectRumour() noexcept;
+  int64_t fingerprint;
+  std::string holder;
+  int64_t sequence;
+  std::vector<std::string>  crashedOn;
+  std::vector<std::string>  cleared;
+  std::string engine;
+  bool quarantined;
+
+  _SuspectRumour__isset __isset;
+
+  void __set_fingerprint(const int64_t val);
+
+  void __set_holder(const std::string& val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_crashedOn(const std::vector<std::string> & val);
+
+  void __set_cleared(const std::vector<std::string> & val);
+
+  void __set_engine(const std::string& val);
+
+  void __set_quarantined(const bool val);
+
+  bool operator == (const SuspectRumour & rhs) const
+  {
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(holder == rhs.holder))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(crashedOn == rhs.crashedOn))
+      return false;
+    if (!(cleared == rhs.cleared))
+      return false;
+    if (!(engine == rhs.engine))
+      return false;
+    if (!(quarantined == rhs.quarantined))
+      return false;
+    return true;
+  }
+  bool operator != (const SuspectRumour &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SuspectRumour & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SuspectRumour &a, SuspectRumour &b);
+
+std::ostream& operator<<(std::ostream& out, const SuspectRumour& obj);
+
 typedef struct _PeerRequest__isset {
-  _PeerRequest__isset() : ping(false), pingRequest(false), fleetQuery(false), handover(false), rumours(false), fleetVersion(false), incarnation(false), storeReachable(false) {}
+  _PeerRequest__isset() : ping(false), pingRequest(false), fleetQuery(false), handover(false), rumours(false), fleetVersion(false), incarnation(false), storeReachable(false), suspects(false) {}
   bool ping :1;
   bool pingRequest :1;
   bool fleetQuery :1;
@@ -419,6 +507,7 @@
   bool fleetVersion :1;
   bool incarnation :1;
   bool storeReachable :1;
+  bool suspects :1;
 } _PeerRequest__isset;
 
 /**
@@ -447,6 +536,7 @@
   int64_t fleetVersion;
   int64_t incarnation;
   bool storeReachable;
+  std::vector<SuspectRumour>  suspects;
 
   _PeerRequest__isset __isset;
 
@@ -466,6 +556,8 @@
 
   void __set_storeReachable(const bool val);
 
+  void __set_suspects(const std::vector<SuspectRumour> & val);
+
   bool operator == (const PeerRequest & rhs) const
   {
     if (__isset.ping != rhs.__isset.ping)
@@ -492,6 +584,8 @@
       return false;
     if (!(storeReachable == rhs.storeReachable))
       return false;
+    if (!(suspects == rhs.suspects))
+      return false;
     return true;
   }
   bool operator != (const PeerRequest &rhs) const {
--- a/Interface/peer.thrift
+++ b/Interface/peer.thrift
@@ -45,6 +45,17 @@
   1: list<OpenRequest> requests
 }
 
+/** What a node knows about a request that may crash engines: see Core/suspecttable.h. */
+struct SuspectRumour {
+  1: i64 fingerprint
+  2: string holder
+  3: i64 sequence
+  4: list<string> crashedOn
+  5: list<string> cleared
+  6: string engine
+  7: bool quarantined
+}
+
 /** Exactly one of the request fields is set. */
 struct PeerRequest {
   1: optional Ping ping
@@ -56,6 +67,7 @@
   11: i64 fleetVersion
   12: i64 incarnation
   13: bool storeReachable
+  14: list<SuspectRumour> suspects
 }
 
 struct PeerAnswer {
--- a/Source/Adapter/sesameadapter.h
+++ b/Source/Adapter/sesameadapter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 //! Public header of the sesameadapter library.
+
 #include "Adapter/backendclient.h"
 #include "Adapter/burnjson.h"
 #include "Adapter/cloudclient.h"
@@ -9,8 +10,8 @@
 #include "Adapter/httpserver.h"
 #include "Adapter/json.h"
 #include "Adapter/log.h"
-#include "Adapter/objectserviceclient.h"
 #include "Adapter/messageseal.h"
+#include "Adapter/objectserviceclient.h"
 #include "Adapter/peerclient.h"
 #include "Adapter/peermessage.h"
 #include "Adapter/peerserver.h"
--- a/Source/Core/claimshard.h
+++ b/Source/Core/claimshard.h
@@ -33,8 +33,8 @@
     Outcome outcome = Outcome::Unknown;
     ResultCode code = ResultCode::OutcomeUnknown;
     int httpStatus = 0;
-    std::string contentType;
-    std::string body;
+    std::string contentType {};
+    std::string body {};
     bool bodyOmitted = false; //!< The body was too long to be kept.
     bool fromStatusLookup = false; //!< Only the execution is known, not the answer.
 };
--- a/Source/Core/membershiptable.cpp
+++ b/Source/Core/membershiptable.cpp
@@ -46,18 +46,39 @@
     return static_cast<int>(state) > static_cast<int>(known.state);
 }
 
-bool readDetail(std::string_view detail, Peer *peer)
+std::string toText(const Endpoint &endpoint)
+{
+    return endpoint.host + ':' + std::to_string(endpoint.port);
+}
+
+// Splits the next word off the front of \a detail.
+std::string_view takeWord(std::string_view *detail)
+{
+    const std::size_t space = std::min(detail->find(' '), detail->size());
+    const std::string_view word = detail->substr(0, space);
+    detail->remove_prefix(std::min(space + 1, detail->size()));
+    return word;
+}
+
+bool readEndpoint(std::string_view text, Endpoint *endpoint)
 {
-    const std::size_t space = detail.find(' ');
-    const std::size_t colon = detail.substr(0, space).rfind(':');
-    if (space == std::string_view::npos || colon == std::string_view::npos)
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
         return false;
-    const char *end = detail.data() + space;
-    const auto [last, ec] = std::from_chars(detail.data() + colon + 1, end, peer->address.port);
+    const char *end = text.data() + text.size();
+    const auto [last, ec] = std::from_chars(text.data() + colon + 1, end, endpoint->port);
     if (ec != std::errc() || last != end)
         return false;
-    peer->address.host = detail.substr(0, colon);
-    peer->zone = detail.substr(space + 1);
+    endpoint->host = text.substr(0, colon);
+    return true;
+}
+
+bool readDetail(std::string_view detail, Peer *peer)
+{
+    if (!readEndpoint(takeWord(&detail), &peer->address)
+        || !readEndpoint(takeWord(&detail), &peer->callerAddress))
+        return false;
+    peer->zone = detail;
     return true;
 }
 
@@ -305,6 +326,7 @@
     const PeerState state = toState(rumour.kind);
     Peer heard {.node = rumour.subject,
                 .address = {},
+                .callerAddress = {},
                 .zone = {},
                 .incarnation = rumour.incarnation,
                 .state = state,
@@ -342,8 +364,7 @@
     return {.kind = toKind(peer.state),
             .subject = peer.node,
             .incarnation = peer.incarnation,
-            .detail = peer.address.host + ':' + std::to_string(peer.address.port) + ' '
-                    + peer.zone};
+            .detail = toText(peer.address) + ' ' + toText(peer.callerAddress) + ' ' + peer.zone};
 }
 
 void MembershipTable::enqueue(const Rumour &rumour)
@@ -361,7 +382,7 @@
         rumours.push_back({.kind = RumourKind::NodeDead,
                            .subject = std::string(receiver),
                            .incarnation = 0,
-                           .detail = "0.0.0.0:0 "});
+                           .detail = "0.0.0.0:0 0.0.0.0:0 "});
     std::vector<QueuedRumour *> order;
     for (auto &[key, queued] : m_queue)
         order.push_back(&queued);
--- a/Source/Core/membershiptable.h
+++ b/Source/Core/membershiptable.h
@@ -38,6 +38,7 @@
 {
     std::string node;
     Endpoint address;
+    Endpoint callerAddress {}; //!< Where callers reach the node; the peers tell it to callers.
     std::string zone;
     std::int64_t incarnation = 0;
     PeerState state = PeerState::Alive;
--- a/Source/Core/rumour.h
+++ b/Source/Core/rumour.h
@@ -10,7 +10,7 @@
     interface.
 */
 enum class RumourKind : std::int32_t {
-    NodeAlive = 1, //!< The detail of the node rumours is "HOST:PORT ZONE".
+    NodeAlive = 1, //!< The detail of the node rumours is "PEER_ADDRESS CALLER_ADDRESS ZONE".
     NodeSuspect = 2,
     NodeDead = 3,
     NodeLeaving = 4,
--- a/Source/Node/answer.h
+++ b/Source/Node/answer.h
@@ -16,7 +16,7 @@
 {
     Outcome outcome = Outcome::NotRun;
     ResultCode code = ResultCode::Ok;
-    std::string reason;
+    std::string reason {};
     std::chrono::milliseconds retryAfter {0}; //!< 0: no retry time is told.
 };
 
--- a/Source/Node/backendmonitor.cpp
+++ b/Source/Node/backendmonitor.cpp
@@ -55,10 +55,7 @@
 
 BackendMonitor::BackendMonitor(NodeContext &context, ModelService &models, PeerExchange &peers,
                                std::function<void()> reclaimed)
-    : m_context(context),
-      m_models(models),
-      m_peers(peers),
-      m_reclaimed(std::move(reclaimed)),
+    : m_context(context), m_models(models), m_peers(peers), m_reclaimed(std::move(reclaimed)),
       m_cloud(context.settings.cloudUrl)
 {
 }
@@ -81,8 +78,8 @@
 {
     const Timestamp now = m_context.clock.now();
     for (const ReclaimNotice &notice : batch.notices) {
-        m_peers.announce(m_context.backends.lock()->applyNotice(notice, now,
-                                                                m_context.clock.wallMillis()));
+        m_peers.announce(
+                m_context.backends.lock()->applyNotice(notice, now, m_context.clock.wallMillis()));
         const bool wholeZone = notice.instance.empty() && notice.zone == m_context.settings.zone;
         const bool current = notice.deadline > m_context.clock.wallMillis();
         if (current && (wholeZone || notice.instance == m_context.settings.instance))
@@ -130,8 +127,8 @@
         const std::lock_guard lock(m_cacheMutex);
         after = m_cacheSequences[engine.id];
     }
-    const BackendReply reply
-            = callBackend(makePoll(engine, "/v1/cache_events?after=" + std::to_string(after)));
+    const BackendReply reply = callBackend(
+            makePoll(engine, "/v1/cache_events?after=" + std::to_string(after)));
     if (reply.status != CallStatus::Replied)
         return;
     const JsonPtr body = parseJson(reply.reply.body);
--- a/Source/Node/callerapi.cpp
+++ b/Source/Node/callerapi.cpp
@@ -64,10 +64,10 @@
         return answerWith(notRun(*reason, refusalRetryAfter));
     const auto config = m_context.config();
     if (request.body.size() > config->defaults.bodyLimitBytes) {
-        return answerWith(notRun({.code = ResultCode::BodyTooLarge,
-                                  .text = "body: the limit is "
-                                          + std::to_string(config->defaults.bodyLimitBytes)
-                                          + " bytes"}));
+        return answerWith(
+                notRun({.code = ResultCode::BodyTooLarge,
+                        .text = "body: the limit is "
+                                + std::to_string(config->defaults.bodyLimitBytes) + " bytes"}));
     }
     const Account *account = findAccount(*config, request);
     if (!account) {
@@ -102,8 +102,8 @@
         return m_models.resume(request, account);
     if (const Route *route = findRoute(config, request.path))
         return m_routes.call(request, account, *route);
-    return answerWith(notRun(
-            {.code = ResultCode::UnknownRoute, .text = "no route for " + request.path}));
+    return answerWith(
+            notRun({.code = ResultCode::UnknownRoute, .text = "no route for " + request.path}));
 }
 
 HttpResponse CallerApi::listEntries()
--- a/Source/Node/enginecall.cpp
+++ b/Source/Node/enginecall.cpp
@@ -49,7 +49,9 @@
     {
         if (m_stream.isDetached() || m_stream.isMoveRequested())
             return false;
-        const bool valid = m_parser.feed(part, [this](const SseEvent &event) { take(event); });
+        const bool valid = m_parser.feed(part, [this](const SseEvent &event) {
+            take(event);
+        });
         return valid && !m_done && !m_broken;
     }
 
@@ -78,7 +80,8 @@
         const std::string token = tokenText(event.data);
         const StreamVerdict verdict = m_stream.session().lock()->accept(m_attempt, offset, token);
         if (verdict == StreamVerdict::Delivered)
-            m_broken = !m_stream.buffer().write("id: " + event.id + "\ndata: " + event.data + "\n\n");
+            m_broken = !m_stream.buffer().write("id: " + event.id + "\ndata: " + event.data
+                                                + "\n\n");
         else if (verdict != StreamVerdict::Duplicate)
             m_broken = true;
     }
@@ -118,8 +121,9 @@
 AttemptResult readStream(ModelStream &stream, const HttpCall &call, const StreamAttempt &attempt)
 {
     TokenReader reader(stream, attempt);
-    const BackendReply reply = streamFromBackend(
-            call, [&reader](std::string_view part) { return reader.feed(part); });
+    const BackendReply reply = streamFromBackend(call, [&reader](std::string_view part) {
+        return reader.feed(part);
+    });
     return judge(stream, reader, reply);
 }
 
--- a/Source/Node/entrynode.cpp
+++ b/Source/Node/entrynode.cpp
@@ -43,14 +43,15 @@
 {
 public:
     explicit EntryNode(const NodeSettings &settings)
-        : m_context(settings),
-          m_models(m_context),
-          m_routes(m_context),
-          m_peers(m_context, m_models),
-          m_fleet(m_context, m_peers),
-          m_monitor(m_context, m_models, m_peers, [this] { withdraw(); }),
-          m_callerApi(m_context, m_models, m_routes),
-          m_operatorApi(m_context, [this] { withdraw(); })
+        : m_context(settings), m_models(m_context), m_routes(m_context),
+          m_peers(m_context, m_models), m_fleet(m_context, m_peers),
+          m_monitor(m_context, m_models, m_peers,
+                    [this] {
+                        withdraw();
+                    }),
+          m_callerApi(m_context, m_models, m_routes), m_operatorApi(m_context, [this] {
+              withdraw();
+          })
     {
     }
 
@@ -99,12 +100,14 @@
                 [this](const wire::PeerRequest &request, std::string_view sender) {
                     return m_peers.answer(request, sender);
                 });
-        m_callerServer = HttpServer::start(
-                {.address = settings.callerAddress},
-                [this](const HttpRequest &request) { return m_callerApi.handle(request); });
-        m_operatorServer = HttpServer::start(
-                {.address = settings.operatorAddress},
-                [this](const HttpRequest &request) { return m_operatorApi.handle(request); });
+        m_callerServer = HttpServer::start({.address = settings.callerAddress},
+                                           [this](const HttpRequest &request) {
+                                               return m_callerApi.handle(request);
+                                           });
+        m_operatorServer = HttpServer::start({.address = settings.operatorAddress},
+                                             [this](const HttpRequest &request) {
+                                                 return m_operatorApi.handle(request);
+                                             });
         if (m_peerServer && m_callerServer && m_operatorServer)
             return true;
         logEvent(LogLevel::Error, "cannot start", {{"reason", lastReason().text}});
@@ -123,8 +126,8 @@
                     seeds.push_back(*endpoint);
             }
         }
-        const std::string address
-                = settings.peerAddress.host + ":" + std::to_string(settings.peerAddress.port);
+        const std::string address = settings.peerAddress.host + ":"
+                + std::to_string(settings.peerAddress.port);
         const StoreResult old = m_context.store.read(ownKey);
         m_context.store.writeIf(ownKey, address, old.version);
         m_context.membership.lock()->join(std::move(seeds));
@@ -142,13 +145,27 @@
 
     void startThreads()
     {
-        repeat(membershipInterval, [this] { m_peers.tick(); });
-        repeat(fleetInterval, [this] { m_fleet.tick(); });
-        repeat({}, [this] { m_fleet.watchStore(); });
-        repeat(cloudInterval, [this] { m_monitor.pollCloud(); });
-        repeat(engineInterval, [this] { m_monitor.pollEngines(); });
-        repeat(dispatchInterval, [this] { m_models.dispatchWaiting(); });
-        repeat(ledgerInterval, [this] { m_context.ledger.flush(); });
+        repeat(membershipInterval, [this] {
+            m_peers.tick();
+        });
+        repeat(fleetInterval, [this] {
+            m_fleet.tick();
+        });
+        repeat({}, [this] {
+            m_fleet.watchStore();
+        });
+        repeat(cloudInterval, [this] {
+            m_monitor.pollCloud();
+        });
+        repeat(engineInterval, [this] {
+            m_monitor.pollEngines();
+        });
+        repeat(dispatchInterval, [this] {
+            m_models.dispatchWaiting();
+        });
+        repeat(ledgerInterval, [this] {
+            m_context.ledger.flush();
+        });
     }
 
     template <typename Step>
@@ -193,7 +210,8 @@
     void forwardTo(EntryNode &node)
     {
         m_thread = std::thread([this, &node] {
-            const timespec wait {.tv_sec = 0, .tv_nsec = std::chrono::nanoseconds(signalPoll).count()};
+            const timespec wait {.tv_sec = 0,
+                                 .tv_nsec = std::chrono::nanoseconds(signalPoll).count()};
             while (!m_done) {
                 if (sigtimedwait(&m_signals, nullptr, &wait) > 0)
                     node.withdraw();
--- a/Source/Node/lifecycle.cpp
+++ b/Source/Node/lifecycle.cpp
@@ -42,7 +42,9 @@
 bool Lifecycle::waitForPhase(NodePhase phase, std::chrono::milliseconds timeout)
 {
     std::unique_lock lock(m_mutex);
-    return m_changed.wait_for(lock, timeout, [this, phase] { return m_phase >= phase; });
+    return m_changed.wait_for(lock, timeout, [this, phase] {
+        return m_phase >= phase;
+    });
 }
 
 } // namespace sesame
--- a/Source/Node/modelservice.cpp
+++ b/Source/Node/modelservice.cpp
@@ -135,8 +135,8 @@
             m_context.streams.setTicket(prepared.stream, *ticket);
             return true;
         }
-        const auto retryAfter
-                = std::chrono::duration_cast<std::chrono::milliseconds>(admission->retryAfter());
+        const auto retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(
+                admission->retryAfter());
         *refusal = notRun(lastReason(), retryAfter);
     }
     m_context.streams.remove(prepared.stream);
@@ -193,10 +193,9 @@
         return answerWith(result);
     auto session = stream->session().lock();
     const JsonPtr body(json_pack(
-            "{s:s,s:s,s:s,s:[{s:i,s:{s:s,s:s#},s:s}],s:{s:I}}", "id",
-            stream->requestId().c_str(), "object", "chat.completion", "model",
-            stream->model().c_str(), "choices", "index", 0, "message", "role", "assistant",
-            "content", session->resumePrefix().data(),
+            "{s:s,s:s,s:s,s:[{s:i,s:{s:s,s:s#},s:s}],s:{s:I}}", "id", stream->requestId().c_str(),
+            "object", "chat.completion", "model", stream->model().c_str(), "choices", "index", 0,
+            "message", "role", "assistant", "content", session->resumePrefix().data(),
             static_cast<int>(session->resumePrefix().size()), "finish_reason", "stop", "usage",
             "completion_tokens", static_cast<json_int_t>(session->nextOffset())));
     HttpResponse response = answerJson(dumpJson(body.get()));
@@ -258,8 +257,8 @@
 void ModelService::dispatchPool(const Model &model)
 {
     const Timestamp now = m_context.clock.now();
-    const auto engines
-            = m_context.backends.lock()->usableEngines(model.name, model.backendClasses, now);
+    const auto engines = m_context.backends.lock()->usableEngines(model.name, model.backendClasses,
+                                                                  now);
     const PoolCapacity capacity = measureCapacity(engines);
     while (true) {
         ModelStreamPtr stream;
@@ -274,7 +273,9 @@
                 admission->finish(*ticket, 0, now);
         }
         if (stream)
-            m_context.workers.submit([this, stream] { run(stream); });
+            m_context.workers.submit([this, stream] {
+                run(stream);
+            });
     }
 }
 
@@ -377,8 +378,8 @@
     if (!model)
         return std::nullopt;
     const Timestamp now = m_context.clock.now();
-    const auto engines
-            = m_context.backends.lock()->usableEngines(model->name, model->backendClasses, now);
+    const auto engines = m_context.backends.lock()->usableEngines(model->name,
+                                                                  model->backendClasses, now);
     const std::vector<EngineView> views = makeEngineViews(engines);
     const std::vector<std::string> excludedIds(excluded.begin(), excluded.end());
     RouteQuery query;
@@ -511,8 +512,8 @@
 {
     const auto offset = parseOffset(request.query("from"));
     if (!offset)
-        return answerWith(notRun({.code = ResultCode::MalformedRequest,
-                                  .text = "from: must be a token offset"}));
+        return answerWith(notRun(
+                {.code = ResultCode::MalformedRequest, .text = "from: must be a token offset"}));
     const auto token = ResumeToken::verify(request.query("token").value_or(""),
                                            m_context.settings.tokenKey, account.name,
                                            m_context.clock.wallMillis());
@@ -525,18 +526,20 @@
     ChatRequest chat;
     chat.model = token->model;
     chat.stream = true;
-    auto stream = std::make_shared<ModelStream>(ModelStreamOptions {
-            .account = account.name,
-            .requestId = token->requestId,
-            .rank = token->rank,
-            .request = std::move(chat),
-            .start = {.requestId = token->requestId,
-                      .account = account.name,
-                      .lastAttempt = token->attempt,
-                      .offset = *offset,
-                      .text = {}}});
+    auto stream = std::make_shared<ModelStream>(
+            ModelStreamOptions {.account = account.name,
+                                .requestId = token->requestId,
+                                .rank = token->rank,
+                                .request = std::move(chat),
+                                .start = {.requestId = token->requestId,
+                                          .account = account.name,
+                                          .lastAttempt = token->attempt,
+                                          .offset = *offset,
+                                          .text = {}}});
     m_context.streams.add(stream);
-    m_context.workers.submit([this, stream, token = *token] { reattach(stream, token); });
+    m_context.workers.submit([this, stream, token = *token] {
+        reattach(stream, token);
+    });
     return respond(stream);
 }
 
@@ -555,7 +558,8 @@
     finish(stream,
            {.outcome = Outcome::Unknown,
             .code = ResultCode::RequestNotFound,
-            .reason = "the engine no longer has the request; send it again with the text received"});
+            .reason
+            = "the engine no longer has the request; send it again with the text received"});
 }
 
 } // namespace sesame
--- a/Source/Node/modelstream.cpp
+++ b/Source/Node/modelstream.cpp
@@ -10,8 +10,7 @@
 ModelStream::ModelStream(ModelStreamOptions options)
     : m_options(std::move(options)),
       m_fingerprint(requestFingerprint(m_options.account, m_options.request.prompt)),
-      m_blocks(sesame::promptBlocks(m_options.request.prompt)),
-      m_session(m_options.start)
+      m_blocks(sesame::promptBlocks(m_options.request.prompt)), m_session(m_options.start)
 {
 }
 
--- a/Source/Node/nodecontext.cpp
+++ b/Source/Node/nodecontext.cpp
@@ -32,16 +32,13 @@
 }
 
 NodeContext::NodeContext(const NodeSettings &nodeSettings)
-    : settings(nodeSettings),
-      incarnation(clock.wallMillis()),
+    : settings(nodeSettings), incarnation(clock.wallMillis()),
       fleet(FleetKeeperOptions {.zone = settings.zone}),
       membership(makeSelf(settings, incarnation), MembershipOptions {},
                  std::mt19937_64(randomSeed())),
-      backends(BackendOptions {}),
-      suspects(settings.node),
+      backends(BackendOptions {}), suspects(settings.node),
       store(ObjectServiceClientOptions {.url = settings.objectServiceUrl}),
-      ledger(store, clock, makeLedgerOptions(settings)),
-      workers(WorkerPoolOptions {}),
+      ledger(store, clock, makeLedgerOptions(settings)), workers(WorkerPoolOptions {}),
       controlWorkers(WorkerPoolOptions {.maxThreads = 32})
 {
 }
--- a/Source/Node/nodecontext.h
+++ b/Source/Node/nodecontext.h
@@ -48,7 +48,7 @@
 
     const NodeSettings settings;
     const std::int64_t incarnation; //!< Start time of the process in Unix milliseconds.
-    const SystemClock clock;
+    const SystemClock clock {};
     Lifecycle lifecycle;
     std::atomic<bool> storeReachable {false};
     Guarded<FleetKeeper> fleet;
--- a/Source/Node/operatorapi.cpp
+++ b/Source/Node/operatorapi.cpp
@@ -39,8 +39,8 @@
         m_drain();
         return reportStatus();
     }
-    return answerWith(notRun(
-            {.code = ResultCode::UnknownRoute, .text = "no operator path " + request.path}));
+    return answerWith(
+            notRun({.code = ResultCode::UnknownRoute, .text = "no operator path " + request.path}));
 }
 
 HttpResponse OperatorApi::reportStatus()
@@ -53,8 +53,7 @@
         auto fleet = m_context.fleet.lock();
         json_object_set_new(body.get(), "fleet_version",
                             json_integer(static_cast<json_int_t>(fleet->fleetVersion())));
-        setString(body.get(), "confirmation",
-                  toString(fleet->confirmation(m_context.clock.now())));
+        setString(body.get(), "confirmation", toString(fleet->confirmation(m_context.clock.now())));
         json_object_set_new(body.get(), "capacity_limit", json_integer(fleet->capacityLimit()));
     }
     json_object_set_new(body.get(), "store_reachable", json_boolean(m_context.storeReachable));
@@ -63,8 +62,9 @@
     json_t *peers = json_array();
     json_object_set_new(body.get(), "peers", peers);
     for (const Peer &peer : m_context.membership.lock()->liveNodes()) {
-        json_array_append_new(peers, json_pack("{s:s,s:s,s:s}", "node", peer.node.c_str(), "zone",
-                                               peer.zone.c_str(), "state", stateName(peer.state)));
+        json_array_append_new(peers,
+                              json_pack("{s:s,s:s,s:s}", "node", peer.node.c_str(), "zone",
+                                        peer.zone.c_str(), "state", stateName(peer.state)));
     }
     return answerJson(dumpJson(body.get()));
 }
--- a/Source/Node/peerexchange.cpp
+++ b/Source/Node/peerexchange.cpp
@@ -35,8 +35,7 @@
 } // namespace
 
 PeerExchange::PeerExchange(NodeContext &context, ModelService &models)
-    : m_context(context),
-      m_models(models),
+    : m_context(context), m_models(models),
       m_client(PeerIdentity {.node = context.settings.node, .key = context.settings.peerKey})
 {
 }
@@ -46,15 +45,17 @@
     const Timestamp now = m_context.clock.now();
     const std::vector<ProbeAction> actions = m_context.membership.lock()->tick(now);
     for (const ProbeAction &action : actions)
-        m_context.controlWorkers.submit([this, action] { send(action); });
+        m_context.controlWorkers.submit([this, action] {
+            send(action);
+        });
     sendSuspects();
 }
 
 wire::PeerRequest PeerExchange::makeRequest(std::string_view receiver)
 {
     wire::PeerRequest request;
-    request.rumours
-            = sesame::toWire(m_context.membership.lock()->rumoursToSend(rumoursPerMessage, receiver));
+    request.rumours = sesame::toWire(
+            m_context.membership.lock()->rumoursToSend(rumoursPerMessage, receiver));
     request.fleetVersion = static_cast<std::int64_t>(m_context.fleet.lock()->fleetVersion());
     request.incarnation = m_context.incarnation;
     request.storeReachable = m_context.storeReachable;
@@ -97,10 +98,12 @@
             continue;
         m_context.controlWorkers.submit([this, peer, rumours] {
             wire::PeerRequest request = makeRequest(peer.node);
+            request.suspects.reserve(rumours.size());
             for (const SuspectRumour &rumour : rumours)
                 request.suspects.push_back(toWire(rumour));
             request.__set_ping(wire::Ping());
-            const auto reply = m_client.exchange({.address = peer.address, .node = peer.node}, request);
+            const auto reply = m_client.exchange({.address = peer.address, .node = peer.node},
+                                                 request);
             if (reply)
                 noteAnswer(*reply);
         });
@@ -124,8 +127,9 @@
     {
         auto membership = m_context.membership.lock();
         const bool wantsState = request.__isset.ping && request.ping.wantsState;
-        answer.rumours = sesame::toWire(wantsState ? membership->allRumours()
-                                           : membership->rumoursToSend(rumoursPerMessage, sender));
+        answer.rumours = sesame::toWire(
+                wantsState ? membership->allRumours()
+                           : membership->rumoursToSend(rumoursPerMessage, sender));
     }
     answer.fleetVersion = static_cast<std::int64_t>(m_context.fleet.lock()->fleetVersion());
     answer.incarnation = m_context.incarnation;
@@ -183,6 +187,7 @@
     if (rumours.empty())
         return;
     std::vector<SuspectRumour> converted;
+    converted.reserve(rumours.size());
     for (const wire::SuspectRumour &rumour : rumours)
         converted.push_back(fromWire(rumour));
     m_context.suspects.lock()->receive(converted, m_context.clock.now());
--- a/Source/Node/routeservice.cpp
+++ b/Source/Node/routeservice.cpp
@@ -26,8 +26,7 @@
     const auto allowed = [](unsigned char c) {
         return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == ':';
     };
-    return !key.empty() && key.size() <= longestKey
-            && std::all_of(key.begin(), key.end(), allowed);
+    return !key.empty() && key.size() <= longestKey && std::all_of(key.begin(), key.end(), allowed);
 }
 
 /*!
@@ -224,10 +223,12 @@
     while (true) {
         const auto server = chooseServer(keyed.route, excluded);
         if (!server)
-            return {.reply = {.status = CallStatus::NotSent, .reply = {}, .reason = lastReason().text}};
+            return {.reply = {.status = CallStatus::NotSent,
+                              .reply = {},
+                              .reason = lastReason().text}};
         if (!m_context.ledger.mayStillSend(claim, m_context.clock.now())) {
-            m_context.backends.lock()->endCall(server->id, server->incarnation,
-                                               CallHealth::Neutral, m_context.clock.now());
+            m_context.backends.lock()->endCall(server->id, server->incarnation, CallHealth::Neutral,
+                                               m_context.clock.now());
             return {.reply = {.status = CallStatus::NotSent, .reply = {}, .reason = {}},
                     .tooLate = true};
         }
@@ -308,9 +309,9 @@
         return answerWith(notRun({.code = ResultCode::IdempotencyKeyReused,
                                   .text = "Idempotency-Key: used before with another call"}));
     default:
-        return answerWith(notRun({.code = ResultCode::StoreUnavailable,
-                                  .text = "the claim cannot be recorded"},
-                                 storeRetryAfter));
+        return answerWith(notRun(
+                {.code = ResultCode::StoreUnavailable, .text = "the claim cannot be recorded"},
+                storeRetryAfter));
     }
 }
 
--- a/StandIns/applicationengine.cpp
+++ b/StandIns/applicationengine.cpp
@@ -1,7 +1,7 @@
 #include "applicationengine.h"
 
 #include "Core/lastreason.h"
-#include "stopsignal.h"
+#include "termination.h"
 
 #include <chrono>
 #include <cstdio>
@@ -125,7 +125,7 @@
 
 int runApplicationEngine(const ApplicationEngineOptions &options)
 {
-    blockStopSignals();
+    blockTerminationSignals();
     ApplicationEngine engine;
     auto server = HttpServer::start({.address = options.address},
                                     [&engine](const HttpRequest &request) {
@@ -135,7 +135,7 @@
         std::fprintf(stderr, "application engine: %s\n", lastReason().text.c_str());
         return 1;
     }
-    waitForStopSignal();
+    waitForTermination();
     engine.stop();
     return 0;
 }
--- a/StandIns/main.cpp
+++ b/StandIns/main.cpp
@@ -1,6 +1,9 @@
 #include "Core/lastreason.h"
+#include "applicationengine.h"
 #include "callercommand.h"
+#include "cloud.h"
 #include "modelengine.h"
+#include "objectservice.h"
 #include "termination.h"
 
 #include <absl/flags/flag.h>
@@ -57,6 +60,21 @@
     return usageError;
 }
 
+int runObjectServiceCommand(const CommandLine &line)
+{
+    return runObjectService({.address = line.address});
+}
+
+int runCloudCommand(const CommandLine &line)
+{
+    return runCloud({.address = line.address});
+}
+
+int runApplicationCommand(const CommandLine &line)
+{
+    return runApplicationEngine({.address = line.address});
+}
+
 struct Command
 {
     std::string_view name;
@@ -64,7 +82,10 @@
 };
 
 constexpr std::array commands {
+        Command {"objectservice", runObjectServiceCommand},
+        Command {"cloud", runCloudCommand},
         Command {"engine", runEngineCommand},
+        Command {"application", runApplicationCommand},
         Command {"caller", runCallerBranch},
 };
 
--- a/StandIns/objectservice.cpp
+++ b/StandIns/objectservice.cpp
@@ -1,7 +1,7 @@
 #include "objectservice.h"
 
 #include "Core/lastreason.h"
-#include "stopsignal.h"
+#include "termination.h"
 
 #include <algorithm>
 #include <charconv>
@@ -239,7 +239,7 @@
 
 int runObjectService(const ObjectServiceOptions &options)
 {
-    blockStopSignals();
+    blockTerminationSignals();
     ObjectService service;
     auto server = HttpServer::start({.address = options.address, .bodyLimitBytes = valueLimitBytes},
                                     [&service](const HttpRequest &request) {
@@ -249,7 +249,7 @@
         std::fprintf(stderr, "object service: %s\n", lastReason().text.c_str());
         return 1;
     }
-    waitForStopSignal();
+    waitForTermination();
     service.stop();
     return 0;
 }
--- a/Tests/peerservicetest.cpp
+++ b/Tests/peerservicetest.cpp
@@ -1,5 +1,6 @@
 #include "Adapter/sesameadapter.h"
 #include "Core/lastreason.h"
+#include "support/printfigure.h"
 
 #include <Peer.h>
 #include <criterion/criterion.h>
@@ -279,7 +280,7 @@
     cr_expect(client.exchange(call, {}).has_value());
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(systemClock.now()
                                                                               - start);
-    cr_log_warn("64 idle connections delayed one exchange by %ld ms", waited.count());
+    sesame::test::printFigure("64 idle connections delayed one exchange by %ld ms", waited.count());
     for (const int fd : open)
         close(fd);
 }
--- a/Tests/support/processgroup.cpp
+++ b/Tests/support/processgroup.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -12,8 +13,6 @@
 #include <sstream>
 #include <thread>
 
-extern char **environ;
-
 namespace sesame::test {
 
 namespace {
@@ -32,6 +31,7 @@
 pid_t ProcessGroup::start(const std::vector<std::string> &command, const std::string &logFile)
 {
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string &part : command)
         arguments.push_back(const_cast<char *>(part.c_str()));
     arguments.push_back(nullptr);
--- a/Tests/support/testdeployment.cpp
+++ b/Tests/support/testdeployment.cpp
@@ -172,9 +172,9 @@
 void TestDeployment::startNode(std::size_t n)
 {
     Node &node = m_nodes[n];
-    node.pid = m_processes.start({SESAMEPROXY_BINARY, "serve", "--settings",
-                                  m_directory + "/" + node.name + ".toml"},
-                                 logFile(node.name));
+    node.pid = m_processes.start(
+            {SESAMEPROXY_BINARY, "serve", "--settings", m_directory + "/" + node.name + ".toml"},
+            logFile(node.name));
 }
 
 bool TestDeployment::waitUntilServing(std::uint64_t version, int timeoutMillis,
@@ -185,8 +185,8 @@
         waiting.push_back(n);
     for (int waited = 0; waited < timeoutMillis; waited += pollMillis) {
         std::erase_if(waiting, [&](std::size_t n) {
-            const TestReply reply
-                    = callUrl("GET", "http://" + m_nodes[n].operatorAddress() + "/v1/status");
+            const TestReply reply = callUrl(
+                    "GET", "http://" + m_nodes[n].operatorAddress() + "/v1/status");
             const JsonPtr body = parseJson(reply.body);
             return jsonString(body.get(), "phase") == "serving"
                     && jsonInteger(body.get(), "fleet_version")
--- a/Tests/support/testdeployment.h
+++ b/Tests/support/testdeployment.h
@@ -127,7 +127,7 @@
 /*!
     Returns the headers of a caller of account "hotel", with \a idempotencyKey if it is not empty.
 */
-std::vector<std::pair<std::string, std::string>> callerHeaders(
-        const std::string &idempotencyKey = {});
+std::vector<std::pair<std::string, std::string>>
+callerHeaders(const std::string &idempotencyKey = {});
 
 } // namespace sesame::test
