--- a/Source/Core/fleetkeeper.cpp
+++ b/Source/Core/fleetkeeper.cpp
@@ -45,18 +45,20 @@
         return OfferResult::Invalid;
     }
     if (offered->version <= m_document.version)
-        return refuse(*offered, source);
+        return judgeNotNewer(*offered, source);
     return adopt(std::move(*offered));
 }
 
-OfferResult FleetKeeper::refuse(const FleetDocument &offered, FleetSource source)
+OfferResult FleetKeeper::judgeNotNewer(const FleetDocument &offered, FleetSource source)
 {
     if (offered.version == m_document.version) {
         if (offered.text == m_document.text)
             return OfferResult::AlreadyInForce;
         raiseAlarm("fleet document diverged: offered " + describe(offered) + ", in force "
                    + describe(m_document));
-        return OfferResult::Diverged;
+        // After a restore, the same version can be accepted twice. The nodes converge on the one
+        // that the store accepted last.
+        return source == FleetSource::Store ? adopt(offered) : OfferResult::Diverged;
     }
     // A peer may be behind for a moment; the store may not.
     if (source == FleetSource::Store)
@@ -78,7 +80,7 @@
     offered.capacityLimit = std::max(
             {before, offered.capacityLimit, config->defaults.capacityLimit});
     config->defaults.capacityLimit = offered.capacityLimit;
-    requireInvariant(offered.version > m_document.version, "the fleet version never decreases");
+    requireInvariant(offered.version >= m_document.version, "the fleet version never decreases");
     requireInvariant(offered.capacityLimit >= before, "the capacity limit never decreases");
     m_document = std::move(offered);
     m_stored = encodeFleetDocument(m_document);
--- a/Source/Core/fleetkeeper.h
+++ b/Source/Core/fleetkeeper.h
@@ -25,7 +25,7 @@
     Adopted,
     AlreadyInForce,
     Older, //!< The offered version is lower than the one in force.
-    Diverged, //!< The version in force was offered with another content.
+    Diverged, //!< A peer offered the version in force with another content.
     Invalid //!< Not a fleet document, or its file has errors.
 };
 
@@ -34,7 +34,7 @@
 struct FleetKeeperOptions
 {
     std::string zone; //!< Zone of the node; selects the exceptions that hold for it.
-    //! How long a contact counts. Three peers' probe rounds fit into it.
+    //! How long a contact counts. Eight probes of a peer, at one per 500 ms, fit into it.
     Duration freshness = std::chrono::seconds(4);
 };
 
@@ -50,8 +50,9 @@
 
     /*!
         Puts the document \a stored in force if its version is higher than the one in force.
-        A document that is older or diverged is kept out; if it came from the store, an alarm
-        is raised, because then the store was restored from an older copy.
+        An older document is kept out; if it came from the store, an alarm is raised, because
+        then the store was restored from an older copy. The version in force with another
+        content raises an alarm too, and is only adopted from the store.
     */
     OfferResult offer(std::string_view stored, FleetSource source);
 
@@ -128,7 +129,7 @@
 
     bool isFresh(Timestamp heard, Timestamp now) const;
     void raiseAlarm(std::string text);
-    OfferResult refuse(const FleetDocument &offered, FleetSource source);
+    OfferResult judgeNotNewer(const FleetDocument &offered, FleetSource source);
     OfferResult adopt(FleetDocument offered);
 
     FleetKeeperOptions m_options;
