Test the fleet keeper and publisher in seeded runs with faults

Three faults that the runs found are fixed: a pull whose answer was lost was not repeated; a starting node served on the word of a peer that had been cut off itself; and a node that had heard of a higher version served without it once that peer was out of reach.

--- a/Source/Core/fleetkeeper.cpp
+++ b/Source/Core/fleetkeeper.cpp
@@ -44,6 +44,7 @@
         raiseAlarm(lastReason().text);
         return OfferResult::Invalid;
     }
+    m_highestHeard = std::max(m_highestHeard, offered->version);
     if (offered->version <= m_document.version)
         return judgeNotNewer(*offered, source);
     return adopt(std::move(*offered));
@@ -90,17 +91,28 @@
 
 void FleetKeeper::recordStore(Timestamp now, bool reachable)
 {
-    m_storeReachable = reachable;
-    if (reachable)
+    if (reachable) {
+        noteContact(now);
         m_storeReached = now;
+    }
+    m_storeReachable = reachable;
 }
 
 void FleetKeeper::recordPeer(Timestamp now, std::string_view peer, std::uint64_t version,
                              bool storeReachable)
 {
+    noteContact(now);
     m_peers.insert_or_assign(
             std::string(peer),
             PeerView {.heard = now, .version = version, .storeReachable = storeReachable});
+    m_highestHeard = std::max(m_highestHeard, version);
+}
+
+void FleetKeeper::noteContact(Timestamp now)
+{
+    // What was heard before a time without contact says nothing about the versions since.
+    if (!m_contactSince || confirmation(now) == Confirmation::Isolated)
+        m_contactSince = now;
 }
 
 void FleetKeeper::forgetPeer(std::string_view peer)
@@ -134,10 +146,24 @@
 {
     if (!m_config || confirmation(now) == Confirmation::Isolated)
         return false;
-    m_started = m_started || !peerToPull(now);
+    m_started = m_started || isStartComplete(now);
     return m_started;
 }
 
+bool FleetKeeper::isStartComplete(Timestamp now) const
+{
+    // Does not expire: the peer with the higher version may have been cut off since.
+    if (m_document.version < m_highestHeard)
+        return false;
+    if (m_contactSince && now - *m_contactSince >= m_options.startWait)
+        return true;
+    const auto reachesStore = [&](const auto &entry) {
+        return entry.second.storeReachable && isFresh(entry.second.heard, now);
+    };
+    return m_storeReachable
+            && (m_peerCount == 0 || std::any_of(m_peers.begin(), m_peers.end(), reachesStore));
+}
+
 std::optional<std::string> FleetKeeper::peerToPull(Timestamp now) const
 {
     std::optional<std::string> best;
--- a/Source/Core/fleetkeeper.h
+++ b/Source/Core/fleetkeeper.h
@@ -36,6 +36,9 @@
     std::string zone; //!< Zone of the node; selects the exceptions that hold for it.
     //! How long a contact counts. Eight probes of a peer, at one per 500 ms, fit into it.
     Duration freshness = std::chrono::seconds(4);
+    //! How long a starting node listens to its peers unless the store and a peer confirm at once.
+    //! The first peer it hears may itself have been cut off and hold an old document.
+    Duration startWait = std::chrono::seconds(4);
 };
 
 /*!
@@ -77,9 +80,16 @@
     Confirmation confirmation(Timestamp now) const;
 
     /*!
-        Returns whether new requests may be accepted. The answer is no without a document, while
-        the node is isolated, and after a start until the node has asked the store or learned
-        from a peer, and has adopted the highest version it heard of.
+        Sets how many other nodes are known from seeds, store records and rumours. With none, a
+        starting node does not wait for a peer.
+    */
+    void setPeerCount(std::size_t count) { m_peerCount = count; }
+
+    /*!
+        Returns whether new requests may be accepted. The answer is no without a document and
+        while the node is isolated. After a start it is also no until the node has adopted the
+        highest version it heard of and either the store and a peer that reaches it have
+        answered, or FleetKeeperOptions::startWait has passed in contact.
     */
     bool mayServe(Timestamp now);
 
@@ -101,6 +111,11 @@
     */
     std::uint64_t fleetVersion() const { return m_document.version; }
 
+    /*!
+        Returns the highest version that the store or a peer ever reported to this node.
+    */
+    std::uint64_t highestHeard() const { return m_highestHeard; }
+
     std::uint32_t capacityLimit() const { return m_document.capacityLimit; }
 
     /*!
@@ -127,6 +142,8 @@
         bool storeReachable = false;
     };
 
+    void noteContact(Timestamp now);
+    bool isStartComplete(Timestamp now) const;
     bool isFresh(Timestamp heard, Timestamp now) const;
     void raiseAlarm(std::string text);
     OfferResult judgeNotNewer(const FleetDocument &offered, FleetSource source);
@@ -139,6 +156,9 @@
     std::optional<Timestamp> m_storeReached;
     bool m_storeReachable = false;
     std::map<std::string, PeerView, std::less<>> m_peers;
+    std::size_t m_peerCount = 0;
+    std::uint64_t m_highestHeard = 0;
+    std::optional<Timestamp> m_contactSince; //!< Start of the contact that has not broken off.
     bool m_started = false; //!< Set by the first time that mayServe() held.
     std::string m_alarm;
     std::string m_lastAlarm;
--- /dev/null
+++ b/Tests/support/fakefleetstore.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "Core/ports.h"
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+/*!
+    An object service with one object. A restore also brings back the object version, which is
+    the worst case for conditional writes.
+*/
+class FakeFleetStore
+{
+public:
+    enum class NextWrite { Normal, LoseAnswer, LoseRequest, Delay };
+
+    bool isUp = true;
+    NextWrite nextWrite = NextWrite::Normal;
+    std::function<void()> beforeWrite; //!< Runs once, between an operator's read and its write.
+    std::function<void()> afterWrite; //!< Runs once, before the answer of a write.
+    std::string value;
+    std::uint64_t version = 0;
+
+    sesame::StoreResult read(std::string_view /*key*/)
+    {
+        using enum sesame::StoreStatus;
+        if (!isUp)
+            return {};
+        return {.status = version == 0 ? NotFound : Ok, .version = version, .value = value};
+    }
+
+    sesame::StoreResult writeIf(std::string_view /*key*/, std::string_view text,
+                                std::uint64_t expected)
+    {
+        if (const auto hook = std::exchange(beforeWrite, nullptr))
+            hook();
+        if (!isUp)
+            return {};
+        const sesame::StoreResult result = decide(text, expected);
+        if (const auto hook = std::exchange(afterWrite, nullptr))
+            hook();
+        return result;
+    }
+
+    /*!
+        Lets the delayed writes arrive, even during an outage of the answers.
+    */
+    void deliverDelayed()
+    {
+        for (const Write &write : std::exchange(m_delayed, {}))
+            put(write.text, write.expected);
+    }
+
+    /*!
+        Goes back by \a count writes.
+    */
+    void restore(std::size_t count)
+    {
+        const std::size_t index = m_copies.size() - std::min(count, m_copies.size());
+        if (index >= m_copies.size())
+            return;
+        value = m_copies[index].text;
+        version = m_copies[index].expected;
+        m_copies.resize(index);
+    }
+
+private:
+    struct Write
+    {
+        std::uint64_t expected = 0;
+        std::string text;
+    };
+
+    sesame::StoreResult decide(std::string_view text, std::uint64_t expected)
+    {
+        using enum sesame::StoreStatus;
+        switch (std::exchange(nextWrite, NextWrite::Normal)) {
+        case NextWrite::LoseAnswer:
+            put(text, expected);
+            return {.status = AnswerLost, .version = 0, .value = {}};
+        case NextWrite::LoseRequest:
+            return {.status = AnswerLost, .version = 0, .value = {}};
+        case NextWrite::Delay:
+            m_delayed.push_back({.expected = expected, .text = std::string(text)});
+            return {.status = AnswerLost, .version = 0, .value = {}};
+        case NextWrite::Normal:
+            break;
+        }
+        const bool done = put(text, expected);
+        return {.status = done ? Ok : Conflict, .version = version, .value = {}};
+    }
+
+    bool put(std::string_view text, std::uint64_t expected)
+    {
+        if (expected != version)
+            return false;
+        m_copies.push_back({.expected = version, .text = value});
+        value = text;
+        ++version;
+        return true;
+    }
+
+    std::vector<Write> m_copies; //!< Earlier states; \c expected is their object version.
+    std::vector<Write> m_delayed;
+};
--- /dev/null
+++ b/Tests/support/fleetrun.cpp
@@ -0,0 +1,475 @@
+#include "support/fleetrun.h"
+
+#include "support/fleetfiles.h"
+
+#include <algorithm>
+#include <numeric>
+
+using namespace sesame;
+
+namespace {
+
+constexpr std::chrono::milliseconds stepLength {100};
+constexpr int readInterval = 20; // 2 s; watches shorten it unless their event is lost.
+constexpr int probeInterval = 5; // 500 ms
+constexpr int indirectProbes = 3;
+constexpr int inForceLimit = 50; // 5 s
+constexpr int isolationLimit = 41; // FleetKeeperOptions::freshness and one step.
+constexpr double lostWatch = 0.3;
+constexpr double lostMessage = 0.05;
+
+} // namespace
+
+FleetRun::FleetRun(const FleetRunOptions &options) : m_options(options), m_random(options.seed)
+{
+    for (std::size_t i = 0; i < nodeCount; ++i)
+        startNode(i);
+}
+
+bool FleetRun::chance(double probability)
+{
+    return std::uniform_real_distribution<>(0.0, 1.0)(m_random) < probability;
+}
+
+std::size_t FleetRun::pick(std::size_t count)
+{
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random);
+}
+
+Timestamp FleetRun::now() const
+{
+    return Timestamp(m_step * stepLength);
+}
+
+void FleetRun::violate(const std::string &text)
+{
+    if (!m_violation)
+        m_violation = "step " + std::to_string(m_step) + ": " + text;
+}
+
+std::optional<std::string> FleetRun::run()
+{
+    while (m_step < m_options.steps && !m_violation) {
+        operate();
+        advance();
+    }
+    return m_violation;
+}
+
+std::string FleetRun::summary() const
+{
+    return "seed " + std::to_string(m_options.seed) + ": steps " + std::to_string(m_step)
+            + ", accepted " + std::to_string(m_accepted.size()) + ", conflicts "
+            + std::to_string(m_conflicts) + ", refused " + std::to_string(m_refusals) + ", unknown "
+            + std::to_string(m_unknown) + ", store restores " + std::to_string(m_restores)
+            + ", node restarts " + std::to_string(m_restarts) + ", alarms "
+            + std::to_string(m_alarms) + ", highest version "
+            + std::to_string(highestVersion(false));
+}
+
+void FleetRun::advance()
+{
+    ++m_step;
+    injectFaults();
+    for (std::size_t i = 0; i < nodeCount; ++i)
+        runNode(i);
+    check();
+}
+
+void FleetRun::injectFaults()
+{
+    if (m_step >= m_storeUpAt)
+        m_store.isUp = true;
+    if (chance(0.05))
+        m_store.deliverDelayed();
+    injectStoreFault();
+    if (chance(0.01))
+        injectNodeFault(m_nodes[pick(nodeCount)]);
+}
+
+void FleetRun::injectStoreFault()
+{
+    if (m_store.isUp && chance(0.004)) {
+        m_store.isUp = false;
+        m_storeUpAt = m_step + static_cast<int>(1 + pick(chance(0.3) ? 600 : 80));
+    }
+    // Without a node that has the newest document, a restore loses it; nothing can prevent that.
+    if (chance(0.002) && highestVersion(true) >= std::max(storeVersion(), highestVersion(false))) {
+        m_store.restore(1 + pick(4));
+        ++m_restores;
+    }
+}
+
+/*!
+    Returns whether the newest document survives the loss of \a node: the store holds it, or
+    another node that the operators reach.
+*/
+bool FleetRun::mayRemove(const Node &node)
+{
+    const std::uint64_t highest = highestVersion(false);
+    if (storeVersion() >= highest)
+        return true;
+    return std::any_of(m_nodes.begin(), m_nodes.end(), [&](const Node &other) {
+        return &other != &node && isMain(other) && other.keeper->fleetVersion() >= highest;
+    });
+}
+
+void FleetRun::injectNodeFault(Node &node)
+{
+    const auto index = static_cast<std::size_t>(&node - m_nodes.data());
+    const std::size_t kind = pick(4);
+    if (kind == 0) {
+        node.storeCut = !node.storeCut;
+        return;
+    }
+    if (kind == 1 && node.group != 0) {
+        node.group = 0;
+        return;
+    }
+    if (!mayRemove(node))
+        return;
+    if (!node.keeper) {
+        startNode(index);
+    } else if (kind == 2) {
+        node.keeper.reset();
+    } else if (kind == 3) {
+        startNode(index);
+    } else {
+        // Group 1 gathers several nodes; the others are cut off alone.
+        node.group = chance(0.5) ? 1 : static_cast<int>(2 + index);
+        node.storeCut = chance(0.5);
+    }
+}
+
+std::uint64_t FleetRun::highestVersion(bool mainOnly) const
+{
+    std::uint64_t highest = 0;
+    for (const Node &node : m_nodes) {
+        if (node.keeper && (!mainOnly || node.group == 0))
+            highest = std::max(highest, node.keeper->fleetVersion());
+    }
+    return highest;
+}
+
+std::uint64_t FleetRun::storeVersion()
+{
+    if (m_store.value != m_storeValue) {
+        const auto document = decodeFleetDocument(m_store.value);
+        m_storeValue = m_store.value;
+        m_storeVersion = document ? document->version : 0;
+    }
+    return m_storeVersion;
+}
+
+void FleetRun::startNode(std::size_t index)
+{
+    Node &node = m_nodes[index];
+    m_restarts += m_step > 0 ? 1 : 0;
+    node.keeper.emplace(FleetKeeperOptions {.zone = index % 2 == 0 ? "north" : "south"});
+    node.keeper->setPeerCount(nodeCount - 1);
+    node.storeSeen = false;
+    node.hasServed = false;
+    node.nextRead = m_step;
+    node.nextProbe = m_step + static_cast<int>(pick(probeInterval));
+    node.version = 0;
+    node.capacityLimit = 0;
+    node.aloneSince = -1;
+    node.storeOlderSince = -1;
+    for (Acceptance &acceptance : m_accepted)
+        acceptance.reachableSince[index] = -1;
+}
+
+void FleetRun::runNode(std::size_t index)
+{
+    Node &node = m_nodes[index];
+    if (!node.keeper)
+        return;
+    if (m_step >= node.nextRead)
+        readStore(node);
+    if (m_step < node.nextProbe)
+        return;
+    node.nextProbe = m_step + probeInterval;
+    if (node.probeOrder.empty()) {
+        node.probeOrder.resize(nodeCount);
+        std::iota(node.probeOrder.begin(), node.probeOrder.end(), 0U);
+        std::erase(node.probeOrder, index);
+        std::shuffle(node.probeOrder.begin(), node.probeOrder.end(), m_random);
+    }
+    const std::size_t target = node.probeOrder.back();
+    node.probeOrder.pop_back();
+    if (!probe(index, target)) {
+        // SWIM asks other peers to probe the silent one; these messages carry versions too.
+        for (int i = 0; i < indirectProbes; ++i)
+            probe(index, pick(nodeCount));
+    }
+    pull(node); // Also repeats a pull whose answer was lost.
+}
+
+void FleetRun::readStore(Node &node)
+{
+    node.nextRead = m_step + readInterval;
+    const StoreResult read = node.storeCut ? StoreResult {} : m_store.read(fleetObjectKey);
+    node.storeSeen = read.status != StoreStatus::Unavailable;
+    node.keeper->recordStore(now(), node.storeSeen);
+    if (!node.storeSeen)
+        return;
+    if (read.status == StoreStatus::Ok)
+        adopt(node, read.value, FleetSource::Store);
+    const auto document = decodeFleetDocument(read.value);
+    const auto stored = node.keeper->documentToRestore(document ? document->version : 0);
+    if (stored && m_options.restoreStore)
+        m_store.writeIf(fleetObjectKey, *stored, read.version);
+}
+
+bool FleetRun::probe(std::size_t from, std::size_t to)
+{
+    Node &a = m_nodes[from];
+    Node &b = m_nodes[to];
+    if (from == to || !b.keeper || a.group != b.group || chance(lostMessage))
+        return false;
+    b.keeper->recordPeer(now(), std::to_string(from), a.keeper->fleetVersion(), a.storeSeen);
+    a.keeper->recordPeer(now(), std::to_string(to), b.keeper->fleetVersion(), b.storeSeen);
+    pull(a);
+    pull(b);
+    return true;
+}
+
+void FleetRun::pull(Node &node)
+{
+    const std::optional<std::string> name = node.keeper->peerToPull(now());
+    if (!name || !m_options.pullFromPeers || chance(lostMessage))
+        return;
+    Node &peer = m_nodes[std::stoul(*name)];
+    if (peer.keeper && peer.group == node.group)
+        adopt(node, peer.keeper->storedDocument(), FleetSource::Peer);
+}
+
+void FleetRun::adopt(Node &node, const std::string &stored, FleetSource source)
+{
+    if (node.keeper->offer(stored, source) == OfferResult::Adopted)
+        checkLineage(*decodeFleetDocument(node.keeper->storedDocument()));
+    m_alarms += node.keeper->takeAlarm() ? 1 : 0;
+}
+
+void FleetRun::operate()
+{
+    if (chance(0.02))
+        applyOnce(true);
+}
+
+/*!
+    Returns a valid newer file, or one of the files that must be refused.
+*/
+ApplyRequest FleetRun::makeRequest(bool &mustFail)
+{
+    const auto current = decodeFleetDocument(m_store.value);
+    const std::uint32_t limit = current ? current->capacityLimit : 10;
+    const std::string id = "apply-" + std::to_string(++m_nextId);
+    ApplyRequest request {.text = makeFleetFile(limit + (chance(0.2) ? 1 : 0), id),
+                          .fileName = "fleet.toml",
+                          .applyId = id};
+    if (chance(0.7) && current)
+        request.baseVersion = current->version;
+    if (current && chance(0.1)) {
+        mustFail = true;
+        request.text = makeFleetFile(limit - 1, id);
+    } else if (current && chance(0.05)) {
+        mustFail = true;
+        request.text = makeFleetFile(limit, id,
+                                     "[[exception]]\nkey = \"defaults.capacity_limit\"\n"
+                                     "scope = \"fleet\"\nvalue = 1\nreason = \"why\"\n");
+    } else if (m_accepted.size() > 1 && chance(0.1)) {
+        // An old file, sent with the version it was derived from.
+        const Acceptance &old = m_accepted[pick(m_accepted.size() - 1)];
+        request.text = old.text;
+        request.baseVersion = old.version - 1;
+        mustFail = old.text != current->text;
+    }
+    if (m_options.askNodes)
+        request.highestNodeVersion = highestVersion(true);
+    return request;
+}
+
+void FleetRun::applyOnce(bool mayRace)
+{
+    bool mustFail = false;
+    const ApplyRequest request = makeRequest(mustFail);
+    const double fault = std::uniform_real_distribution<>(0.0, 1.0)(m_random);
+    using Next = FakeFleetStore::NextWrite;
+    m_store.nextWrite = fault < 0.1 ? Next::LoseAnswer
+            : fault < 0.2           ? Next::LoseRequest
+            : fault < 0.3           ? Next::Delay
+                                    : Next::Normal;
+    if (mayRace && chance(0.3))
+        m_store.beforeWrite = [this] {
+            applyOnce(false);
+        };
+    FleetPublisher<FakeFleetStore> publisher(m_store, [this] {
+        for (int i = 0; i < probeInterval && !m_violation; ++i)
+            advance();
+    });
+    const ApplyResult result = publisher.apply(request);
+    m_store.beforeWrite = nullptr;
+    m_store.nextWrite = Next::Normal;
+    judgeResult(request, result, mustFail);
+    if (result.status == ApplyStatus::Accepted && chance(0.1)) {
+        m_store.isUp = false;
+        m_storeUpAt = m_step + static_cast<int>(pick(300));
+    }
+}
+
+void FleetRun::judgeResult(const ApplyRequest &request, const ApplyResult &result, bool mustFail)
+{
+    if (result.status == ApplyStatus::AlreadyInForce)
+        return;
+    m_conflicts += result.status == ApplyStatus::Conflict ? 1 : 0;
+    m_refusals += result.status == ApplyStatus::Refused ? 1 : 0;
+    m_unknown += result.status == ApplyStatus::Unknown ? 1 : 0;
+    if (result.status != ApplyStatus::Accepted) {
+        if (result.status != ApplyStatus::Unknown)
+            m_rejectedIds.insert(request.applyId);
+        return;
+    }
+    if (mustFail)
+        violate("accepted " + request.applyId + ", which is old or lowers the limit");
+    const bool twice = std::any_of(m_accepted.begin(), m_accepted.end(), [&](const auto &other) {
+        return other.version == result.version;
+    });
+    if (twice)
+        violate("version " + std::to_string(result.version) + " accepted twice");
+    Acceptance acceptance {
+            .version = result.version, .text = request.text, .applyId = request.applyId};
+    acceptance.reachableSince.fill(-1);
+    m_accepted.push_back(std::move(acceptance));
+    for (Node &node : m_nodes) {
+        if (!chance(lostWatch))
+            node.nextRead = std::min(node.nextRead, m_step + 1);
+    }
+}
+
+void FleetRun::check()
+{
+    for (std::size_t i = 0; i < nodeCount; ++i)
+        checkNode(i);
+    // Older ones have either reached everybody or are implied by a newer one.
+    const std::size_t first = m_accepted.size() - std::min<std::size_t>(m_accepted.size(), 24);
+    for (std::size_t i = first; i < m_accepted.size(); ++i) {
+        checkReach(m_accepted[i]);
+        checkSettled(m_accepted[i]);
+    }
+}
+
+void FleetRun::checkNode(std::size_t index)
+{
+    Node &node = m_nodes[index];
+    if (!node.keeper)
+        return;
+    const std::string name = "node " + std::to_string(index);
+    checkVersion(node, name);
+    checkStore(node, name);
+    checkService(node, name);
+}
+
+void FleetRun::checkVersion(Node &node, const std::string &name)
+{
+    const FleetKeeper &keeper = *node.keeper;
+    if (keeper.fleetVersion() < node.version)
+        violate(name + " went back to version " + std::to_string(keeper.fleetVersion()) + " from "
+                + std::to_string(node.version));
+    if (keeper.capacityLimit() < node.capacityLimit)
+        violate(name + " lowered the capacity limit");
+    node.version = keeper.fleetVersion();
+    node.capacityLimit = keeper.capacityLimit();
+}
+
+void FleetRun::checkStore(Node &node, const std::string &name)
+{
+    if (!m_store.isUp || node.storeCut || storeVersion() >= node.version)
+        node.storeOlderSince = -1;
+    else if (node.storeOlderSince < 0)
+        node.storeOlderSince = m_step;
+    else if (m_step - node.storeOlderSince > inForceLimit)
+        violate(name + " has reached a store with an older document for 5 s");
+}
+
+void FleetRun::checkService(Node &node, const std::string &name)
+{
+    const bool reachesStore = m_store.isUp && !node.storeCut;
+    const bool reachesPeer = std::any_of(m_nodes.begin(), m_nodes.end(), [&](const Node &other) {
+        return &other != &node && other.keeper && other.group == node.group;
+    });
+    if (reachesStore || reachesPeer)
+        node.aloneSince = -1;
+    else if (node.aloneSince < 0)
+        node.aloneSince = m_step;
+    const bool serves = node.keeper->mayServe(now());
+    if (serves && node.aloneSince >= 0 && m_step - node.aloneSince > isolationLimit)
+        violate(name + " serves although it is cut off alone");
+    if (!serves || node.hasServed)
+        return;
+    node.hasServed = true;
+    for (const Acceptance &acceptance : m_accepted) {
+        const int since = acceptance.settledSince;
+        if (since >= 0 && m_step - since > inForceLimit && node.version < acceptance.version)
+            violate(name + " starts to serve with version " + std::to_string(node.version)
+                    + " after " + std::to_string(acceptance.version) + " was everywhere");
+    }
+}
+
+void FleetRun::checkSettled(Acceptance &acceptance)
+{
+    const bool settled = storeVersion() >= acceptance.version
+            && std::all_of(m_nodes.begin(), m_nodes.end(), [&](const Node &node) {
+                             return !node.keeper || !node.hasServed
+                                     || node.keeper->fleetVersion() >= acceptance.version;
+                         });
+    if (!settled)
+        acceptance.settledSince = -1;
+    else if (acceptance.settledSince < 0)
+        acceptance.settledSince = m_step;
+}
+
+/*!
+    Checks that every node that could learn of the document for 5 s has it.
+*/
+void FleetRun::checkReach(Acceptance &acceptance)
+{
+    const bool inStore = m_store.isUp && storeVersion() >= acceptance.version;
+    const bool inMain = highestVersion(true) >= acceptance.version;
+    for (std::size_t i = 0; i < nodeCount; ++i) {
+        const Node &node = m_nodes[i];
+        int &since = acceptance.reachableSince[i];
+        const bool reachable = node.keeper
+                && ((inStore && !node.storeCut) || (inMain && isMain(node)));
+        if (!reachable)
+            since = -1;
+        else if (since < 0)
+            since = m_step;
+        if (since >= 0 && m_step - since > inForceLimit
+            && node.keeper->fleetVersion() < acceptance.version)
+            violate("node " + std::to_string(i) + " has version "
+                    + std::to_string(node.keeper->fleetVersion()) + " 5 s after it could learn of "
+                    + std::to_string(acceptance.version));
+    }
+}
+
+/*!
+    Checks that \a document is one of the accepted documents or derives from all of them.
+*/
+void FleetRun::checkLineage(const FleetDocument &document)
+{
+    if (m_rejectedIds.contains(document.applyId))
+        violate("a document that was reported as not accepted is in force: " + document.applyId);
+    for (const Acceptance &acceptance : m_accepted) {
+        if (acceptance.version > document.version
+            || document.version - acceptance.version > earlierApplyIdLimit)
+            continue;
+        const auto &ids = document.earlierApplyIds;
+        const bool kept = acceptance.version == document.version
+                ? document.text == acceptance.text
+                : std::find(ids.begin(), ids.end(), acceptance.applyId) != ids.end();
+        if (!kept)
+            violate("version " + std::to_string(document.version) + " reverts accepted "
+                    + acceptance.applyId);
+    }
+}
