--- a/Source/Adapter/sesameadapter.h
+++ b/Source/Adapter/sesameadapter.h
@@ -15,4 +15,5 @@
 #include "Adapter/peerclient.h"
 #include "Adapter/peermessage.h"
 #include "Adapter/peerserver.h"
+#include "Adapter/metrics.h"
 #include "Adapter/systemclock.h"
--- a/Source/Core/fleetkeeper.h
+++ b/Source/Core/fleetkeeper.h
@@ -25,7 +25,7 @@
     Adopted,
     AlreadyInForce,
     Older, //!< The offered version is lower than the one in force.
-    Diverged, //!< The version in force was offered with another content.
+    Diverged, //!< A peer offered the version in force with another content.
     Invalid //!< Not a fleet document, or its file has errors.
 };
 
@@ -34,8 +34,11 @@
 struct FleetKeeperOptions
 {
     std::string zone; //!< Zone of the node; selects the exceptions that hold for it.
-    //! How long a contact counts. Three peers' probe rounds fit into it.
+    //! How long a contact counts. Eight probes of a peer, at one per 500 ms, fit into it.
     Duration freshness = std::chrono::seconds(4);
+    //! How long a starting node listens to its peers unless the store and a peer confirm at once.
+    //! The first peer it hears may itself have been cut off and hold an old document.
+    Duration startWait = std::chrono::seconds(4);
 };
 
 /*!
@@ -50,8 +53,9 @@
 
     /*!
         Puts the document \a stored in force if its version is higher than the one in force.
-        A document that is older or diverged is kept out; if it came from the store, an alarm
-        is raised, because then the store was restored from an older copy.
+        An older document is kept out; if it came from the store, an alarm is raised, because
+        then the store was restored from an older copy. The version in force with another
+        content raises an alarm too, and is only adopted from the store.
     */
     OfferResult offer(std::string_view stored, FleetSource source);
 
@@ -76,9 +80,16 @@
     Confirmation confirmation(Timestamp now) const;
 
     /*!
-        Returns whether new requests may be accepted. The answer is no without a document, while
-        the node is isolated, and after a start until the node has asked the store or learned
-        from a peer, and has adopted the highest version it heard of.
+        Sets how many other nodes are known from seeds, store records and rumours. With none, a
+        starting node does not wait for a peer.
+    */
+    void setPeerCount(std::size_t count) { m_peerCount = count; }
+
+    /*!
+        Returns whether new requests may be accepted. The answer is no without a document and
+        while the node is isolated. After a start it is also no until the node has adopted the
+        highest version it heard of and either the store and a peer that reaches it have
+        answered, or FleetKeeperOptions::startWait has passed in contact.
     */
     bool mayServe(Timestamp now);
 
@@ -100,6 +111,11 @@
     */
     std::uint64_t fleetVersion() const { return m_document.version; }
 
+    /*!
+        Returns the highest version that the store or a peer ever reported to this node.
+    */
+    std::uint64_t highestHeard() const { return m_highestHeard; }
+
     std::uint32_t capacityLimit() const { return m_document.capacityLimit; }
 
     /*!
@@ -126,9 +142,11 @@
         bool storeReachable = false;
     };
 
+    void noteContact(Timestamp now);
+    bool isStartComplete(Timestamp now) const;
     bool isFresh(Timestamp heard, Timestamp now) const;
     void raiseAlarm(std::string text);
-    OfferResult refuse(const FleetDocument &offered, FleetSource source);
+    OfferResult judgeNotNewer(const FleetDocument &offered, FleetSource source);
     OfferResult adopt(FleetDocument offered);
 
     FleetKeeperOptions m_options;
@@ -138,6 +156,9 @@
     std::optional<Timestamp> m_storeReached;
     bool m_storeReachable = false;
     std::map<std::string, PeerView, std::less<>> m_peers;
+    std::size_t m_peerCount = 0;
+    std::uint64_t m_highestHeard = 0;
+    std::optional<Timestamp> m_contactSince; //!< Start of the contact that has not broken off.
     bool m_started = false; //!< Set by the first time that mayServe() held.
     std::string m_alarm;
     std::string m_lastAlarm;
