--- /dev/null
+++ b/Tests/streamsessiontest.cpp
@@ -0,0 +1,134 @@
+#include "support/streamworld.h"
+
+#include <criterion/criterion.h>
+
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <unistd.h>
+
+using namespace sesame;
+
+namespace {
+
+constexpr int stepsPerSeed = 20000;
+
+StreamSession makeSession(std::uint64_t offset = 0, std::string text = {})
+{
+    return StreamSession({.requestId = "r",
+                          .account = "a",
+                          .lastAttempt = 0,
+                          .offset = offset,
+                          .text = std::move(text)});
+}
+
+AttemptEngine makeEngine()
+{
+    return {.id = "e", .incarnation = 1, .address = {.host = "127.0.0.1", .port = 1}};
+}
+
+std::array<char, 64> seedText {};
+
+// A broken invariant aborts the program, so the seed is printed from the signal handler.
+void printSeed(int /*signal*/)
+{
+    const auto written = write(STDERR_FILENO, seedText.data(), seedText.size());
+    static_cast<void>(written);
+    _exit(1);
+}
+
+void runSeed(std::uint64_t seed)
+{
+    std::snprintf(seedText.data(), seedText.size(), "failing seed %llu\n",
+                  static_cast<unsigned long long>(seed));
+    StreamWorld world(seed);
+    for (int n = 0; n < stepsPerSeed; ++n) {
+        const std::string fault = world.step();
+        cr_assert(fault.empty(), "seed %llu step %d: %s", static_cast<unsigned long long>(seed), n,
+                  fault.c_str());
+    }
+    // A run in which some kind of event never occurred would prove nothing about it.
+    cr_assert(world.completed() >= 20, "seed %llu: %llu requests completed",
+              static_cast<unsigned long long>(seed),
+              static_cast<unsigned long long>(world.completed()));
+    cr_assert_eq(world.verdicts().size(), 5U, "seed %llu: a verdict never occurred",
+                 static_cast<unsigned long long>(seed));
+    cr_assert(world.handovers() > 0);
+}
+
+} // namespace
+
+// Guards against tokens of an engine that still sends after its request moved.
+Test(streamsession, dropsEventsOfOldAttempts)
+{
+    StreamSession session = makeSession();
+    const StreamAttempt first = session.beginAttempt(makeEngine());
+    cr_expect_eq(session.accept(first, 0, "a "), StreamVerdict::Delivered);
+    const StreamAttempt second = session.beginAttempt(makeEngine());
+    cr_expect_gt(second.number, first.number);
+    cr_expect_eq(session.accept(first, 1, "x "), StreamVerdict::OldAttempt);
+    cr_expect_eq(session.accept(second, 1, "b "), StreamVerdict::Delivered);
+    cr_expect(session.resumePrefix() == "a b ");
+    session.endAttempt();
+    cr_expect_eq(session.accept(second, 2, "c "), StreamVerdict::OldAttempt);
+    cr_expect_eq(session.nextOffset(), 2U);
+}
+
+// Guards against repeated tokens after a re-attach and against text with a hole.
+Test(streamsession, dropsDuplicatesAndEndsAttemptAtGap)
+{
+    StreamSession session = makeSession(2, "a b ");
+    const StreamAttempt attempt = session.beginAttempt(makeEngine());
+    cr_expect_eq(session.accept(attempt, 1, "b "), StreamVerdict::Duplicate);
+    cr_expect_not(session.isBroken());
+    cr_expect_eq(session.accept(attempt, 3, "d "), StreamVerdict::Gap);
+    cr_expect(session.isBroken());
+    cr_expect_eq(session.accept(attempt, 2, "c "), StreamVerdict::OldAttempt);
+    const StreamAttempt next = session.beginAttempt(makeEngine());
+    cr_expect_eq(session.accept(next, 2, "c "), StreamVerdict::Delivered);
+    cr_expect(session.resumePrefix() == "a b c ");
+}
+
+// Guards against an answer that reaches another request of the same account, or another account.
+Test(streamsession, dropsEventsOfOtherRequests)
+{
+    StreamSession session = makeSession();
+    const StreamAttempt attempt = session.beginAttempt(makeEngine());
+    StreamAttempt other = attempt;
+    other.requestId = "r2";
+    cr_expect_eq(session.accept(other, 0, "x "), StreamVerdict::OtherRequest);
+    other = attempt;
+    other.account = "b";
+    cr_expect_eq(session.accept(other, 0, "x "), StreamVerdict::OtherRequest);
+    cr_expect_eq(session.nextOffset(), 0U);
+}
+
+// Guards against a recomputation from an incomplete prefix after a resume by token.
+Test(streamsession, knowsWhetherItHasTheText)
+{
+    cr_expect(makeSession().knowsText());
+    cr_expect(makeSession(1, "a ").knowsText());
+    cr_expect_not(makeSession(1).knowsText());
+}
+
+// Guards against two nodes that continue one token and give their attempts the same number.
+Test(streamsession, numbersAttemptsFromTheGivenMinimum)
+{
+    StreamSession session = makeSession();
+    cr_expect_eq(session.beginAttempt(makeEngine(), 1000).number, 1000U);
+    cr_expect_eq(session.beginAttempt(makeEngine(), 1000).number, 1001U);
+}
+
+// Guards against wrong text under late, lost, doubled, reordered and crossed events, engines
+// that still send after a move, lost connections and handovers, in any combination.
+Test(streamsession, randomRunsDeliverExactText)
+{
+    std::signal(SIGABRT, printSeed);
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+        runSeed(seed);
+    const char *more = std::getenv("SESAME_SEEDS");
+    std::random_device source;
+    for (long n = more ? std::strtol(more, nullptr, 10) : 0; n > 0; --n)
+        runSeed(source());
+}
--- /dev/null
+++ b/Tests/support/streamworld.cpp
@@ -0,0 +1,280 @@
+#include "support/streamworld.h"
+
+#include <algorithm>
+
+namespace sesame {
+
+namespace {
+
+constexpr std::size_t requestCount = 6; // Three of each account.
+constexpr std::size_t connectionLimit = 24;
+constexpr std::uint64_t longestAnswer = 60;
+const std::string tokenKey = "world-key";
+
+} // namespace
+
+StreamWorld::StreamWorld(std::uint64_t seed) : m_random(seed), m_requests(requestCount)
+{
+    for (std::size_t slot = 0; slot < requestCount; ++slot)
+        startRequest(slot);
+}
+
+std::string StreamWorld::step()
+{
+    ++m_clock;
+    const std::size_t action = pick(100);
+    if (action < 45)
+        produce();
+    else if (action < 70)
+        deliver();
+    else if (action < 90)
+        return callerReads();
+    else if (action < 95)
+        reattachOrMove();
+    else if (action < 98)
+        return callerMoves();
+    else if (action < 99)
+        return misuseToken();
+    else
+        resend(pick(requestCount));
+    return {};
+}
+
+std::size_t StreamWorld::pick(std::size_t n)
+{
+    return m_random() % n;
+}
+
+std::string StreamWorld::word(const Run &run, std::uint64_t offset) const
+{
+    return m_requests[run.request].account + std::to_string(run.request) + "."
+            + std::to_string(run.serial) + "." + std::to_string(offset) + " ";
+}
+
+void StreamWorld::startRequest(std::size_t slot)
+{
+    Request request;
+    request.id = "request-" + std::to_string(m_clock) + "-" + std::to_string(slot);
+    request.account = slot % 2 == 0 ? "loft" : "jury";
+    request.length = 5 + pick(longestAnswer);
+    m_requests[slot] = std::move(request);
+    resend(slot);
+}
+
+std::size_t StreamWorld::addSession(std::size_t slot, StreamStart start)
+{
+    m_sessions.push_back({.request = slot,
+                          .stream = std::make_unique<StreamSession>(std::move(start)),
+                          .run = {}});
+    m_requests[slot].session = m_sessions.size() - 1;
+    m_requests[slot].onTheWay.clear();
+    return m_sessions.size() - 1;
+}
+
+void StreamWorld::beginRun(std::size_t session)
+{
+    Session &owner = m_sessions[session];
+    AttemptEngine engine {.id = "engine-" + std::to_string(pick(4)),
+                          .incarnation = 1 + pick(2),
+                          .address = {.host = "127.0.0.1", .port = 19000}};
+    const StreamAttempt attempt = owner.stream->beginAttempt(engine, m_clock);
+    owner.run = {.request = owner.request,
+                 .serial = m_nextSerial++,
+                 .engine = std::move(engine),
+                 .number = attempt.number,
+                 .start = owner.stream->nextOffset()};
+    connect(session, attempt, owner.run.start);
+    issueToken(session);
+}
+
+void StreamWorld::connect(std::size_t session, const StreamAttempt &attempt, std::uint64_t from)
+{
+    if (m_connections.size() == connectionLimit)
+        m_connections.pop_front();
+    m_connections.push_back({.session = session,
+                             .source = attempt,
+                             .run = m_sessions[session].run,
+                             .next = from,
+                             .offsets = {}});
+}
+
+void StreamWorld::issueToken(std::size_t session)
+{
+    const Session &owner = m_sessions[session];
+    Request &request = m_requests[owner.request];
+    if (request.session != session)
+        return;
+    const ResumeToken token {.engineAddress = owner.run.engine.address,
+                             .engineId = owner.run.engine.id,
+                             .engineIncarnation = owner.run.engine.incarnation,
+                             .attempt = owner.run.number,
+                             .requestId = request.id,
+                             .account = request.account,
+                             .model = "assess",
+                             .rank = Rank::Urgent,
+                             .expiry = static_cast<WallMillis>(m_clock + 100'000),
+                             .promptTokens = 100};
+    request.token = token.sign(tokenKey);
+}
+
+void StreamWorld::produce()
+{
+    // Engines of old attempts are chosen as often as current ones: they keep sending.
+    Connection &connection = m_connections[pick(m_connections.size())];
+    for (std::size_t n = 1 + pick(8); n > 0; --n) {
+        if (connection.next < m_requests[connection.run.request].length)
+            connection.offsets.push_back(connection.next++);
+    }
+}
+
+void StreamWorld::disturb(Connection *connection)
+{
+    std::deque<std::uint64_t> &offsets = connection->offsets;
+    const std::size_t kind = pick(60);
+    if (kind == 0)
+        offsets.push_front(offsets.front());
+    else if (kind == 1)
+        std::swap(offsets.front(), offsets.back());
+    else if (kind == 2)
+        offsets.pop_front();
+    else if (kind == 3)
+        offsets.front() = pick(m_requests[connection->run.request].length);
+}
+
+void StreamWorld::deliver()
+{
+    Connection &connection = m_connections[pick(m_connections.size())];
+    for (std::size_t n = 1 + pick(8); n > 0 && !connection.offsets.empty(); --n) {
+        disturb(&connection);
+        deliverNext(&connection);
+    }
+}
+
+void StreamWorld::deliverNext(Connection *from)
+{
+    if (from->offsets.empty())
+        return;
+    Connection &connection = *from;
+    const std::uint64_t offset = connection.offsets.front();
+    connection.offsets.pop_front();
+    std::size_t target = connection.session;
+    // A crossed event reaches the session of another request, account or node.
+    if (pick(20) == 0)
+        target = m_requests[pick(requestCount)].session;
+    Session &session = m_sessions[target];
+    const std::string token = word(connection.run, offset);
+    const StreamVerdict verdict = session.stream->accept(connection.source, offset, token);
+    ++m_verdicts[verdict];
+    Request &request = m_requests[session.request];
+    if (verdict == StreamVerdict::Delivered && request.session == target)
+        request.onTheWay.push_back(token);
+}
+
+std::string StreamWorld::callerReads()
+{
+    const std::size_t slot = pick(requestCount);
+    Request &request = m_requests[slot];
+    const Run &run = m_sessions[request.session].run;
+    while (!request.onTheWay.empty()) {
+        // A token that is still on the way when the run changes belongs to the earlier run, so
+        // every run change lets the caller read first.
+        request.received.append(request.onTheWay.front());
+        request.onTheWay.pop_front();
+        request.expected.append(word(run, request.tokens++));
+    }
+    const std::string fault = checkCaller(&request);
+    if (fault.empty() && request.tokens == request.length) {
+        ++m_completed;
+        startRequest(slot);
+    }
+    return fault;
+}
+
+std::string StreamWorld::checkCaller(Request *request)
+{
+    if (request->tokens > request->length)
+        return request->id + ": more tokens than the answer has";
+    if (request->received == request->expected)
+        return {};
+    return request->id + ": received \"" + request->received + "\" expected \"" + request->expected
+            + "\"";
+}
+
+void StreamWorld::reattachOrMove()
+{
+    const std::size_t slot = pick(requestCount);
+    Request &request = m_requests[slot];
+    Session &session = m_sessions[request.session];
+    if (!request.onTheWay.empty())
+        return;
+    if (!session.stream->isBroken() && pick(2) == 0) {
+        const StreamAttempt attempt = session.stream->continueAttempt(session.run.engine,
+                                                                      session.run.number);
+        connect(request.session, attempt, session.stream->nextOffset());
+        return;
+    }
+    if (session.stream->knowsText())
+        beginRun(request.session);
+    else
+        resend(slot);
+}
+
+std::string StreamWorld::callerMoves()
+{
+    const std::size_t slot = pick(requestCount);
+    Request &request = m_requests[slot];
+    const Run run = m_sessions[request.session].run;
+    const auto now = static_cast<WallMillis>(m_clock);
+    const auto token = ResumeToken::verify(request.token, tokenKey, request.account, now);
+    if (!token)
+        return request.id + ": its own token was refused: " + lastReason().text;
+    if (token->requestId != request.id || token->attempt != run.number)
+        return request.id + ": its token names another request or attempt";
+    ++m_handovers;
+    // Tokens on the way are lost with the connection; the caller names the offset it reached.
+    const bool handedOver = pick(2) == 0;
+    const std::size_t session = addSession(slot,
+                                           {.requestId = token->requestId,
+                                            .account = token->account,
+                                            .lastAttempt = token->attempt,
+                                            .offset = request.tokens,
+                                            .text = handedOver ? request.received : std::string()});
+    m_sessions[session].run = run;
+    const StreamAttempt attempt = m_sessions[session].stream->continueAttempt(run.engine,
+                                                                              token->attempt);
+    connect(session, attempt, request.tokens);
+    return {};
+}
+
+std::string StreamWorld::misuseToken()
+{
+    const Request &request = m_requests[pick(requestCount)];
+    const Request &other = m_requests[pick(requestCount)];
+    const auto now = static_cast<WallMillis>(m_clock);
+    const auto token = ResumeToken::verify(other.token, tokenKey, request.account, now);
+    if (token.has_value() != (request.account == other.account))
+        return request.id + ": verify is wrong about the token of " + other.id;
+    if (token && token->requestId != other.id)
+        return request.id + ": the token of " + other.id + " names " + token->requestId;
+    if (ResumeToken::verify(other.token, tokenKey, other.account, now + 200'000))
+        return other.id + ": an expired token was accepted";
+    std::string changed = other.token;
+    char &c = changed[pick(changed.size())];
+    c = c == 'x' ? 'y' : 'x';
+    if (ResumeToken::verify(changed, tokenKey, other.account, now))
+        return other.id + ": a changed token was accepted";
+    return {};
+}
+
+void StreamWorld::resend(std::size_t slot)
+{
+    const Request &request = m_requests[slot];
+    beginRun(addSession(slot,
+                        {.requestId = request.id,
+                         .account = request.account,
+                         .lastAttempt = 0,
+                         .offset = request.tokens,
+                         .text = request.received}));
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Tests/support/streamworld.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "Core/sesamecore.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace sesame {
+
+/*!
+    Callers, nodes and engines of several requests around the real StreamSession and
+    ResumeToken, driven by a seed. Every attempt answers with different words, as a sampling
+    engine does after a restart, so a token of the wrong attempt, request, account or offset
+    changes the text that a caller receives.
+*/
+class StreamWorld
+{
+public:
+    explicit StreamWorld(std::uint64_t seed);
+
+    /*!
+        Performs one random action. Returns an empty text, or what is wrong.
+    */
+    std::string step();
+
+    std::uint64_t completed() const { return m_completed; }
+    const std::map<StreamVerdict, std::uint64_t> &verdicts() const { return m_verdicts; }
+    std::uint64_t handovers() const { return m_handovers; }
+
+private:
+    //! One run of a request on one engine; it goes on until its answer ends.
+    struct Run
+    {
+        std::size_t request = 0;
+        std::uint64_t serial = 0;
+        AttemptEngine engine;
+        std::uint64_t number = 0;
+        std::uint64_t start = 0;
+    };
+
+    //! A node's session for a request. Sessions that the caller left stay and get late events.
+    struct Session
+    {
+        std::size_t request = 0;
+        std::unique_ptr<StreamSession> stream;
+        Run run;
+    };
+
+    //! A connection from a node to an engine.
+    struct Connection
+    {
+        std::size_t session = 0;
+        StreamAttempt source;
+        Run run;
+        std::uint64_t next = 0;
+        std::deque<std::uint64_t> offsets; //!< Sent by the engine, not yet read by the node.
+    };
+
+    struct Request
+    {
+        std::string id;
+        std::string account;
+        std::uint64_t length = 0;
+        std::size_t session = 0; //!< The session that the caller is connected to.
+        std::string token;
+        std::deque<std::string> onTheWay; //!< From node to caller.
+        std::string received;
+        std::string expected; //!< Kept apart from the session: the current run's own words.
+        std::uint64_t tokens = 0;
+    };
+
+    std::size_t pick(std::size_t n);
+    std::string word(const Run &run, std::uint64_t offset) const;
+    void startRequest(std::size_t slot);
+    std::size_t addSession(std::size_t slot, StreamStart start);
+    void beginRun(std::size_t session);
+    void connect(std::size_t session, const StreamAttempt &attempt, std::uint64_t from);
+    void issueToken(std::size_t session);
+    void produce();
+    void disturb(Connection *connection);
+    void deliver();
+    void deliverNext(Connection *from);
+    std::string callerReads();
+    std::string checkCaller(Request *request);
+    void reattachOrMove();
+    std::string callerMoves();
+    std::string misuseToken();
+    void resend(std::size_t slot);
+
+    std::mt19937_64 m_random;
+    std::uint64_t m_clock = 1'000'000;
+    std::uint64_t m_nextSerial = 1;
+    std::vector<Request> m_requests;
+    std::deque<Session> m_sessions;
+    std::deque<Connection> m_connections;
+    std::map<StreamVerdict, std::uint64_t> m_verdicts;
+    std::uint64_t m_completed = 0;
+    std::uint64_t m_handovers = 0;
+};
+
+} // namespace sesame
