--- a/Tests/streamsessiontest.cpp
+++ b/Tests/streamsessiontest.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <unistd.h>
 
 using namespace sesame;
@@ -33,7 +34,7 @@
 // A broken invariant aborts the program, so the seed is printed from the signal handler.
 void printSeed(int /*signal*/)
 {
-    const auto written = write(STDERR_FILENO, seedText.data(), seedText.size());
+    const auto written = write(STDERR_FILENO, seedText.data(), std::strlen(seedText.data()));
     static_cast<void>(written);
     _exit(1);
 }
--- a/Tests/support/streamworld.cpp
+++ b/Tests/support/streamworld.cpp
@@ -77,7 +77,9 @@
     AttemptEngine engine {.id = "engine-" + std::to_string(pick(4)),
                           .incarnation = 1 + pick(2),
                           .address = {.host = "127.0.0.1", .port = 19000}};
-    const StreamAttempt attempt = owner.stream->beginAttempt(engine, m_clock);
+    // Counted for each request, so that different requests use the same numbers.
+    const std::uint64_t lowest = ++m_requests[owner.request].attempts;
+    const StreamAttempt attempt = owner.stream->beginAttempt(engine, lowest);
     owner.run = {.request = owner.request,
                  .serial = m_nextSerial++,
                  .engine = std::move(engine),
@@ -155,12 +157,17 @@
     if (from->offsets.empty())
         return;
     Connection &connection = *from;
-    const std::uint64_t offset = connection.offsets.front();
+    std::uint64_t offset = connection.offsets.front();
     connection.offsets.pop_front();
     std::size_t target = connection.session;
-    // A crossed event reaches the session of another request, account or node.
-    if (pick(20) == 0)
+    // A crossed event reaches the session of another request, account or node. Streams that
+    // run side by side are often at the same offset.
+    if (pick(20) == 0) {
         target = m_requests[pick(requestCount)].session;
+        const std::uint64_t awaited = m_sessions[target].stream->nextOffset();
+        if (awaited < m_requests[connection.run.request].length)
+            offset = awaited;
+    }
     Session &session = m_sessions[target];
     const std::string token = word(connection.run, offset);
     const StreamVerdict verdict = session.stream->accept(connection.source, offset, token);
--- a/Tests/support/streamworld.h
+++ b/Tests/support/streamworld.h
@@ -65,6 +65,7 @@
     {
         std::string id;
         std::string account;
+        std::uint64_t attempts = 0;
         std::uint64_t length = 0;
         std::size_t session = 0; //!< The session that the caller is connected to.
         std::string token;
