Add the handover planner

Transfers share the leaving engine's link, so they are planned one after the other: first requests whose text the node lacks, then by rank, then by recomputation saved for each second of transfer. Answers that end within the notice stay where they are, because each move pauses its caller.

--- /dev/null
+++ b/Source/Core/handoverplanner.cpp
@@ -0,0 +1,192 @@
+#include "Core/handoverplanner.h"
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <tuple>
+
+namespace sesame {
+
+namespace {
+
+constexpr double microsPerSecond = 1e6;
+// Peers of weight 0 share equally when they are the only ones left.
+constexpr double lowestWeight = 1e-6;
+
+struct Candidate
+{
+    const HandoverPeer *peer = nullptr;
+    double load = 0.0; //!< Cost per weight assigned so far.
+};
+
+template <typename Predicate>
+std::vector<Candidate> select(std::span<const HandoverPeer> peers, const Predicate &matches)
+{
+    std::vector<Candidate> candidates;
+    for (const HandoverPeer &peer : peers) {
+        if (!peer.leaving && matches(peer))
+            candidates.push_back({.peer = &peer});
+    }
+    const auto hasWeight = [](const Candidate &it) {
+        return it.peer->weight > 0.0;
+    };
+    if (std::any_of(candidates.begin(), candidates.end(), hasWeight))
+        std::erase_if(candidates, std::not_fn(hasWeight));
+    return candidates;
+}
+
+std::vector<Candidate> selectCandidates(std::string_view ownZone,
+                                        std::span<const std::string> leavingZones,
+                                        std::span<const HandoverPeer> peers, bool *relaxed)
+{
+    const auto stays = [leavingZones](const HandoverPeer &peer) {
+        return std::find(leavingZones.begin(), leavingZones.end(), peer.zone) == leavingZones.end();
+    };
+    std::vector<Candidate> candidates = select(peers, [&](const HandoverPeer &peer) {
+        return stays(peer) && peer.zone != ownZone;
+    });
+    *relaxed = candidates.empty();
+    if (candidates.empty())
+        candidates = select(peers, stays);
+    if (candidates.empty())
+        candidates = select(peers, [](const HandoverPeer &) {
+            return true;
+        });
+    return candidates;
+}
+
+double loadAfter(const Candidate &candidate, const OpenRequest &request)
+{
+    const double weight = std::max(candidate.peer->weight, lowestWeight);
+    return candidate.load + static_cast<double>(std::max<std::uint64_t>(request.cost, 1)) / weight;
+}
+
+Candidate *chooseFor(const OpenRequest &request, std::vector<Candidate> *candidates)
+{
+    Candidate *best = nullptr;
+    const auto score = [&request](const Candidate &it) {
+        const bool beside = !request.engineZone.empty() && it.peer->zone == request.engineZone;
+        return std::make_tuple(beside, loadAfter(it, request), std::string_view(it.peer->node));
+    };
+    for (Candidate &candidate : *candidates) {
+        if (!best || score(candidate) < score(*best))
+            best = &candidate;
+    }
+    return best;
+}
+
+Duration toDuration(double seconds)
+{
+    return Duration(static_cast<Duration::rep>(seconds * microsPerSecond));
+}
+
+Duration recomputeTime(const EngineMove &move, const MoveCosts &costs)
+{
+    if (costs.prefillTokensPerSecond <= 0.0)
+        return Duration::max();
+    const std::uint64_t uncached = move.contextTokens
+            - std::min(move.cachedTokens, move.contextTokens);
+    return toDuration(static_cast<double>(uncached) / costs.prefillTokensPerSecond);
+}
+
+std::optional<Duration> transferTime(const EngineMove &move, const MoveCosts &costs)
+{
+    if (costs.transferBytesPerSecond <= 0.0)
+        return std::nullopt;
+    const double bytes = static_cast<double>(move.contextTokens) * costs.kvBytesPerToken;
+    return costs.transferOverhead + toDuration(bytes / costs.transferBytesPerSecond);
+}
+
+/*!
+    Recomputation that a second of transfer saves, the larger the better.
+*/
+double savingRate(const EngineMove &move, const MoveCosts &costs)
+{
+    const std::optional<Duration> transfer = transferTime(move, costs);
+    if (!transfer)
+        return 0.0;
+    const auto saved = static_cast<double>(recomputeTime(move, costs).count());
+    return saved / static_cast<double>(std::max<Duration::rep>(transfer->count(), 1));
+}
+
+bool finishesWithin(const EngineMove &move, const MoveCosts &costs, Duration available)
+{
+    const auto tokens = static_cast<Duration::rep>(move.remainingTokens);
+    return costs.tokenTime.count() > 0 && available.count() / costs.tokenTime.count() >= tokens;
+}
+
+/*!
+    Decides on \a move after transfers that take until \a linkBusy, and extends it if the move
+    is a transfer.
+*/
+MoveDecision decide(const EngineMove &move, const MoveCosts &costs, Duration available,
+                    Duration *linkBusy)
+{
+    MoveDecision decision {.requestId = move.requestId};
+    if (finishesWithin(move, costs, available)) {
+        decision.method = MoveMethod::Finish;
+        return decision;
+    }
+    const Duration recompute = recomputeTime(move, costs);
+    const std::optional<Duration> transfer = transferTime(move, costs);
+    const bool fits = transfer && *transfer <= available - *linkBusy;
+    if (fits && (!move.textKnown || *transfer < recompute)) {
+        decision.method = MoveMethod::Transfer;
+        decision.pause = *transfer;
+        *linkBusy += *transfer;
+        return decision;
+    }
+    decision.pause = recompute;
+    decision.feasible = move.textKnown;
+    return decision;
+}
+
+} // namespace
+
+HandoverPlan planHandovers(std::string_view ownZone, std::span<const std::string> leavingZones,
+                           std::span<const HandoverPeer> peers,
+                           std::span<const OpenRequest> requests)
+{
+    HandoverPlan plan;
+    std::vector<Candidate> candidates = selectCandidates(ownZone, leavingZones, peers,
+                                                         &plan.zoneRuleRelaxed);
+    std::vector<const OpenRequest *> ordered;
+    ordered.reserve(requests.size());
+    for (const OpenRequest &request : requests)
+        ordered.push_back(&request);
+    // Larger requests first within a rank spread the cost more evenly.
+    std::stable_sort(ordered.begin(), ordered.end(), [](const auto *a, const auto *b) {
+        return std::tie(a->rank, b->cost) < std::tie(b->rank, a->cost);
+    });
+    for (const OpenRequest *request : ordered) {
+        Handover handover {.requestId = request->id, .node = {}};
+        if (Candidate *candidate = chooseFor(*request, &candidates)) {
+            handover.node = candidate->peer->node;
+            candidate->load = loadAfter(*candidate, *request);
+        }
+        plan.handovers.push_back(std::move(handover));
+    }
+    return plan;
+}
+
+std::vector<MoveDecision> planEngineMoves(std::span<const EngineMove> moves, const MoveCosts &costs,
+                                          Duration noticeTime)
+{
+    const Duration available = std::max(noticeTime - costs.margin, Duration::zero());
+    std::vector<const EngineMove *> ordered;
+    ordered.reserve(moves.size());
+    for (const EngineMove &move : moves)
+        ordered.push_back(&move);
+    std::stable_sort(ordered.begin(), ordered.end(), [&costs](const auto *a, const auto *b) {
+        return std::make_tuple(a->textKnown, a->rank, -savingRate(*a, costs))
+                < std::make_tuple(b->textKnown, b->rank, -savingRate(*b, costs));
+    });
+    std::vector<MoveDecision> decisions;
+    decisions.reserve(ordered.size());
+    Duration linkBusy {0};
+    for (const EngineMove *move : ordered)
+        decisions.push_back(decide(*move, costs, available, &linkBusy));
+    return decisions;
+}
+
+} // namespace sesame
--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -3,6 +3,7 @@
 //! Public header of the sesamecore library: the decision code, free of sockets, threads and clocks.
 
 #include "Core/fleetconfig.h"
+#include "Core/handoverplanner.h"
 #include "Core/invariant.h"
 #include "Core/lastreason.h"
 #include "Core/nodesettings.h"
--- a/Tests/support/streamworld.cpp
+++ b/Tests/support/streamworld.cpp
@@ -189,7 +189,7 @@
         request.onTheWay.pop_front();
         request.expected.append(word(run, request.tokens++));
     }
-    const std::string fault = checkCaller(&request);
+    std::string fault = checkCaller(&request);
     if (fault.empty() && request.tokens == request.length) {
         ++m_completed;
         startRequest(slot);
