--- a/StandIns/enginescheduler.cpp
+++ b/StandIns/enginescheduler.cpp
@@ -1,6 +1,7 @@
 #include "enginescheduler.h"
 
 #include "Adapter/systemclock.h"
+#include "Core/promptblocks.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -138,7 +139,7 @@
     return m_load;
 }
 
-std::vector<CacheEvent> EngineScheduler::cacheEventsAfter(std::uint64_t after)
+std::vector<EngineCacheEvent> EngineScheduler::cacheEventsAfter(std::uint64_t after)
 {
     const std::scoped_lock lock(m_mutex);
     return m_cache.eventsAfter(after, now() - m_options.cacheEventDelay);
@@ -200,8 +201,10 @@
     const std::size_t hits = m_cache.use(stream.prompt.blocks, now);
     if (stream.prefilled)
         return Duration::zero();
-    const std::uint64_t cached = hits * cacheBlockTokens;
-    const std::uint64_t computed = stream.prompt.tokens - std::min(cached, stream.prompt.tokens);
+    const std::uint64_t cachedBytes = hits * promptBlockBytes;
+    const std::uint64_t bytes = std::max<std::uint64_t>(stream.prompt.bytes, 1);
+    const std::uint64_t cached = stream.prompt.tokens * cachedBytes / bytes;
+    const std::uint64_t computed = stream.prompt.tokens - cached;
     m_cachedTokens += cached;
     m_computedTokens += computed;
     return toDuration(static_cast<double>(computed) * 1000.0 / m_options.prefillTokensPerSecond);
--- a/StandIns/enginescheduler.h
+++ b/StandIns/enginescheduler.h
@@ -77,7 +77,7 @@
     bool stopForExport(const EngineStreamPtr &stream);
 
     EngineLoad load();
-    std::vector<CacheEvent> cacheEventsAfter(std::uint64_t after);
+    std::vector<EngineCacheEvent> cacheEventsAfter(std::uint64_t after);
 
     /*!
         Returns how often each request id was started.
--- a/StandIns/enginetokens.cpp
+++ b/StandIns/enginetokens.cpp
@@ -1,6 +1,7 @@
 #include "enginetokens.h"
 
 #include "Adapter/json.h"
+#include "Core/promptblocks.h"
 
 #include <xxhash.h>
 
@@ -29,22 +30,6 @@
     }
 }
 
-std::vector<std::uint64_t> hashBlocks(std::string_view text)
-{
-    std::vector<std::uint64_t> blocks;
-    std::string block;
-    std::size_t words = 0;
-    visitWords(text, [&](std::string_view word) {
-        block.append(word).push_back(' ');
-        if (++words % cacheBlockTokens != 0)
-            return;
-        const std::uint64_t previous = blocks.empty() ? 0 : blocks.back();
-        blocks.push_back(XXH64(block.data(), block.size(), previous));
-        block.clear();
-    });
-    return blocks;
-}
-
 } // namespace
 
 std::uint64_t countWords(std::string_view text)
@@ -77,7 +62,8 @@
         prompt.hash = XXH64(text.data(), text.size(), 0);
     }
     prompt.tokens = countWords(text);
-    prompt.blocks = hashBlocks(text);
+    prompt.bytes = text.size();
+    prompt.blocks = promptBlocks(text);
     prompt.crashes = text.find("CRASH-ENGINE") != std::string::npos;
     return prompt;
 }
--- a/Tests/streamsessiontest.cpp
+++ b/Tests/streamsessiontest.cpp
@@ -1,13 +1,9 @@
+#include "support/seededrun.h"
 #include "support/streamworld.h"
 
 #include <criterion/criterion.h>
 
-#include <array>
-#include <csignal>
-#include <cstdio>
-#include <cstdlib>
-#include <cstring>
-#include <unistd.h>
+#include <string>
 
 using namespace sesame;
 
@@ -29,33 +25,20 @@
     return {.id = "e", .incarnation = 1, .address = {.host = "127.0.0.1", .port = 1}};
 }
 
-std::array<char, 64> seedText {};
-
-// A broken invariant aborts the program, so the seed is printed from the signal handler.
-void printSeed(int /*signal*/)
-{
-    const auto written = write(STDERR_FILENO, seedText.data(), std::strlen(seedText.data()));
-    static_cast<void>(written);
-    _exit(1);
-}
-
-void runSeed(std::uint64_t seed)
+std::string runSeed(std::uint64_t seed)
 {
-    std::snprintf(seedText.data(), seedText.size(), "failing seed %llu\n",
-                  static_cast<unsigned long long>(seed));
     StreamWorld world(seed);
     for (int n = 0; n < stepsPerSeed; ++n) {
         const std::string fault = world.step();
-        cr_assert(fault.empty(), "seed %llu step %d: %s", static_cast<unsigned long long>(seed), n,
-                  fault.c_str());
+        if (!fault.empty())
+            return "step " + std::to_string(n) + ": " + fault;
     }
     // A run in which some kind of event never occurred would prove nothing about it.
-    cr_assert(world.completed() >= 20, "seed %llu: %llu requests completed",
-              static_cast<unsigned long long>(seed),
-              static_cast<unsigned long long>(world.completed()));
-    cr_assert_eq(world.verdicts().size(), 5U, "seed %llu: a verdict never occurred",
-                 static_cast<unsigned long long>(seed));
-    cr_assert(world.handovers() > 0);
+    if (world.completed() < 20)
+        return "only " + std::to_string(world.completed()) + " requests completed";
+    if (world.verdicts().size() != 5 || world.handovers() == 0)
+        return "a verdict or a handover never occurred";
+    return {};
 }
 
 } // namespace
@@ -125,11 +108,5 @@
 // that still send after a move, lost connections and handovers, in any combination.
 Test(streamsession, randomRunsDeliverExactText)
 {
-    std::signal(SIGABRT, printSeed);
-    for (std::uint64_t seed = 1; seed <= 10; ++seed)
-        runSeed(seed);
-    const char *more = std::getenv("SESAME_SEEDS");
-    std::random_device source;
-    for (long n = more ? std::strtol(more, nullptr, 10) : 0; n > 0; --n)
-        runSeed(source());
+    cr_assert_eq(runSeeds({1, 2, 3, 4, 5, 6, 7, 8, 9, 10}, runSeed), 0);
 }
