--- a/StandIns/enginehandler.cpp
+++ b/StandIns/enginehandler.cpp
@@ -237,7 +237,7 @@
 {
     std::uint64_t sequence = toNumber(request.query("after")).value_or(0);
     const JsonPtr events(json_array());
-    for (const CacheEvent &event : m_scheduler.cacheEventsAfter(sequence)) {
+    for (const EngineCacheEvent &event : m_scheduler.cacheEventsAfter(sequence)) {
         sequence = event.sequence;
         std::array<char, 17> block {};
         std::snprintf(block.data(), block.size(), "%016llx",
@@ -263,10 +263,11 @@
     for (const std::uint64_t block : stream->prompt.blocks)
         json_array_append_new(blocks.get(), json_integer(static_cast<json_int_t>(block)));
     const JsonPtr body(json_pack(
-            "{s:I,s:I,s:I,s:I,s:I,s:s,s:I,s:I,s:O}", "hash",
+            "{s:I,s:I,s:I,s:I,s:I,s:I,s:s,s:I,s:I,s:O}", "hash",
             static_cast<json_int_t>(stream->prompt.hash), "start",
             static_cast<json_int_t>(stream->prompt.startIndex), "tokens",
-            static_cast<json_int_t>(stream->prompt.tokens), "next",
+            static_cast<json_int_t>(stream->prompt.tokens), "bytes",
+            static_cast<json_int_t>(stream->prompt.bytes), "next",
             static_cast<json_int_t>(stream->next), "end", static_cast<json_int_t>(stream->end),
             "model", stream->model.c_str(), "priority", static_cast<json_int_t>(stream->priority),
             "keep", static_cast<json_int_t>(stream->keep.count()), "blocks", blocks.get()));
@@ -291,6 +292,7 @@
     stream->prompt.hash = number("hash");
     stream->prompt.startIndex = number("start");
     stream->prompt.tokens = number("tokens");
+    stream->prompt.bytes = number("bytes");
     stream->next = number("next");
     stream->end = number("end");
     stream->model = jsonString(body.get(), "model");
--- a/StandIns/enginetokens.h
+++ b/StandIns/enginetokens.h
@@ -9,8 +9,6 @@
 
 namespace sesame {
 
-constexpr std::size_t cacheBlockTokens = 16;
-
 /*!
     The parts of a chat request that decide the stand-in's answer.
 */
@@ -19,7 +17,8 @@
     std::uint64_t hash = 0; //!< Of all messages but a continued last assistant message.
     std::uint64_t startIndex = 0; //!< Word count of the continued message, else 0.
     std::uint64_t tokens = 0; //!< Words of all messages, including the continued one.
-    std::vector<std::uint64_t> blocks; //!< Chained hashes of full blocks of cacheBlockTokens words.
+    std::uint64_t bytes = 0; //!< Length of the text that the blocks divide.
+    std::vector<std::uint64_t> blocks; //!< As promptBlocks() returns them.
     bool crashes = false; //!< A message contains "CRASH-ENGINE".
 };
 
--- a/StandIns/prefixcache.cpp
+++ b/StandIns/prefixcache.cpp
@@ -17,10 +17,10 @@
     return hits;
 }
 
-std::vector<CacheEvent> PrefixCache::eventsAfter(std::uint64_t after, Timestamp until) const
+std::vector<EngineCacheEvent> PrefixCache::eventsAfter(std::uint64_t after, Timestamp until) const
 {
-    std::vector<CacheEvent> events;
-    for (const CacheEvent &event : m_events) {
+    std::vector<EngineCacheEvent> events;
+    for (const EngineCacheEvent &event : m_events) {
         if (event.time > until)
             break;
         if (event.sequence > after && event.sequence % gapInterval != 0)
--- a/StandIns/prefixcache.h
+++ b/StandIns/prefixcache.h
@@ -11,7 +11,7 @@
 
 namespace sesame {
 
-struct CacheEvent
+struct EngineCacheEvent
 {
     std::uint64_t sequence = 0;
     bool added = true;
@@ -37,7 +37,7 @@
         Returns events after sequence \a after that happened before \a until. Every 17th
         event is left out, because engines publish events with gaps.
     */
-    std::vector<CacheEvent> eventsAfter(std::uint64_t after, Timestamp until) const;
+    std::vector<EngineCacheEvent> eventsAfter(std::uint64_t after, Timestamp until) const;
 
 private:
     void touch(std::uint64_t block, Timestamp now);
@@ -46,7 +46,7 @@
     std::size_t m_capacity;
     std::list<std::uint64_t> m_recent; //!< Most recently used first.
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> m_positions;
-    std::deque<CacheEvent> m_events;
+    std::deque<EngineCacheEvent> m_events;
     std::uint64_t m_sequence = 0;
 };
 
