--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -4,6 +4,7 @@
 
 #include "Core/admissioncontroller.h"
 #include "Core/backoff.h"
+#include "Core/capacityplanner.h"
 #include "Core/enginerouter.h"
 #include "Core/fleetconfig.h"
 #include "Core/invariant.h"
