Router: spread requests over equal engines and count the node's own finishes

The nodes see the same reports, so they all sent to the same idle engine until the next report, and slots that the node itself had freed stayed unused that long. EngineView now holds the node's requests at the time of the report and now, instead of the sends since. The expected wait uses the rate measured while work waits, because engines do not have room for every slot of a node.

--- a/Source/Core/admissioncontroller.cpp
+++ b/Source/Core/admissioncontroller.cpp
@@ -13,6 +13,7 @@
 constexpr double rateWindowSeconds = 10.0; // Decay time of the measured arrival rates.
 constexpr double serviceDecay = 0.98; // Per finished item: about the last 50 items count.
 constexpr double borrowDecay = 0.9; // Borrowed slots given back per report without free slots.
+constexpr double shortestMeasure = 1.0; // Seconds with waiting work that give a usable rate.
 constexpr double lowestRate = 0.01; // Share of the service assumed for a rank without a floor.
 constexpr Duration shortestRetry = std::chrono::milliseconds(100);
 constexpr Duration longestRetry = std::chrono::seconds(60);
@@ -69,15 +70,40 @@
     pool.limit = std::min(std::max(share, limit), std::max(share, capacity.fleetSlots));
 }
 
-void AdmissionController::decayArrivals(Pool &pool, Timestamp now)
+/*!
+    Lets the measured rates age until \a now.
+*/
+void AdmissionController::advance(Pool &pool, Timestamp now)
 {
-    const double elapsed = seconds(now - pool.decayedAt);
+    const double elapsed = seconds(now - pool.advancedAt);
+    pool.advancedAt = std::max(pool.advancedAt, now);
     if (elapsed <= 0.0)
         return;
     const double factor = std::exp(-elapsed / rateWindowSeconds);
-    for (RankQueue &queue : pool.ranks)
+    bool waits = false;
+    for (RankQueue &queue : pool.ranks) {
         queue.arrivalCost *= factor;
-    pool.decayedAt = now;
+        waits = waits || queue.waiting > 0;
+    }
+    if (!waits)
+        return;
+    pool.busyCost *= factor;
+    pool.busySeconds = pool.busySeconds * factor + elapsed;
+}
+
+/*!
+    Returns the cost per second that this node's slots serve: as measured while work
+    waited, or from the mean cost per slot-second if that happened too seldom. The slots
+    alone are not enough, because the engines do not always have room for all of them.
+*/
+double AdmissionController::serviceRate(const Pool &pool, Rank rank) const
+{
+    if (pool.busySeconds > shortestMeasure)
+        return pool.busyCost / pool.busySeconds;
+    if (pool.servedSeconds <= 0.0)
+        return 0.0;
+    const double usable = std::max(1.0, pool.limit * (1.0 - m_options.headroom[indexOf(rank)]));
+    return pool.servedCost / pool.servedSeconds * usable;
 }
 
 /*!
@@ -106,11 +132,14 @@
 Duration AdmissionController::expectedWait(const WorkItem &item) const
 {
     const Pool *pool = findPool(item.pool);
-    if (!pool || pool->servedSeconds <= 0.0)
+    if (!pool)
         return Duration(0);
     const std::size_t rank = indexOf(item.rank);
     const double own = rankWorkAhead(*pool, item);
-    const double total = pool->servedCost / pool->servedSeconds * std::max(1U, pool->limit);
+    const double usable = std::max(1.0, pool->limit * (1.0 - m_options.headroom[rank]));
+    const double total = serviceRate(*pool, item.rank);
+    if (total <= 0.0)
+        return Duration(0);
     double ahead = own;
     double rate = total;
     for (std::size_t r = 0; r < rankCount; ++r) {
@@ -121,7 +150,6 @@
             rate -= m_options.ranks[r].floorShare * total;
         }
     }
-    const double usable = std::max(1.0, pool->limit * (1.0 - m_options.headroom[rank]));
     if (ahead <= 0.0 && pool->inFlight + 1.0 <= usable)
         return Duration(0);
     const double inTurn = ahead / std::max(rate, total * lowestRate);
@@ -154,7 +182,7 @@
 std::optional<Ticket> AdmissionController::submit(const WorkItem &item, Timestamp now)
 {
     Pool &pool = poolFor(item.pool);
-    decayArrivals(pool, now);
+    advance(pool, now);
     RankQueue &queue = pool.ranks[indexOf(item.rank)];
     const Duration wait = expectedWait(item);
     const auto refuse = [&](ResultCode code, Duration excess, const char *text) {
@@ -265,6 +293,7 @@
 std::optional<Ticket> AdmissionController::takeNext(std::string_view name, Timestamp now)
 {
     Pool &pool = poolFor(name);
+    advance(pool, now);
     if (pool.inFlight >= pool.limit)
         return std::nullopt;
     const auto rank = pickRank(pool);
@@ -315,6 +344,8 @@
     const Entry &entry = it->second;
     Pool &pool = poolFor(entry.item.pool);
     const double cost = costOf(entry.item, outputTokens);
+    advance(pool, now);
+    pool.busyCost += cost;
     RankQueue &queue = pool.ranks[indexOf(entry.item.rank)];
     AccountQueue &account = queue.accounts[entry.item.account];
     account.counter += (cost - entry.cost) / account.share;
--- a/Source/Core/admissioncontroller.h
+++ b/Source/Core/admissioncontroller.h
@@ -139,7 +139,9 @@
         std::uint32_t liveNodes = 1;
         double servedCost = 0.0; //!< With servedSeconds, the decaying mean cost per slot-second.
         double servedSeconds = 0.0;
-        Timestamp decayedAt {};
+        double busyCost = 0.0; //!< With busySeconds, the decaying mean cost per second of
+        double busySeconds = 0.0; //!< the whole node while work waited.
+        Timestamp advancedAt {};
     };
     struct Entry
     {
@@ -153,7 +155,8 @@
     double costOf(const WorkItem &item, std::uint32_t outputTokens) const;
     Pool &poolFor(std::string_view name);
     const Pool *findPool(std::string_view name) const;
-    static void decayArrivals(Pool &pool, Timestamp now);
+    static void advance(Pool &pool, Timestamp now);
+    double serviceRate(const Pool &pool, Rank rank) const;
     double rankWorkAhead(const Pool &pool, const WorkItem &item) const;
     bool isQueueFull(const Pool &pool, const WorkItem &item) const;
     std::optional<Rank> pickRank(const Pool &pool) const;
--- a/Source/Core/capacityplanner.cpp
+++ b/Source/Core/capacityplanner.cpp
@@ -134,6 +134,7 @@
     double smallest = std::numeric_limits<double>::max();
     double largest = 0.0;
     for (std::size_t i = 0; i < options.size(); ++i) {
+        limits[i] = std::min(limits[i], options[i].most);
         if (isBackingOff(options[i], now))
             limits[i] = std::min(limits[i], options[i].running);
         smallest = std::min(smallest, options[i].capacity);
--- a/Source/Core/capacityplanner.h
+++ b/Source/Core/capacityplanner.h
@@ -4,6 +4,7 @@
 #include "Core/ports.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <span>
 #include <string>
@@ -26,6 +27,7 @@
     double reclaimsPerHour = 0.0; //!< Expected reclaims per instance.
     double capacity = 1.0; //!< Work per second that one instance serves; above zero.
     std::uint32_t running = 0; //!< Instances that run and are not leaving.
+    std::uint32_t most = std::numeric_limits<std::uint32_t>::max(); //!< Quota of the cloud.
 };
 
 struct CapacityDemand
--- a/Source/Core/enginerouter.cpp
+++ b/Source/Core/enginerouter.cpp
@@ -2,14 +2,17 @@
 
 #include "Core/lastreason.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
-#include <vector>
 
 namespace sesame {
 
 namespace {
 
+constexpr Duration oldestReport = std::chrono::seconds(10); // Older ones count like this one.
+constexpr double prefillContention = 0.5; // Slowdown of prefill on a full engine.
 constexpr double gapWeight = 0.5; // A gap in the events may hide an eviction.
 
 bool isExcluded(const RouteQuery &query, const std::string &id)
@@ -28,16 +31,24 @@
 
 bool EngineRouter::hasRoom(const EngineView &engine, std::uint32_t liveNodes)
 {
-    const std::uint32_t part = std::max(1U, engine.slots / std::max(1U, liveNodes));
-    if (engine.ownInFlight < part)
-        return true;
-    const std::uint32_t reported = engine.queued + engine.running;
-    if (reported >= engine.slots)
-        return false;
-    // The other nodes see the same free slots until the next report.
     const std::uint32_t nodes = std::max(1U, liveNodes);
-    const std::uint32_t free = (engine.slots - reported + nodes - 1) / nodes;
-    return engine.ownSends < free;
+    std::uint32_t limit = std::max(1U, engine.slots / nodes);
+    // A queue shows that the nodes together hold too much, so nobody keeps more than its part.
+    if (engine.queued == 0) {
+        const std::uint32_t free = engine.slots - std::min(engine.slots, engine.running);
+        limit = std::max(limit, engine.ownReported + (free + nodes - 1) / nodes);
+    }
+    return engine.ownInFlight < limit;
+}
+
+/*!
+    Returns the requests at \a engine: those of other nodes by the last report, and this
+    node's own as of now.
+*/
+std::uint32_t EngineRouter::outstanding(const EngineView &engine)
+{
+    const std::uint32_t reported = engine.queued + engine.running;
+    return reported - std::min(reported, engine.ownReported) + engine.ownInFlight;
 }
 
 double EngineRouter::hintWeight(const EngineHints &hints, Timestamp learned, Timestamp now) const
@@ -72,13 +83,16 @@
     const double cached = cachedShare(engine.id, query.blocks, now) * query.promptTokens;
     const double rate = std::max(1.0, engine.prefillTokensPerSecond);
     const double prefill = (query.promptTokens - cached + engine.ownPrefillTokens) / rate * 1000.0;
-    const std::uint32_t busy = engine.queued + engine.running + engine.ownSends;
+    const std::uint32_t busy = outstanding(engine);
+    const double load = static_cast<double>(busy) / std::max(1U, engine.slots);
     double wait = 0.0;
     if (busy >= engine.slots) {
         const double service = engine.tokenMs * query.outputTokens;
         wait = (busy - engine.slots + 1) * service / std::max(1U, engine.slots);
     }
-    const double firstToken = wait + prefill + engine.tokenMs;
+    // The streams of other nodes compete for prefill and decoding in proportion to the load.
+    const double contention = load * (prefill * prefillContention + engine.tokenMs);
+    const double firstToken = wait + prefill + contention + engine.tokenMs;
     choice.firstToken = Duration(static_cast<std::int64_t>(firstToken * 1000.0));
     choice.cachedTokens = static_cast<std::uint32_t>(cached);
     choice.sameZone = engine.zone == query.entryZone;
@@ -86,40 +100,70 @@
     return firstToken + price * m_options.priceWeightMs[static_cast<std::size_t>(query.rank)]
             + engine.zoneRisk * m_options.riskWeightMs
             // An old report says little; prefer the engine that is known better.
-            + milliseconds(engine.reportAge) * 0.01;
+            + milliseconds(std::min(engine.reportAge, oldestReport)) * 0.01;
 }
 
-std::optional<RouteChoice> EngineRouter::choose(const RouteQuery &query,
-                                                std::span<const EngineView> candidates,
-                                                Timestamp now) const
+/*!
+    Returns the candidates that are not excluded and have room, with their scores.
+*/
+std::vector<std::pair<double, RouteChoice>>
+EngineRouter::scoreAll(const RouteQuery &query, std::span<const EngineView> candidates,
+                       Timestamp now) const
 {
     double priceSum = 0.0;
     for (const EngineView &engine : candidates)
         priceSum += engine.pricePerHour;
-    std::optional<RouteChoice> best;
-    double bestScore = 0.0;
-    bool any = false;
+    const double average = priceSum
+            / static_cast<double>(std::max<std::size_t>(1, candidates.size()));
+    std::vector<std::pair<double, RouteChoice>> scored;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const EngineView &engine = candidates[i];
-        if (isExcluded(query, engine.id))
-            continue;
-        any = true;
-        if (!hasRoom(engine, query.liveNodes))
+        if (isExcluded(query, engine.id) || !hasRoom(engine, query.liveNodes))
             continue;
         RouteChoice choice {.engine = i};
-        const double average = priceSum / static_cast<double>(candidates.size());
         const double score = scoreMs(query, engine, average, choice, now);
-        const bool zoneDiffers = best && m_options.useZoneRule && choice.sameZone != best->sameZone;
-        if (!best || (zoneDiffers ? best->sameZone : score < bestScore)) {
-            best = choice;
-            bestScore = score;
-        }
+        scored.emplace_back(score, choice);
+    }
+    return scored;
+}
+
+std::optional<RouteChoice> EngineRouter::choose(const RouteQuery &query,
+                                                std::span<const EngineView> candidates,
+                                                Timestamp now) const
+{
+    auto scored = scoreAll(query, candidates, now);
+    if (scored.empty()) {
+        const bool any = std::any_of(candidates.begin(), candidates.end(),
+                                     [&](const EngineView &engine) {
+                                         return !isExcluded(query, engine.id);
+                                     });
+        if (any)
+            return fail(ResultCode::Overloaded, "no model engine has room");
+        return fail(ResultCode::NoBackendServer, "no usable model engine");
+    }
+    const auto outside = [](const auto &entry) {
+        return !entry.second.sameZone;
+    };
+    if (m_options.useZoneRule && std::any_of(scored.begin(), scored.end(), outside))
+        std::erase_if(scored, [&](const auto &entry) {
+            return !outside(entry);
+        });
+    const auto best = std::min_element(scored.begin(), scored.end(),
+                                       [](const auto &a, const auto &b) {
+                                           return a.first < b.first;
+                                       });
+    const double highest = best->first + m_options.equalWithinMs;
+    std::optional<RouteChoice> chosen;
+    std::uint64_t chosenHash = 0;
+    for (const auto &[score, choice] : scored) {
+        const std::string &id = candidates[choice.engine].id;
+        const std::uint64_t hash = XXH3_64bits_withSeed(id.data(), id.size(), query.tieBreak);
+        if (score > highest || (chosen && hash < chosenHash))
+            continue;
+        chosen = choice;
+        chosenHash = hash;
     }
-    if (best)
-        return best;
-    if (any)
-        return fail(ResultCode::Overloaded, "no model engine has room");
-    return fail(ResultCode::NoBackendServer, "no usable model engine");
+    return chosen;
 }
 
 void EngineRouter::recordSend(const std::string &engine, std::span<const std::uint64_t> blocks,
--- a/Source/Core/enginerouter.h
+++ b/Source/Core/enginerouter.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace sesame {
 
@@ -25,9 +27,9 @@
     std::uint32_t slots = 8;
     std::uint32_t queued = 0; //!< From the last load report.
     std::uint32_t running = 0; //!< From the last load report.
-    std::uint32_t ownSends = 0; //!< This node's dispatches since that report.
-    std::uint32_t ownPrefillTokens = 0; //!< Uncached prompt tokens of these dispatches.
-    std::uint32_t ownInFlight = 0; //!< This node's requests at the engine.
+    std::uint32_t ownReported = 0; //!< This node's requests there when the report was taken.
+    std::uint32_t ownInFlight = 0; //!< This node's requests there now.
+    std::uint32_t ownPrefillTokens = 0; //!< This node's prompt tokens not prefilled yet.
     Duration reportAge {0};
     double tokenMs = 30.0; //!< Recent time between two tokens of a stream.
     double prefillTokensPerSecond = 8000.0;
@@ -41,6 +43,8 @@
     Rank rank = Rank::Standard;
     std::string_view entryZone {}; //!< Zone of this node.
     std::uint32_t liveNodes = 1;
+    //! Spreads requests over engines of nearly equal score; the request fingerprint, say.
+    std::uint64_t tieBreak = 0;
     std::span<const std::string> excluded {}; //!< Engine ids that must not be chosen again.
 };
 
@@ -64,9 +68,12 @@
     Duration hintHalfLife {std::chrono::minutes(5)}; //!< Age at which a hint counts half.
     std::size_t hintsPerEngine = 50000; //!< Bounds the memory; the oldest hints go first.
     //! Milliseconds of first token that a price of one average engine hour is worth, by rank.
-    std::array<double, rankCount> priceWeightMs {10.0, 40.0, 120.0};
+    std::array<double, rankCount> priceWeightMs {2.0, 5.0, 20.0};
     //! Milliseconds that one expected reclaim per hour is worth.
     double riskWeightMs = 20.0;
+    //! Engines whose scores differ by less count as equal. The nodes see the same reports;
+    //! without this they all choose the same engine until the next one.
+    double equalWithinMs = 25.0;
     bool usePrefixHints = true; //!< False only in measurements.
     bool useZoneRule = true; //!< False only in measurements.
 };
@@ -90,10 +97,12 @@
                                       std::span<const EngineView> candidates, Timestamp now) const;
 
     /*!
-        Returns whether this node may send one more request to \a engine: a slot is free
-        by the last report and the node's own sends, or the node uses less than its part.
+        Returns whether this node may send one more request to \a engine. It may use its
+        part of the slots, the slots it had at the last report, and its part of those that
+        were free then, because the other nodes see the same free slots.
     */
     static bool hasRoom(const EngineView &engine, std::uint32_t liveNodes);
+    static std::uint32_t outstanding(const EngineView &engine);
 
     /*!
         Returns the part of the prompt, 0 to 1, that \a engine probably caches.
@@ -119,6 +128,8 @@
     void trim(EngineHints &hints) const;
     double scoreMs(const RouteQuery &query, const EngineView &engine, double averagePrice,
                    RouteChoice &choice, Timestamp now) const;
+    std::vector<std::pair<double, RouteChoice>>
+    scoreAll(const RouteQuery &query, std::span<const EngineView> candidates, Timestamp now) const;
 
     EngineRouterOptions m_options;
     std::unordered_map<std::string, EngineHints> m_hints;
--- a/Tests/capacityplannertest.cpp
+++ b/Tests/capacityplannertest.cpp
@@ -115,9 +115,15 @@
     auto options = fourZones();
     options[0].running = 1;
     const CapacityDemand demand {.urgent = 3.0, .total = 8.0};
+    CapacityPlan plan = planner.plan(demand, options, start);
+    cr_expect_gt(plan.counts[0], 1U);
+    options[0].most = 1;
+    plan = planner.plan(demand, options, start);
+    cr_expect_eq(plan.counts[0], 1U, "the quota holds");
+    options[0].most = 20;
     for (std::size_t i = 0; i < options.size(); i += 2)
         planner.recordRefusal(options[i], start, random);
-    const CapacityPlan plan = planner.plan(demand, options, start + 1s);
+    plan = planner.plan(demand, options, start + 1s);
     cr_expect(plan.urgentCovered && plan.totalCovered);
     cr_expect_eq(plan.counts[0], 1U, "what runs is kept");
     cr_expect_eq(plan.counts[2] + plan.counts[4] + plan.counts[6], 0U);
--- a/Tests/engineroutertest.cpp
+++ b/Tests/engineroutertest.cpp
@@ -4,7 +4,9 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <numeric>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -125,7 +127,9 @@
 // Guards against price that outweighs urgency.
 Test(engineRouter, priceCountsMoreForLowerRanks)
 {
-    EngineRouter router;
+    EngineRouterOptions options;
+    options.priceWeightMs = {10.0, 40.0, 120.0};
+    const EngineRouter router(options);
     auto views = engines(2);
     views[0].pricePerHour = 8.0;
     views[1].tokenMs = 90.0;
@@ -135,6 +139,20 @@
     cr_expect_eq(router.choose(query, views, start)->engine, 1U);
 }
 
+// Guards against nodes that all choose the same idle engine until the next report.
+Test(engineRouter, equalEnginesShareTheRequests)
+{
+    const EngineRouter router;
+    const auto views = engines(20);
+    std::set<std::size_t> chosen;
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        RouteQuery query {.promptTokens = 100, .entryZone = "z3"};
+        query.tieBreak = i;
+        chosen.insert(router.choose(query, views, start)->engine);
+    }
+    cr_expect_eq(chosen.size(), 15U);
+}
+
 // Guards against an overfull engine: with lagging reports, the nodes together must not
 // send more than the slots and one request per node beyond them.
 Test(engineRouter, nodesDoNotOverfillAnEngineInRandomRuns)
@@ -144,20 +162,14 @@
         constexpr std::uint32_t nodes = 7;
         EngineView engine;
         std::vector<std::uint32_t> inFlight(nodes);
-        std::vector<std::uint32_t> sends(nodes);
+        std::vector<std::uint32_t> reported(nodes);
         for (int step = 0; step < 20000; ++step) {
             const auto n = random() % nodes;
-            std::uint32_t total = 0;
-            for (const std::uint32_t count : inFlight)
-                total += count;
             EngineView view = engine;
-            view.ownSends = sends[n];
+            view.ownReported = reported[n];
             view.ownInFlight = inFlight[n];
-            if (EngineRouter::hasRoom(view, nodes)) {
-                ++inFlight[n];
-                ++sends[n];
-                ++total;
-            }
+            inFlight[n] += EngineRouter::hasRoom(view, nodes) ? 1 : 0;
+            const auto total = std::accumulate(inFlight.begin(), inFlight.end(), 0U);
             if (total > engine.slots + nodes)
                 return std::to_string(total) + " requests at one engine";
             if (random() % 4 == 0 && inFlight[n] > 0)
@@ -165,7 +177,7 @@
             if (random() % 20 == 0) {
                 engine.running = std::min(total, engine.slots);
                 engine.queued = total - engine.running;
-                std::fill(sends.begin(), sends.end(), 0);
+                reported = inFlight;
             }
         }
         return {};
