--- a/Source/Core/admissioncontroller.cpp
+++ b/Source/Core/admissioncontroller.cpp
@@ -10,9 +10,13 @@
 
 namespace {
 
-constexpr double rateWindowSeconds = 10.0; // Decay time of the measured arrival rates.
+constexpr double rateWindowSeconds = 3.0; // Decay time of the measured rates.
+constexpr double smallestActivity = 0.01; // Decayed cost below which an account is idle.
 constexpr double serviceDecay = 0.98; // Per finished item: about the last 50 items count.
 constexpr double borrowDecay = 0.9; // Borrowed slots given back per report without free slots.
+// Estimates scatter, and work is accepted when they are low: without a margin policybench
+// saw waits 1.4 times the accepted estimate.
+constexpr double waitMargin = 1.4;
 constexpr double shortestMeasure = 1.0; // Seconds with waiting work that give a usable rate.
 constexpr double lowestRate = 0.01; // Share of the service assumed for a rank without a floor.
 constexpr Duration shortestRetry = std::chrono::milliseconds(100);
@@ -70,6 +74,13 @@
     pool.limit = std::min(std::max(share, limit), std::max(share, capacity.fleetSlots));
 }
 
+bool AdmissionController::isBusy(const Pool &pool)
+{
+    return std::any_of(pool.ranks.begin(), pool.ranks.end(), [](const RankQueue &queue) {
+        return queue.waiting > 0;
+    });
+}
+
 /*!
     Lets the measured rates age until \a now.
 */
@@ -80,12 +91,12 @@
     if (elapsed <= 0.0)
         return;
     const double factor = std::exp(-elapsed / rateWindowSeconds);
-    bool waits = false;
     for (RankQueue &queue : pool.ranks) {
         queue.arrivalCost *= factor;
-        waits = waits || queue.waiting > 0;
+        for (auto &[name, account] : queue.accounts)
+            account.arrivalCost *= factor;
     }
-    if (!waits)
+    if (!isBusy(pool))
         return;
     pool.busyCost *= factor;
     pool.busySeconds = pool.busySeconds * factor + elapsed;
@@ -107,23 +118,44 @@
 }
 
 /*!
-    Returns the cost in the rank of \a item that fair sharing serves before a new item.
+    Returns the part of the service of its rank, 0 to 1, that the account of \a item can
+    expect if the rank is served at \a rate: what the other accounts do not ask for, but
+    at least its fair share.
 */
-double AdmissionController::rankWorkAhead(const Pool &pool, const WorkItem &item) const
+double AdmissionController::accountPart(const RankQueue &queue, const WorkItem &item, double rate)
+{
+    double others = 0.0;
+    double shares = item.accountShare;
+    for (const auto &[name, account] : queue.accounts) {
+        if (name == item.account)
+            continue;
+        const double asked = account.arrivalCost / rateWindowSeconds;
+        others += asked;
+        shares += asked > 0.0 ? account.share : 0.0;
+    }
+    return std::max(item.accountShare / shares, 1.0 - others / std::max(rate, 1e-9));
+}
+
+/*!
+    Returns the cost in the rank of \a item that fair sharing serves before a new item,
+    both what waits now and what other accounts will send until then.
+*/
+double AdmissionController::rankWorkAhead(const RankQueue &queue, const WorkItem &item,
+                                          double rate) const
 {
-    const RankQueue &queue = pool.ranks[indexOf(item.rank)];
     if (!m_options.fairShares)
         return queue.backlog;
     const auto own = queue.accounts.find(item.account);
+    const double backlog = own == queue.accounts.end() ? 0.0 : own->second.backlog;
     double start = queue.virtualTime;
     if (own != queue.accounts.end())
-        start = std::max(start, own->second.counter + own->second.backlog / item.accountShare);
+        start = std::max(start, own->second.counter + backlog / item.accountShare);
     double sum = 0.0;
     for (const auto &[name, account] : queue.accounts) {
         const double before = std::max(0.0, start - account.counter) * account.share;
         sum += std::min(account.backlog, before);
     }
-    return sum;
+    return std::max(sum, backlog / accountPart(queue, item, rate));
 }
 
 /*!
@@ -135,28 +167,30 @@
     if (!pool)
         return Duration(0);
     const std::size_t rank = indexOf(item.rank);
-    const double own = rankWorkAhead(*pool, item);
     const double usable = std::max(1.0, pool->limit * (1.0 - m_options.headroom[rank]));
     const double total = serviceRate(*pool, item.rank);
     if (total <= 0.0)
         return Duration(0);
-    double ahead = own;
+    double above = 0.0;
     double rate = total;
     for (std::size_t r = 0; r < rankCount; ++r) {
         if (r < rank) {
-            ahead += pool->ranks[r].backlog;
+            above += pool->ranks[r].backlog;
             rate -= pool->ranks[r].arrivalCost / rateWindowSeconds;
         } else if (r > rank && pool->ranks[r].waiting > 0) {
             rate -= m_options.ranks[r].floorShare * total;
         }
     }
-    if (ahead <= 0.0 && pool->inFlight + 1.0 <= usable)
-        return Duration(0);
-    const double inTurn = ahead / std::max(rate, total * lowestRate);
     const double floorRate = m_options.ranks[rank].floorShare * total;
+    rate = std::max(rate, total * lowestRate);
+    const double own = rankWorkAhead(pool->ranks[rank], item, std::max(rate, floorRate));
+    if (above + own <= 0.0 && pool->inFlight + 1.0 <= usable)
+        return Duration(0);
+    const double inTurn = (above + own) / rate * waitMargin;
     if (floorRate <= 0.0)
         return fromSeconds(inTurn);
-    return fromSeconds(std::min(inTurn, (own + costOf(item, item.outputTokens)) / floorRate));
+    const double byFloor = (own + costOf(item, item.outputTokens)) / floorRate * waitMargin;
+    return fromSeconds(std::min(inTurn, byFloor));
 }
 
 /*!
@@ -185,6 +219,11 @@
     advance(pool, now);
     RankQueue &queue = pool.ranks[indexOf(item.rank)];
     const Duration wait = expectedWait(item);
+    // Refused work counts too: it shows what the account would use.
+    const double cost = costOf(item, item.outputTokens);
+    AccountQueue &account = queue.accounts[item.account];
+    account.arrivalCost += cost;
+    queue.arrivalCost += cost;
     const auto refuse = [&](ResultCode code, Duration excess, const char *text) {
         m_retryAfter = std::clamp(excess, shortestRetry, longestRetry);
         return fail(code, item.pool + ": " + text);
@@ -201,8 +240,6 @@
                           "expected first token is past the deadline");
     }
     const Ticket ticket = ++m_lastTicket;
-    const double cost = costOf(item, item.outputTokens);
-    AccountQueue &account = queue.accounts[item.account];
     account.share = item.accountShare;
     // An idle account keeps no claim on the time it did not use.
     if (account.tickets.empty())
@@ -210,50 +247,60 @@
     account.tickets.push_back(ticket);
     account.backlog += cost;
     queue.backlog += cost;
-    queue.arrivalCost += cost;
     ++queue.waiting;
     m_entries.emplace(ticket, Entry {.item = item, .cost = cost});
     return ticket;
 }
 
-AdmissionController::AccountQueue *AdmissionController::pickAccount(RankQueue &queue, bool fair)
+/*!
+    Returns the account of \a queue to serve next, or a null pointer; with
+    \a onlyWithinShare, only one that runs less than its share of \a limit slots.
+*/
+const AdmissionController::AccountQueue *
+AdmissionController::pickAccount(const RankQueue &queue, std::uint32_t limit,
+                                 bool onlyWithinShare) const
 {
-    AccountQueue *best = nullptr;
-    for (auto &[name, account] : queue.accounts) {
+    double shares = 0.0;
+    for (const auto &[name, account] : queue.accounts)
+        shares += account.arrivalCost > smallestActivity ? account.share : 0.0;
+    const AccountQueue *best = nullptr;
+    for (const auto &[name, account] : queue.accounts) {
         if (account.tickets.empty())
             continue;
+        if (onlyWithinShare && account.running >= limit * account.share / shares)
+            continue;
         const bool better = best
-                && (fair ? account.counter < best->counter
-                         : account.tickets.front() < best->tickets.front());
+                && (m_options.fairShares ? account.counter < best->counter
+                                         : account.tickets.front() < best->tickets.front());
         if (!best || better)
             best = &account;
     }
     return best;
 }
 
-double AdmissionController::headCost(const RankQueue &queue) const
-{
-    const AccountQueue *account = pickAccount(const_cast<RankQueue &>(queue), m_options.fairShares);
-    return account ? m_entries.at(account->tickets.front()).cost : 0.0;
-}
-
 /*!
-    Returns the rank to serve next: one that is owed its next item under its floor, else
-    the most urgent one that waits and leaves the headroom of the ranks above it free.
+    Returns the item to serve next: one of a rank that is owed it under its floor, else of
+    the most urgent rank that waits and leaves the headroom of others free.
 */
-std::optional<Rank> AdmissionController::pickRank(const Pool &pool) const
+std::optional<AdmissionController::Choice> AdmissionController::pick(const Pool &pool) const
 {
     for (std::size_t r = 0; r < rankCount; ++r) {
         const RankQueue &queue = pool.ranks[r];
+        if (queue.waiting == 0 || queue.credit <= 0.0)
+            continue;
+        const Ticket ticket = pickAccount(queue, pool.limit, false)->tickets.front();
         // The tolerance absorbs rounding, which would cost a rank one item in a few.
-        if (queue.waiting > 0 && queue.credit > 0.0
-            && queue.credit >= headCost(queue) * (1.0 - 1e-9))
-            return static_cast<Rank>(r);
+        if (queue.credit >= m_entries.at(ticket).cost * (1.0 - 1e-9))
+            return Choice {.rank = static_cast<Rank>(r), .ticket = ticket};
     }
     for (std::size_t r = 0; r < rankCount; ++r) {
         const double usable = std::max(1.0, pool.limit * (1.0 - m_options.headroom[r]));
-        if (pool.ranks[r].waiting > 0 && pool.inFlight + 1.0 <= usable)
-            return static_cast<Rank>(r);
+        if (pool.ranks[r].waiting == 0 || pool.inFlight + 1.0 > usable)
+            continue;
+        const double overShare = std::max(1.0, usable - pool.limit * m_options.accountHeadroom);
+        const bool onlyWithinShare = m_options.fairShares && pool.inFlight + 1.0 > overShare;
+        if (const auto *account = pickAccount(pool.ranks[r], pool.limit, onlyWithinShare))
+            return Choice {.rank = static_cast<Rank>(r), .ticket = account->tickets.front()};
     }
     return std::nullopt;
 }
@@ -296,19 +343,21 @@
     advance(pool, now);
     if (pool.inFlight >= pool.limit)
         return std::nullopt;
-    const auto rank = pickRank(pool);
-    if (!rank)
+    const auto choice = pick(pool);
+    if (!choice)
         return std::nullopt;
-    RankQueue &queue = pool.ranks[indexOf(*rank)];
-    AccountQueue *account = pickAccount(queue, m_options.fairShares);
-    requireInvariant(account != nullptr, "a rank with waiting items has an account with items");
-    const Ticket ticket = account->tickets.front();
+    const Ticket ticket = choice->ticket;
     Entry &entry = m_entries.at(ticket);
-    account->tickets.pop_front();
-    removeWaiting(queue, *account, entry.cost);
-    queue.virtualTime = std::max(queue.virtualTime, account->counter);
-    account->counter += entry.cost / account->share;
-    entry.paidCredit = charge(pool, *rank, entry.cost);
+    RankQueue &queue = pool.ranks[indexOf(choice->rank)];
+    AccountQueue &account = queue.accounts.at(entry.item.account);
+    requireInvariant(account.tickets.front() == ticket && !entry.running,
+                     "the next item is the first one waiting of its account");
+    account.tickets.pop_front();
+    removeWaiting(queue, account, entry.cost);
+    queue.virtualTime = std::max(queue.virtualTime, account.counter);
+    account.counter += entry.cost / account.share;
+    ++account.running;
+    entry.paidCredit = charge(pool, choice->rank, entry.cost);
     entry.running = true;
     entry.startedAt = now;
     ++pool.inFlight;
@@ -327,6 +376,7 @@
     account.tickets.push_front(ticket);
     account.backlog += entry.cost;
     account.counter -= entry.cost / account.share;
+    --account.running;
     queue.backlog += entry.cost;
     ++queue.waiting;
     // Only what the item paid is returned, so that repeated attempts earn the rank nothing.
@@ -345,10 +395,12 @@
     Pool &pool = poolFor(entry.item.pool);
     const double cost = costOf(entry.item, outputTokens);
     advance(pool, now);
-    pool.busyCost += cost;
+    if (isBusy(pool))
+        pool.busyCost += cost;
     RankQueue &queue = pool.ranks[indexOf(entry.item.rank)];
     AccountQueue &account = queue.accounts[entry.item.account];
     account.counter += (cost - entry.cost) / account.share;
+    --account.running;
     if (cost > entry.cost)
         charge(pool, entry.item.rank, cost - entry.cost);
     else
--- a/Source/Core/admissioncontroller.h
+++ b/Source/Core/admissioncontroller.h
@@ -37,6 +37,9 @@
     //! Share of the slots that a rank leaves free for the ranks above it. Without it an
     //! urgent request that arrives in a flood of long batch work waits for a slot.
     std::array<double, rankCount> headroom {0.0, 0.1, 0.2};
+    //! Share of the slots that an account beyond its fair share leaves free for the others.
+    //! Fair order alone is not enough: a small account would wait for a slot of a large one.
+    double accountHeadroom = 0.1;
     bool fairShares = true; //!< False: first in, first out within a rank (measurements only).
     bool earlyRefusal = true; //!< False: only the queue length refuses (measurements only).
 };
@@ -121,6 +124,8 @@
         double counter = 0.0; //!< Cost served so far, divided by the share.
         double backlog = 0.0; //!< Cost waiting.
         double share = 1.0;
+        double arrivalCost = 0.0; //!< Cost asked for, decaying.
+        std::uint32_t running = 0;
     };
     struct RankQueue
     {
@@ -129,7 +134,7 @@
         double backlog = 0.0;
         double credit = 0.0; //!< Cost owed to this rank under its floor.
         double virtualTime = 0.0;
-        double arrivalCost = 0.0; //!< Cost arrived, decaying with rateWindow.
+        double arrivalCost = 0.0; //!< Cost asked for, decaying.
     };
     struct Pool
     {
@@ -152,16 +157,24 @@
         Timestamp startedAt {};
     };
 
+    struct Choice
+    {
+        Rank rank = Rank::Urgent;
+        Ticket ticket = 0;
+    };
+
     double costOf(const WorkItem &item, std::uint32_t outputTokens) const;
     Pool &poolFor(std::string_view name);
     const Pool *findPool(std::string_view name) const;
+    static bool isBusy(const Pool &pool);
     static void advance(Pool &pool, Timestamp now);
     double serviceRate(const Pool &pool, Rank rank) const;
-    double rankWorkAhead(const Pool &pool, const WorkItem &item) const;
+    static double accountPart(const RankQueue &queue, const WorkItem &item, double rate);
+    double rankWorkAhead(const RankQueue &queue, const WorkItem &item, double rate) const;
     bool isQueueFull(const Pool &pool, const WorkItem &item) const;
-    std::optional<Rank> pickRank(const Pool &pool) const;
-    static AccountQueue *pickAccount(RankQueue &queue, bool fair);
-    double headCost(const RankQueue &queue) const;
+    const AccountQueue *pickAccount(const RankQueue &queue, std::uint32_t limit,
+                                    bool onlyWithinShare) const;
+    std::optional<Choice> pick(const Pool &pool) const;
     double charge(Pool &pool, Rank rank, double cost) const;
     static void removeWaiting(RankQueue &queue, AccountQueue &account, double cost);
 
--- a/Source/Core/enginerouter.cpp
+++ b/Source/Core/enginerouter.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Duration oldestReport = std::chrono::seconds(10); // Older ones count like this one.
+constexpr double crowdedMs = 1000.0; // Keeps work off an engine that is to leave headroom.
 constexpr double prefillContention = 0.5; // Slowdown of prefill on a full engine.
 constexpr double gapWeight = 0.5; // A gap in the events may hide an eviction.
 
@@ -96,9 +97,12 @@
     choice.firstToken = Duration(static_cast<std::int64_t>(firstToken * 1000.0));
     choice.cachedTokens = static_cast<std::uint32_t>(cached);
     choice.sameZone = engine.zone == query.entryZone;
+    const std::size_t rank = static_cast<std::size_t>(query.rank);
+    const bool crowded = busy + 1.0 > engine.slots * (1.0 - m_options.headroom[rank]);
     const double price = averagePrice > 0.0 ? engine.pricePerHour / averagePrice : 0.0;
-    return firstToken + price * m_options.priceWeightMs[static_cast<std::size_t>(query.rank)]
+    return firstToken + price * m_options.priceWeightMs[rank]
             + engine.zoneRisk * m_options.riskWeightMs
+            + (crowded && query.rank != Rank::Urgent ? crowdedMs : 0.0)
             // An old report says little; prefer the engine that is known better.
             + milliseconds(std::min(engine.reportAge, oldestReport)) * 0.01;
 }
--- a/Source/Core/enginerouter.h
+++ b/Source/Core/enginerouter.h
@@ -71,6 +71,9 @@
     std::array<double, rankCount> priceWeightMs {2.0, 5.0, 20.0};
     //! Milliseconds that one expected reclaim per hour is worth.
     double riskWeightMs = 20.0;
+    //! Share of each engine's slots that a rank avoids while other engines have room. Keeps
+    //! the engine that caches an urgent request's prefix usable in a flood of other work.
+    std::array<double, rankCount> headroom {0.0, 0.1, 0.2};
     //! Engines whose scores differ by less count as equal. The nodes see the same reports;
     //! without this they all choose the same engine until the next one.
     double equalWithinMs = 25.0;
