--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -8,6 +8,7 @@
 #include "Core/burnreport.h"
 #include "Core/claimledger.h"
 #include "Core/claimshard.h"
+#include "Core/capacityplanner.h"
 #include "Core/enginerouter.h"
 #include "Core/fleetconfig.h"
 #include "Core/fleetdocument.h"
