--- a/Source/Core/backendtable.h
+++ b/Source/Core/backendtable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/fleetconfig.h"
+#include "Core/market.h"
 #include "Core/ports.h"
 #include "Core/rumour.h"
 
@@ -16,7 +17,6 @@
 namespace sesame {
 
 enum class InstanceKind : std::uint8_t { Entry, Engine, Service };
-enum class Market : std::uint8_t { Reclaimable, OnDemand };
 
 /*!
     One entry of the cloud API's list of instances.
--- a/Source/Core/capacityplanner.cpp
+++ b/Source/Core/capacityplanner.cpp
@@ -208,9 +208,9 @@
     return fitting;
 }
 
-std::vector<StartOrder> CapacityPlanner::nextStarts(const CapacityPlan &plan,
-                                                    std::span<const CapacityOption> options,
-                                                    const LoadState &loads) const
+std::vector<PlannedStart> CapacityPlanner::nextStarts(const CapacityPlan &plan,
+                                                      std::span<const CapacityOption> options,
+                                                      const LoadState &loads) const
 {
     const std::uint32_t peerLoads = loads.warmPeers * m_options.loadsPerWarmPeer;
     std::uint32_t fromPeers = peerLoads - std::min(peerLoads, loads.fromPeers);
@@ -222,7 +222,7 @@
         counts[i] = options[i].running;
         sums.add(i, counts[i]);
     }
-    std::vector<StartOrder> starts;
+    std::vector<PlannedStart> starts;
     while (fromPeers + fromStore > 0) {
         std::size_t best = options.size();
         for (std::size_t i = 0; i < options.size(); ++i) {
@@ -235,7 +235,7 @@
             break;
         ++counts[best];
         sums.add(best, 1.0);
-        starts.push_back(StartOrder {.option = best, .fromPeer = fromPeers > 0});
+        starts.push_back(PlannedStart {.option = best, .fromPeer = fromPeers > 0});
         --(fromPeers > 0 ? fromPeers : fromStore);
     }
     return starts;
--- a/Source/Core/capacityplanner.h
+++ b/Source/Core/capacityplanner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/backoff.h"
+#include "Core/market.h"
 #include "Core/ports.h"
 
 #include <cstdint>
@@ -13,8 +14,6 @@
 
 namespace sesame {
 
-enum class Market : std::uint8_t { Reclaimable, OnDemand };
-
 /*!
     One kind of instance that can be started.
 */
@@ -64,7 +63,7 @@
     std::uint32_t warmPeers = 0; //!< Engines that have the weights loaded.
 };
 
-struct StartOrder
+struct PlannedStart
 {
     std::size_t option = 0; //!< Index into the options.
     bool fromPeer = false; //!< Load the weights from a warm peer instead of the store.
@@ -102,9 +101,9 @@
         Returns the next starts towards \a plan: as many as the weight store and the warm
         peers can feed, for the zone with the least capacity first.
     */
-    std::vector<StartOrder> nextStarts(const CapacityPlan &plan,
-                                       std::span<const CapacityOption> options,
-                                       const LoadState &loads) const;
+    std::vector<PlannedStart> nextStarts(const CapacityPlan &plan,
+                                         std::span<const CapacityOption> options,
+                                         const LoadState &loads) const;
 
     /*!
         Records that a start of \a option was refused; no start is planned there until a
--- a/Source/Node/modelservice.cpp
+++ b/Source/Node/modelservice.cpp
@@ -237,8 +237,8 @@
             view.tokenMs = engine.report->tokenMillis;
             view.prefillTokensPerSecond = engine.report->prefillTokensPerSecond;
         }
-        view.ownSends = engine.sentSinceReport;
         view.ownInFlight = engine.inFlight;
+        view.ownReported = engine.inFlight - std::min(engine.inFlight, engine.sentSinceReport);
         view.reportAge = engine.reportAge;
         views.push_back(std::move(view));
     }
@@ -389,6 +389,7 @@
     query.rank = stream.rank();
     query.entryZone = m_context.settings.zone;
     query.liveNodes = m_context.liveNodes();
+    query.tieBreak = stream.fingerprint();
     query.excluded = excludedIds;
     const auto choice = m_context.router.lock()->choose(query, views, now);
     if (!choice)
--- a/Tests/membershiptest.cpp
+++ b/Tests/membershiptest.cpp
@@ -171,7 +171,8 @@
     cr_expect_eq(fleet.member(0).table->find("node-3")->state, PeerState::Dead);
     fleet.run(Seconds(5));
     const long time = agreementMillis(fleet, Seconds(30));
-    sesame::test::printFigure("7 nodes, one frozen for 20 s: all agree %ld ms after it resumes", time);
+    sesame::test::printFigure("7 nodes, one frozen for 20 s: all agree %ld ms after it resumes",
+                              time);
     cr_expect(time >= 0 && time <= 6000);
 }
 
@@ -194,8 +195,9 @@
         fleet.startAll(7);
         fleet.member(3).answerDelay = delay;
         const std::size_t absent = countSecondsOfWrongLists(fleet);
-        sesame::test::printFigure("one of 7 nodes answers after %ld ms: %lu suspicions/h, wrong lists in %zu s/h",
-                    toMillis(delay), sumSuspicions(fleet), absent);
+        sesame::test::printFigure(
+                "one of 7 nodes answers after %ld ms: %lu suspicions/h, wrong lists in %zu s/h",
+                toMillis(delay), sumSuspicions(fleet), absent);
         cr_expect_eq(absent, 0);
     }
 }
@@ -207,8 +209,9 @@
         fleet.startAll(7);
         fleet.lossRate = loss;
         const std::size_t absent = countSecondsOfWrongLists(fleet);
-        sesame::test::printFigure("7 nodes, %.0f%% loss: %lu false suspicions/h, wrong lists in %zu s/h",
-                    100 * loss, sumSuspicions(fleet), absent);
+        sesame::test::printFigure(
+                "7 nodes, %.0f%% loss: %lu false suspicions/h, wrong lists in %zu s/h", 100 * loss,
+                sumSuspicions(fleet), absent);
         cr_expect_eq(absent, 0);
     }
 }
@@ -228,7 +231,8 @@
         fleet.run(Seconds(3));
         cr_expect(fleet.agree());
     }
-    sesame::test::printFigure("rolling replacement of 7 nodes: all agree after %ld ms at most", worst);
+    sesame::test::printFigure("rolling replacement of 7 nodes: all agree after %ld ms at most",
+                              worst);
     cr_expect_eq(fleet.member(13).table->liveNodes().size(), 7);
 }
 
@@ -258,7 +262,8 @@
     cr_expect_eq(fleet.member(0).table->liveNodes().size(), 4);
     fleet.heal();
     const long time = agreementMillis(fleet, Seconds(60));
-    sesame::test::printFigure("two halves cut for 60 s: all 8 agree %ld ms after the cut healed", time);
+    sesame::test::printFigure("two halves cut for 60 s: all 8 agree %ld ms after the cut healed",
+                              time);
     cr_expect(time >= 0 && time <= 15000);
 }
 
@@ -275,8 +280,9 @@
                 / static_cast<double>(count);
         fleet.kill(count / 2);
         const long time = agreementMillis(fleet, Seconds(60));
-        sesame::test::printFigure("%zu nodes: %.0f bytes/s sent per node, one killed: all agree after %ld ms",
-                    count, rate, time);
+        sesame::test::printFigure(
+                "%zu nodes: %.0f bytes/s sent per node, one killed: all agree after %ld ms", count,
+                rate, time);
         cr_expect(time >= 0 && time <= 16000);
         cr_expect_lt(rate, 4000.0);
     }
