--- a/Source/Core/claimshard.cpp
+++ b/Source/Core/claimshard.cpp
@@ -1,10 +1,9 @@
 #include "Core/claimshard.h"
 
 #include "Core/lastreason.h"
+#include "Core/wireformat.h"
 
 #include <openssl/evp.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
 #include <algorithm>
 #include <array>
@@ -19,9 +18,6 @@
 
 namespace {
 
-using apache::thrift::protocol::TCompactProtocol;
-using apache::thrift::transport::TMemoryBuffer;
-
 constexpr std::int32_t shardFormat = 1;
 constexpr std::uint32_t shardCountLimit = 1000; // Object names have three digits.
 constexpr std::size_t hashBytes = 16;
@@ -111,23 +107,16 @@
 
 std::optional<ClaimShard> ClaimShard::decode(std::string_view text)
 {
-    wire::ClaimRecords records;
-    std::string copy(text);
-    const auto buf = std::make_shared<TMemoryBuffer>(reinterpret_cast<uint8_t *>(copy.data()),
-                                                     static_cast<uint32_t>(copy.size()));
-    try {
-        TCompactProtocol protocol(buf);
-        records.read(&protocol);
-    } catch (const apache::thrift::TException &e) {
-        return fail(ResultCode::StoreUnavailable, std::string("unreadable claims: ") + e.what());
-    }
-    if (records.format != shardFormat) {
+    const auto records = decodeWire<wire::ClaimRecords>(text);
+    if (!records)
+        return std::nullopt;
+    if (records->format != shardFormat) {
         return fail(ResultCode::StoreUnavailable,
-                    "claims have format " + std::to_string(records.format) + ", expected "
+                    "claims have format " + std::to_string(records->format) + ", expected "
                             + std::to_string(shardFormat));
     }
     ClaimShard shard;
-    for (const wire::ClaimRecord &record : records.records)
+    for (const wire::ClaimRecord &record : records->records)
         shard.insert(record);
     return shard;
 }
@@ -139,10 +128,7 @@
     records.records.reserve(m_records.size());
     for (const auto &[key, record] : m_records)
         records.records.push_back(record);
-    const auto buf = std::make_shared<TMemoryBuffer>();
-    TCompactProtocol protocol(buf);
-    records.write(&protocol);
-    return buf->getBufferAsString();
+    return encodeWire(records);
 }
 
 const wire::ClaimRecord *ClaimShard::find(std::string_view key) const
--- /dev/null
+++ b/Source/Core/orderissuer.h
@@ -0,0 +1,267 @@
+#pragma once
+
+#include "Core/fleetconfig.h"
+#include "Core/leaseholder.h"
+#include "Core/ports.h"
+#include "Core/wireformat.h"
+
+#include <lease_types.h>
+
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace sesame {
+
+struct Order
+{
+    std::string target;
+    std::string state; //!< State that the target is to take; ordering it twice is harmless.
+    std::string clientToken; //!< The same for each repetition of the order.
+    std::uint64_t fencing = 0;
+};
+
+enum class OrderStatus {
+    Done,
+    FencingRefused, //!< The target has seen a higher fencing number (1601).
+    Failed //!< Refused for another reason, not sent, or the answer was lost.
+};
+
+/*!
+    Where orders go: model engines, the cloud API. send() carries the fencing number and the
+    client token; observe() returns the target's state, or std::nullopt if it cannot be told.
+*/
+template <typename T>
+concept OrderTarget = requires(T &target, const Order &order, std::string_view name)
+{
+    {
+        target.send(order)
+        } -> std::same_as<OrderStatus>;
+    {
+        target.observe(name)
+        } -> std::same_as<std::optional<std::string>>;
+};
+
+struct OrderIssuerOptions
+{
+    std::string name; //!< The desired state is kept in the object "desired/NAME".
+    Fencing fencing = Fencing::Ignored;
+    std::chrono::milliseconds longestOrder {2'000}; //!< No order takes effect later than this.
+};
+
+enum class DesireStatus {
+    Recorded,
+    LeaseLost, //!< This process does not hold the lease (1600).
+    StoreUnavailable //!< The state may have been recorded; recording it again is harmless.
+};
+
+struct ReconcileResult
+{
+    std::size_t matching = 0; //!< Targets that already had their desired state.
+    std::size_t sent = 0;
+    std::size_t failed = 0; //!< Targets to try again in the next period.
+    bool leaseLost = false;
+    bool waiting = false; //!< Orders of the previous holder may still take effect.
+    bool storeUnavailable = false;
+};
+
+/*!
+    Issues the orders of the lease's holder. A state is recorded before it is ordered, so that
+    every successor knows it. reconcile() is called once per period and orders what differs.
+
+    A new holder first writes its fencing number into the desired state, which ends the writes of
+    its predecessor, and orders every target once, whatever its state: from then on a target that
+    checks fencing numbers refuses the predecessor's late orders. At other targets the effect of
+    a late order lasts until the next reconcile().
+*/
+template <ObjectStore Store, Clock ClockType, OrderTarget Target>
+class OrderIssuer
+{
+public:
+    using Lease = LeaseHolder<Store, ClockType>;
+
+    OrderIssuer(Store &store, const ClockType &clock, Lease &lease, Target &target,
+                OrderIssuerOptions options)
+        : m_store(store), m_clock(clock), m_lease(lease), m_target(target),
+          m_options(std::move(options)), m_key("desired/" + m_options.name)
+    {
+    }
+
+    /*!
+        Records that \a target is to have \a state. The next reconcile() sends the order.
+    */
+    DesireStatus desire(std::string_view target, std::string_view state)
+    {
+        if (const DesireStatus status = adopt(); status != DesireStatus::Recorded)
+            return status;
+        wire::DesiredStates states = m_states;
+        setState(states, target, state);
+        return store(states);
+    }
+
+    /*!
+        Removes \a target, which no longer exists, from the desired state.
+    */
+    DesireStatus forget(std::string_view target)
+    {
+        if (const DesireStatus status = adopt(); status != DesireStatus::Recorded)
+            return status;
+        wire::DesiredStates states = m_states;
+        std::erase_if(states.entries, [target](const wire::DesiredEntry &entry) {
+            return entry.target == target;
+        });
+        return store(states);
+    }
+
+    /*!
+        Compares every target with its desired state and orders what differs.
+    */
+    ReconcileResult reconcile()
+    {
+        ReconcileResult result;
+        const DesireStatus adopted = adopt();
+        result.leaseLost = adopted == DesireStatus::LeaseLost;
+        result.storeUnavailable = adopted == DesireStatus::StoreUnavailable;
+        if (adopted != DesireStatus::Recorded)
+            return result;
+        // A copy, because a target may take long and states may change meanwhile.
+        const wire::DesiredStates states = m_states;
+        for (const wire::DesiredEntry &entry : states.entries) {
+            if (!reconcileTarget(entry, result))
+                break;
+        }
+        return result;
+    }
+
+private:
+    Duration longestOrder() const
+    {
+        return m_options.fencing == Fencing::Checked ? Duration::zero() : m_options.longestOrder;
+    }
+
+    // Takes the desired state over at the start of a term.
+    DesireStatus adopt()
+    {
+        if (!m_lease.isHeld(m_clock.now()))
+            return DesireStatus::LeaseLost;
+        if (m_term == m_lease.fencingNumber())
+            return DesireStatus::Recorded;
+        const StoreResult found = m_store.read(m_key);
+        std::optional<wire::DesiredStates> states;
+        if (found.status == StoreStatus::NotFound)
+            states.emplace();
+        else if (found.status == StoreStatus::Ok)
+            states = decodeWire<wire::DesiredStates>(found.value);
+        if (!states)
+            return DesireStatus::StoreUnavailable;
+        const std::uint64_t term = m_lease.fencingNumber();
+        if (static_cast<std::uint64_t>(states->fencing) > term)
+            return loseLease();
+        states->fencing = static_cast<std::int64_t>(term);
+        m_version = found.version;
+        const DesireStatus status = store(*states);
+        if (status != DesireStatus::Recorded)
+            return status;
+        m_term = term;
+        if (m_orderedTerm != term)
+            m_ordered.clear();
+        m_orderedTerm = term;
+        return status;
+    }
+
+    DesireStatus store(const wire::DesiredStates &states)
+    {
+        // The successor's first write makes this one conflict, but it may not have come yet.
+        if (!m_lease.isHeld(m_clock.now()))
+            return DesireStatus::LeaseLost;
+        const StoreResult written = m_store.writeIf(m_key, encodeWire(states), m_version);
+        if (written.status == StoreStatus::Ok) {
+            m_version = written.version;
+            m_states = states;
+            return DesireStatus::Recorded;
+        }
+        // The write may have taken effect, or a successor wrote: the next call reads again.
+        m_term = 0;
+        return DesireStatus::StoreUnavailable;
+    }
+
+    DesireStatus loseLease()
+    {
+        m_lease.drop();
+        m_term = 0;
+        return DesireStatus::LeaseLost;
+    }
+
+    void setState(wire::DesiredStates &states, std::string_view target, std::string_view state)
+    {
+        const std::string token = m_options.name + "-" + std::to_string(++states.tokens);
+        for (wire::DesiredEntry &entry : states.entries) {
+            if (entry.target != target)
+                continue;
+            if (entry.state != state) {
+                entry.state = state;
+                entry.clientToken = token;
+            }
+            return;
+        }
+        wire::DesiredEntry entry;
+        entry.target = target;
+        entry.state = state;
+        entry.clientToken = token;
+        states.entries.push_back(entry);
+    }
+
+    /*!
+        Returns false if no further order may be sent.
+    */
+    bool reconcileTarget(const wire::DesiredEntry &entry, ReconcileResult &result)
+    {
+        if (m_ordered.contains(entry.target) && m_target.observe(entry.target) == entry.state) {
+            ++result.matching;
+            return true;
+        }
+        const Timestamp now = m_clock.now();
+        if (!m_lease.mayOrder(now, longestOrder())) {
+            result.leaseLost = !m_lease.isHeld(now);
+            result.waiting = !result.leaseLost;
+            return false;
+        }
+        switch (m_target.send({.target = entry.target,
+                               .state = entry.state,
+                               .clientToken = entry.clientToken,
+                               .fencing = m_lease.fencingNumber()})) {
+        case OrderStatus::Done:
+            m_ordered.insert(entry.target);
+            ++result.sent;
+            return true;
+        case OrderStatus::Failed:
+            ++result.failed;
+            return true;
+        case OrderStatus::FencingRefused:
+            result.leaseLost = true;
+            loseLease();
+            return false;
+        }
+        return false;
+    }
+
+    Store &m_store;
+    const ClockType &m_clock;
+    Lease &m_lease;
+    Target &m_target;
+    OrderIssuerOptions m_options;
+    std::string m_key;
+    std::uint64_t m_term = 0; //!< Fencing number under which m_states was taken over.
+    std::uint64_t m_version = 0; //!< Of the object "desired/NAME".
+    wire::DesiredStates m_states;
+    std::uint64_t m_orderedTerm = 0;
+    std::set<std::string> m_ordered; //!< Targets that have seen the number m_orderedTerm.
+};
+
+} // namespace sesame
--- a/Tests/claimledgerruntest.cpp
+++ b/Tests/claimledgerruntest.cpp
@@ -1,16 +1,14 @@
 #include "Core/sesamecore.h"
-#include "support/fakestore.h"
+#include "support/faultyrun.h"
 #include "support/seededrun.h"
 
 #include <criterion/criterion.h>
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <cstdio>
 #include <map>
 #include <memory>
-#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,7 +21,6 @@
 constexpr int steps = 6'000;
 constexpr std::size_t nodeCount = 5;
 constexpr std::size_t openKeys = 25;
-constexpr int nestingLimit = 3;
 constexpr std::chrono::milliseconds retention = 10min;
 constexpr std::chrono::milliseconds sendWindow = 2s;
 //! Longest pause between the deadline check and the send.
@@ -39,10 +36,6 @@
     bool deadlineCheck = true;
 };
 
-struct NodeKilled
-{
-};
-
 //! One request of a caller.
 struct Call
 {
@@ -119,19 +112,13 @@
     std::size_t killed = 0;
 };
 
-class LedgerRun
+class LedgerRun : public FaultyRun
 {
 public:
-    LedgerRun(std::uint64_t seed, Mechanisms mechanisms) : m_random(seed), m_mechanisms(mechanisms)
+    LedgerRun(std::uint64_t seed, Mechanisms mechanisms) : FaultyRun(seed), m_mechanisms(mechanisms)
     {
         m_store.ignoreVersions = !mechanisms.conditionalWrite;
         m_store.confirmLostWrites = !mechanisms.readBack;
-        m_store.fault = [this](bool isWrite) {
-            return chooseFault(isWrite);
-        };
-        m_store.between = [this] {
-            actBetween();
-        };
         m_nodes.resize(nodeCount);
         for (SimulatedNode &node : m_nodes)
             start(node);
@@ -152,10 +139,6 @@
     const RunCounts &counts() const { return m_counts; }
 
 private:
-    std::uint64_t pick(std::uint64_t below) { return m_random() % below; }
-    bool chance(unsigned percent) { return pick(100) < percent; }
-    Duration pickTime(Duration limit) { return Duration(pick(limit.count() + 1)); }
-
     void start(SimulatedNode &node)
     {
         ClaimLedgerOptions options;
@@ -168,50 +151,10 @@
         node.busy = false;
     }
 
-    void violate(const std::string &text)
-    {
-        if (m_violation.empty())
-            m_violation = text;
-    }
-
-    StoreFault chooseFault(bool isWrite)
-    {
-        if (m_healed)
-            return StoreFault::None;
-        if (m_clock.now() < m_outageEnd)
-            return isWrite && chance(20) ? StoreFault::LostBefore : StoreFault::Refused;
-        const std::uint64_t n = pick(100);
-        if (n < 3)
-            return StoreFault::Refused;
-        if (!isWrite || n >= 12)
-            return StoreFault::None;
-        constexpr std::array lost {StoreFault::LostAfter, StoreFault::LostBefore,
-                                   StoreFault::LostLate};
-        return lost[pick(lost.size())];
-    }
-
-    // Runs while a node waits for the store: time passes, other nodes act, the node may die.
-    void actBetween()
-    {
-        if (m_healed || !m_violation.empty())
-            return;
-        m_clock.advance(pickTime(chance(2) ? 1500ms : 20ms));
-        if (m_nesting < nestingLimit && chance(25)) {
-            ++m_nesting;
-            step();
-            --m_nesting;
-        }
-        if (chance(1))
-            throw NodeKilled();
-    }
-
-    void step()
+    void step() override
     {
         m_clock.advance(pickTime(chance(1) ? Duration(retention) : Duration(300ms)));
-        if (chance(1))
-            m_outageEnd = m_clock.now() + pickTime(20s);
-        if (chance(30))
-            m_store.applyLateWrites();
+        disturbStore();
         SimulatedNode &node = m_nodes[pick(nodeCount)];
         if (node.busy)
             return;
@@ -425,10 +368,7 @@
         }
     }
 
-    std::mt19937_64 m_random;
     Mechanisms m_mechanisms;
-    FakeClock m_clock;
-    FakeStore m_store;
     FakeApplication m_application;
     std::vector<SimulatedNode> m_nodes;
     std::vector<Call> m_calls;
@@ -436,10 +376,6 @@
     std::set<std::string> m_settledKeys;
     std::uint64_t m_keyNumber = 0;
     std::uint64_t m_incarnations = 0;
-    Timestamp m_outageEnd;
-    int m_nesting = 0;
-    bool m_healed = false;
-    std::string m_violation;
     RunCounts m_counts;
 };
 
--- a/Tests/support/fakestore.h
+++ b/Tests/support/fakestore.h
@@ -99,6 +99,15 @@
         return result;
     }
 
+    /*!
+        Returns the value of \a key without faults, or an empty text.
+    */
+    std::string peek(std::string_view key) const
+    {
+        const auto it = m_objects.find(key);
+        return it == m_objects.end() ? std::string() : it->second.value;
+    }
+
     void applyLateWrites()
     {
         std::vector<LateWrite> late;
