Bound the claim cache in total and allow more shards

A full shard holds 2,681 claims with answers of 200 bytes, so 64 shards last for 0.28 claims/s over 168 hours. With more shards the cache limit per shard would have grown to gigabytes.

--- a/Source/Core/claimledger.h
+++ b/Source/Core/claimledger.h
@@ -28,7 +28,8 @@
     std::size_t answerLimitBytes = 2'048; //!< Longer answers are not kept for repeats.
     std::size_t shardLimitBytes = 1'000'000; //!< Limit of a value in the object service.
     std::size_t answerReserveBytes = 65'536; //!< Kept free for answers when claims are admitted.
-    std::size_t cacheLimitBytes = 262'144; //!< Larger shards are read again for each commit.
+    //! Encoded size of the cached shards; a shard above its part is read for each commit.
+    std::size_t cacheLimitBytes = 50'000'000;
     std::chrono::milliseconds clockTolerance {2000}; //!< Largest difference of wall clocks.
     int roundLimit = 8; //!< Writes tried for one commit before the store counts as unavailable.
 };
@@ -504,7 +505,7 @@
         std::erase_if(state.abandoned, [&](const Abandoned &entry) {
             return written || draft.version != entry.expectedVersion;
         });
-        const bool cached = draft.content.sizeBound() <= m_options.cacheLimitBytes;
+        const bool cached = draft.content.sizeBound() <= m_options.cacheLimitBytes / m_shards.size();
         state.version = draft.version;
         state.content.reset();
         if (cached)
--- a/Source/Core/claimshard.cpp
+++ b/Source/Core/claimshard.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 constexpr std::int32_t shardFormat = 1;
-constexpr std::uint32_t shardCountLimit = 1000; // Object names have three digits.
+constexpr std::uint32_t shardCountLimit = 65'536;
 constexpr std::size_t hashBytes = 16;
 //! Field headers, numbers and the three 16-byte values of a record take at most 119 bytes.
 constexpr std::size_t recordOverheadBytes = 128;
--- a/Source/Core/claimshard.h
+++ b/Source/Core/claimshard.h
@@ -57,13 +57,14 @@
 std::uint32_t claimShardOf(std::string_view key, std::uint32_t shards);
 
 /*!
-    Returns the key of the ledger object with the claims of \a shard, for example "ledger/007".
+    Returns the key of the ledger object with the claims of \a shard, for example "ledger/007";
+    the number has at least three digits.
 */
 std::string claimShardName(std::uint32_t shard);
 
 /*!
     Reads the value of the object "ledger/layout". Returns std::nullopt with a last reason if
-    \a text is not a number from 1 to 1000.
+    \a text is not a number from 1 to 65536.
 */
 std::optional<std::uint32_t> parseShardCount(std::string_view text);
 
