--- a/Source/Core/fleetkeeper.cpp
+++ b/Source/Core/fleetkeeper.cpp
@@ -122,6 +122,14 @@
         m_peers.erase(it);
 }
 
+void FleetKeeper::recordPullFailure(std::string_view peer)
+{
+    // Otherwise a peer that was cut off would be asked over and over, and not the others.
+    const auto it = m_peers.find(peer);
+    if (it != m_peers.end())
+        it->second.pullFailed = true;
+}
+
 bool FleetKeeper::isFresh(Timestamp heard, Timestamp now) const
 {
     return now - heard <= m_options.freshness;
@@ -169,7 +177,7 @@
     std::optional<std::string> best;
     std::uint64_t highest = m_document.version;
     for (const auto &[name, view] : m_peers) {
-        if (view.version <= highest || !isFresh(view.heard, now))
+        if (view.version <= highest || view.pullFailed || !isFresh(view.heard, now))
             continue;
         highest = view.version;
         best = name;
--- a/Source/Core/fleetkeeper.h
+++ b/Source/Core/fleetkeeper.h
@@ -93,9 +93,15 @@
     */
     bool mayServe(Timestamp now);
 
+    /*!
+        Records that \a peer did not answer a pull. It is not asked again until it is heard.
+    */
+    void recordPullFailure(std::string_view peer);
+
     /*!
         Returns the peer to ask for its document: the one with the highest version, if that is
-        higher than the version in force and the peer was heard recently.
+        higher than the version in force and the peer was heard recently. The node asks at once
+        after each message and repeats this while a peer is returned, at least every 500 ms.
     */
     std::optional<std::string> peerToPull(Timestamp now) const;
 
@@ -140,6 +146,7 @@
         Timestamp heard;
         std::uint64_t version = 0;
         bool storeReachable = false;
+        bool pullFailed = false;
     };
 
     void noteContact(Timestamp now);
--- a/Tests/burnreporttest.cpp
+++ b/Tests/burnreporttest.cpp
@@ -115,6 +115,7 @@
 {
     Metrics metrics;
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int t = 0; t < 4; ++t) {
         threads.emplace_back([&metrics] {
             for (int i = 1; i <= 1000; ++i) {
--- a/Tests/fleetkeepertest.cpp
+++ b/Tests/fleetkeepertest.cpp
@@ -27,9 +27,9 @@
     return Timestamp(time);
 }
 
-ApplyRequest makeRequest(std::uint32_t limit, std::string id)
+ApplyRequest makeRequest(std::uint32_t limit, const std::string &id)
 {
-    return {.text = makeFleetFile(limit, id), .fileName = "f.toml", .applyId = std::move(id)};
+    return {.text = makeFleetFile(limit, id), .fileName = "f.toml", .applyId = id};
 }
 
 /*!
@@ -131,6 +131,22 @@
     cr_expect(keeper.mayServe(at(9s)), "an update does not interrupt service");
 }
 
+// Guards against asking a peer that was cut off over and over instead of the others.
+Test(fleetkeeper, pullMovesOnAfterAFailure)
+{
+    FleetKeeper keeper({.zone = "north"});
+    keeper.recordPeer(at(0s), "b", 7, true);
+    keeper.recordPeer(at(0s), "c", 7, true);
+    keeper.recordPeer(at(0s), "d", 6, true);
+    cr_expect(keeper.peerToPull(at(0s)) == "b");
+    keeper.recordPullFailure("b");
+    cr_expect(keeper.peerToPull(at(0s)) == "c");
+    keeper.recordPullFailure("c");
+    cr_expect(keeper.peerToPull(at(0s)) == "d");
+    keeper.recordPeer(at(1s), "b", 7, true);
+    cr_expect(keeper.peerToPull(at(1s)) == "b");
+}
+
 // Guards against a start on the word of a single peer that was itself cut off.
 Test(fleetkeeper, startWithoutStoreListensToPeers)
 {
--- a/Tests/support/fakefleetstore.h
+++ b/Tests/support/fakefleetstore.h
@@ -39,7 +39,7 @@
             hook();
         if (!isUp)
             return {};
-        const sesame::StoreResult result = decide(text, expected);
+        sesame::StoreResult result = decide(text, expected);
         if (const auto hook = std::exchange(afterWrite, nullptr))
             hook();
         return result;
@@ -55,7 +55,8 @@
     }
 
     /*!
-        Goes back by \a count writes.
+        Goes back by \a count writes. Ends the writes on their way: with object versions set
+        back, their conditions could hold again and they would replace a newer document.
     */
     void restore(std::size_t count)
     {
@@ -65,6 +66,7 @@
         value = m_copies[index].text;
         version = m_copies[index].expected;
         m_copies.resize(index);
+        m_delayed.clear();
     }
 
 private:
--- a/Tests/support/fleetrun.cpp
+++ b/Tests/support/fleetrun.cpp
@@ -132,12 +132,10 @@
     }
     if (!mayRemove(node))
         return;
-    if (!node.keeper) {
+    if (!node.keeper || kind == 3) {
         startNode(index);
     } else if (kind == 2) {
         node.keeper.reset();
-    } else if (kind == 3) {
-        startNode(index);
     } else {
         // Group 1 gathers several nodes; the others are cut off alone.
         node.group = chance(0.5) ? 1 : static_cast<int>(2 + index);
@@ -241,11 +239,13 @@
 void FleetRun::pull(Node &node)
 {
     const std::optional<std::string> name = node.keeper->peerToPull(now());
-    if (!name || !m_options.pullFromPeers || chance(lostMessage))
+    if (!name || !m_options.pullFromPeers)
         return;
     Node &peer = m_nodes[std::stoul(*name)];
-    if (peer.keeper && peer.group == node.group)
+    if (peer.keeper && peer.group == node.group && !chance(lostMessage))
         adopt(node, peer.keeper->storedDocument(), FleetSource::Peer);
+    else
+        node.keeper->recordPullFailure(*name);
 }
 
 void FleetRun::adopt(Node &node, const std::string &stored, FleetSource source)
