--- a/Source/Core/fleetpublisher.cpp
+++ b/Source/Core/fleetpublisher.cpp
@@ -77,13 +77,16 @@
                                                              errors);
     if (!config)
         return {std::nullopt, refuse(errors.front().code, joinErrors(errors), current.version)};
-    if (request.highestNodeVersion > current.version)
-        return {std::nullopt,
-                refuse(ResultCode::ConfigurationOutdated,
-                       "the object service holds version " + std::to_string(current.version)
-                               + " and a node has " + std::to_string(request.highestNodeVersion)
-                               + "; wait until the nodes have written it back",
-                       current.version)};
+    if (request.highestNodeVersion > current.version) {
+        ApplyResult result = refuse(ResultCode::ConfigurationOutdated,
+                                    "the object service holds version "
+                                            + std::to_string(current.version) + " and a node has "
+                                            + std::to_string(request.highestNodeVersion)
+                                            + "; wait until the nodes have written it back",
+                                    current.version);
+        result.status = ApplyStatus::Unavailable;
+        return {std::nullopt, std::move(result)};
+    }
     if (request.baseVersion && *request.baseVersion != current.version)
         return {std::nullopt, makeConflict(request, current, ResultCode::ConfigurationOutdated)};
     if (current.version > 0 && current.text == request.text)
--- a/Source/Core/fleetpublisher.h
+++ b/Source/Core/fleetpublisher.h
@@ -31,7 +31,7 @@
     AlreadyInForce, //!< The store holds the same file; nothing was written.
     Refused, //!< The file is not valid or would lower a limit; nothing was written.
     Conflict, //!< Another operator was first; \c difference shows the change.
-    Unavailable, //!< The store cannot be reached; nothing was written.
+    Unavailable, //!< The store cannot be reached or used for now; nothing was written.
     Unknown //!< The answer was lost and the store cannot be read.
 };
 
@@ -115,7 +115,7 @@
                                 .reason = "the object service cannot be read"};
         std::optional<FleetDocument> decoded = decodeFleetDocument(read.value);
         if (!decoded)
-            return ApplyResult {.status = ApplyStatus::Refused,
+            return ApplyResult {.status = ApplyStatus::Unavailable,
                                 .code = ResultCode::InvalidSettings,
                                 .reason = "the object service holds no valid fleet document"};
         current = std::move(*decoded);
