--- a/Generated/peer_types.h
+++ b/Generated/peer_types.h
@@ -33,6 +33,8 @@
 
 class Handover;
 
+class SuspectRumour;
+
 class PeerRequest;
 
 class PeerAnswer;
@@ -115,12 +117,13 @@
 std::ostream& operator<<(std::ostream& out, const Rumour& obj);
 
 typedef struct _Ping__isset {
-  _Ping__isset() : sequence(false) {}
+  _Ping__isset() : sequence(false), wantsState(false) {}
   bool sequence :1;
+  bool wantsState :1;
 } _Ping__isset;
 
 /**
- * Direct probe. The answer is an Ack.
+ * Direct probe. The answer says that the receiver is alive.
  */
 class Ping : public virtual ::apache::thrift::TBase {
  public:
@@ -128,20 +131,32 @@
   Ping(const Ping&) noexcept;
   Ping& operator=(const Ping&) noexcept;
   Ping() noexcept
-       : sequence(0) {
+       : sequence(0),
+         wantsState(0) {
   }
 
   virtual ~Ping() noexcept;
+  /**
+   * Number of the probe; 0 if the message only carries rumours.
+   */
   int64_t sequence;
+  /**
+   * The answer is to carry everything that the receiver knows, for a node that joins.
+   */
+  bool wantsState;
 
   _Ping__isset __isset;
 
   void __set_sequence(const int64_t val);
 
+  void __set_wantsState(const bool val);
+
   bool operator == (const Ping & rhs) const
   {
     if (!(sequence == rhs.sequence))
       return false;
+    if (!(wantsState == rhs.wantsState))
+      return false;
     return true;
   }
   bool operator != (const Ping &rhs) const {
@@ -396,8 +411,94 @@
 
 std::ostream& operator<<(std::ostream& out, const Handover& obj);
 
+typedef struct _SuspectRumour__isset {
+  _SuspectRumour__isset() : fingerprint(false), holder(false), sequence(false), crashedOn(false), cleared(false), engine(false), quarantined(false) {}
+  bool fingerprint :1;
+  bool holder :1;
+  bool sequence :1;
+  bool crashedOn :1;
+  bool cleared :1;
+  bool engine :1;
+  bool quarantined :1;
+} _SuspectRumour__isset;
+
+/**
+ * What a node knows about a request that may crash engines: see Core/suspecttable.h.
+ */
+class SuspectRumour : public virtual ::apache::thrift::TBase {
+ public:
+
+  SuspectRumour(const SuspectRumour&);
+  SuspectRumour& operator=(const SuspectRumour&);
+  SuspectRumour() noexcept
+                : fingerprint(0),
+                  holder(),
+                  sequence(0),
+                  engine(),
+                  quarantined(0) {
+  }
+
+  virtual ~SuspectRumour() noexcept;
+  int64_t fingerprint;
+  std::string holder;
+  int64_t sequence;
+  std::vector<std::string>  crashedOn;
+  std::vector<std::string>  cleared;
+  std::string engine;
+  bool quarantined;
+
+  _SuspectRumour__isset __isset;
+
+  void __set_fingerprint(const int64_t val);
+
+  void __set_holder(const std::string& val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_crashedOn(const std::vector<std::string> & val);
+
+  void __set_cleared(const std::vector<std::string> & val);
+
+  void __set_engine(const std::string& val);
+
+  void __set_quarantined(const bool val);
+
+  bool operator == (const SuspectRumour & rhs) const
+  {
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(holder == rhs.holder))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(crashedOn == rhs.crashedOn))
+      return false;
+    if (!(cleared == rhs.cleared))
+      return false;
+    if (!(engine == rhs.engine))
+      return false;
+    if (!(quarantined == rhs.quarantined))
+      return false;
+    return true;
+  }
+  bool operator != (const SuspectRumour &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SuspectRumour & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SuspectRumour &a, SuspectRumour &b);
+
+std::ostream& operator<<(std::ostream& out, const SuspectRumour& obj);
+
 typedef struct _PeerRequest__isset {
-  _PeerRequest__isset() : ping(false), pingRequest(false), fleetQuery(false), handover(false), rumours(false), fleetVersion(false), incarnation(false), storeReachable(false) {}
+  _PeerRequest__isset() : ping(false), pingRequest(false), fleetQuery(false), handover(false), rumours(false), fleetVersion(false), incarnation(false), storeReachable(false), suspects(false) {}
   bool ping :1;
   bool pingRequest :1;
   bool fleetQuery :1;
@@ -406,6 +507,7 @@
   bool fleetVersion :1;
   bool incarnation :1;
   bool storeReachable :1;
+  bool suspects :1;
 } _PeerRequest__isset;
 
 /**
@@ -434,6 +536,7 @@
   int64_t fleetVersion;
   int64_t incarnation;
   bool storeReachable;
+  std::vector<SuspectRumour>  suspects;
 
   _PeerRequest__isset __isset;
 
@@ -453,6 +556,8 @@
 
   void __set_storeReachable(const bool val);
 
+  void __set_suspects(const std::vector<SuspectRumour> & val);
+
   bool operator == (const PeerRequest & rhs) const
   {
     if (__isset.ping != rhs.__isset.ping)
@@ -479,6 +584,8 @@
       return false;
     if (!(storeReachable == rhs.storeReachable))
       return false;
+    if (!(suspects == rhs.suspects))
+      return false;
     return true;
   }
   bool operator != (const PeerRequest &rhs) const {
@@ -611,7 +718,8 @@
   int64_t sentAtMillis;
   std::string body;
   /**
-   * HMAC-SHA-256 over sender, sentAtMillis and body under the deployment's peer key.
+   * HMAC-SHA-256 over context, sender, sentAtMillis and body under the deployment's peer key.
+   * The context is "request", or the authentication code of the request in an answer.
    */
   std::string authenticationCode;
 
--- a/Interface/peer.thrift
+++ b/Interface/peer.thrift
@@ -10,9 +10,12 @@
   4: string detail
 }
 
-/** Direct probe. The answer is an Ack. */
+/** Direct probe. The answer says that the receiver is alive. */
 struct Ping {
+  /** Number of the probe; 0 if the message only carries rumours. */
   1: i64 sequence
+  /** The answer is to carry everything that the receiver knows, for a node that joins. */
+  2: bool wantsState
 }
 
 /** Asks the receiver to probe another node on behalf of the sender. */
@@ -42,6 +45,17 @@
   1: list<OpenRequest> requests
 }
 
+/** What a node knows about a request that may crash engines: see Core/suspecttable.h. */
+struct SuspectRumour {
+  1: i64 fingerprint
+  2: string holder
+  3: i64 sequence
+  4: list<string> crashedOn
+  5: list<string> cleared
+  6: string engine
+  7: bool quarantined
+}
+
 /** Exactly one of the request fields is set. */
 struct PeerRequest {
   1: optional Ping ping
@@ -53,6 +67,7 @@
   11: i64 fleetVersion
   12: i64 incarnation
   13: bool storeReachable
+  14: list<SuspectRumour> suspects
 }
 
 struct PeerAnswer {
@@ -70,7 +85,10 @@
   1: string sender
   2: i64 sentAtMillis
   3: binary body
-  /** HMAC-SHA-256 over sender, sentAtMillis and body under the deployment's peer key. */
+  /**
+   * HMAC-SHA-256 over context, sender, sentAtMillis and body under the deployment's peer key.
+   * The context is "request", or the authentication code of the request in an answer.
+   */
   4: binary authenticationCode
 }
 
--- a/Source/Node/entrynode.h
+++ b/Source/Node/entrynode.h
@@ -5,7 +5,8 @@
 namespace sesame {
 
 /*!
-    Runs an entry node until SIGTERM or a drain order. Returns the exit code of the process.
+    Runs an entry node until SIGTERM, SIGINT, a drain order or a reclaim of its instance has
+    stopped it gracefully. Returns the exit code of the process.
 */
 int runServe(const NodeSettings &settings);
 
