Add the policy benchmark

policybench drives the decision code of seven nodes against fake engines in virtual time, with round robin and each rule switched off alone in the same run. Trials with it led to changes in this commit: a floor takes the place of other work only, because it filled the headroom of small accounts otherwise; a lower rank no longer fills the slots a higher one leaves free; and the default headroom of batch work is 0.3.

--- /dev/null
+++ b/Bench/measurement.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "simulation.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace bench {
+
+struct Scenario
+{
+    std::string name;
+    Conditions conditions;
+};
+
+/*!
+    One figure with a rule in force and with only this rule switched off.
+*/
+struct RuleFigure
+{
+    std::string rule;
+    std::string scenario;
+    std::string figure;
+    bool lowerIsBetter = true;
+    double on = 0.0;
+    double off = 0.0;
+    bool hasGain() const;
+};
+
+struct CostFigures
+{
+    double rulesLoad = 0.0; //!< Highest load at which all ranks meet their targets.
+    double roundRobinLoad = 0.0;
+    double rulesPrice = 0.0; //!< Per million tokens.
+    double onDemandPrice = 0.0;
+    double roundRobinPrice = 0.0;
+};
+
+/*!
+    A stated target. The limits are requirements and never follow the results.
+*/
+struct Target
+{
+    std::string text;
+    double limit = 0.0;
+    double value = 0.0;
+    bool atMost = true;
+    bool isMet() const { return atMost ? value <= limit : value >= limit; }
+};
+
+struct DeploymentReport
+{
+    std::string name;
+    std::vector<std::pair<std::string, Result>> rules; //!< By scenario.
+    std::vector<std::pair<std::string, Result>> roundRobin;
+    std::vector<RuleFigure> figures;
+    CostFigures cost;
+    std::vector<Target> targets;
+};
+
+double percentile95(std::vector<double> values);
+const Result &resultOf(const std::vector<std::pair<std::string, Result>> &results,
+                       const std::string &scenario);
+
+/*!
+    Returns the part of the usual tokens of \a rank that was completed during a flood.
+*/
+double keptShare(const Result &flood, const Result &normal, Rank rank);
+
+/*!
+    Runs all scenarios of \a deployment with \a seeds seeds each on \a threads threads.
+*/
+DeploymentReport measure(const Deployment &deployment, int seeds, int threads);
+
+} // namespace bench
--- a/Source/Core/admissioncontroller.cpp
+++ b/Source/Core/admissioncontroller.cpp
@@ -279,12 +279,35 @@
 }
 
 /*!
-    Returns the item to serve next: one of a rank that is owed it under its floor, else of
-    the most urgent rank that waits and leaves the headroom of others free.
+    Returns the first item of the most urgent rank that waits and leaves the headroom of
+    others free.
 */
-std::optional<AdmissionController::Choice> AdmissionController::pick(const Pool &pool) const
+std::optional<AdmissionController::Choice> AdmissionController::pickInTurn(const Pool &pool) const
 {
     for (std::size_t r = 0; r < rankCount; ++r) {
+        const double usable = std::max(1.0, pool.limit * (1.0 - m_options.headroom[r]));
+        if (pool.ranks[r].waiting == 0 || pool.inFlight + 1.0 > usable)
+            continue;
+        const double overShare = std::max(1.0, usable - pool.limit * m_options.accountHeadroom);
+        const bool onlyWithinShare = m_options.fairShares && pool.inFlight + 1.0 > overShare;
+        const auto *account = pickAccount(pool.ranks[r], pool.limit, onlyWithinShare);
+        // A lower rank must not fill the slots that this one leaves free.
+        if (!account)
+            return std::nullopt;
+        return Choice {.rank = static_cast<Rank>(r), .ticket = account->tickets.front()};
+    }
+    return std::nullopt;
+}
+
+/*!
+    Returns the item to serve next: the one in turn, or in its place one of a rank that is
+    owed an item under its floor. A floor takes the place of other work only, because it
+    would fill the headroom otherwise.
+*/
+std::optional<AdmissionController::Choice> AdmissionController::pick(const Pool &pool) const
+{
+    const auto inTurn = pickInTurn(pool);
+    for (std::size_t r = 0; inTurn && r < rankCount; ++r) {
         const RankQueue &queue = pool.ranks[r];
         if (queue.waiting == 0 || queue.credit <= 0.0)
             continue;
@@ -293,16 +316,7 @@
         if (queue.credit >= m_entries.at(ticket).cost * (1.0 - 1e-9))
             return Choice {.rank = static_cast<Rank>(r), .ticket = ticket};
     }
-    for (std::size_t r = 0; r < rankCount; ++r) {
-        const double usable = std::max(1.0, pool.limit * (1.0 - m_options.headroom[r]));
-        if (pool.ranks[r].waiting == 0 || pool.inFlight + 1.0 > usable)
-            continue;
-        const double overShare = std::max(1.0, usable - pool.limit * m_options.accountHeadroom);
-        const bool onlyWithinShare = m_options.fairShares && pool.inFlight + 1.0 > overShare;
-        if (const auto *account = pickAccount(pool.ranks[r], pool.limit, onlyWithinShare))
-            return Choice {.rank = static_cast<Rank>(r), .ticket = account->tickets.front()};
-    }
-    return std::nullopt;
+    return inTurn;
 }
 
 /*!
--- a/Source/Core/admissioncontroller.h
+++ b/Source/Core/admissioncontroller.h
@@ -36,7 +36,7 @@
     double promptTokenWeight = 0.02;
     //! Share of the slots that a rank leaves free for the ranks above it. Without it an
     //! urgent request that arrives in a flood of long batch work waits for a slot.
-    std::array<double, rankCount> headroom {0.0, 0.1, 0.2};
+    std::array<double, rankCount> headroom {0.0, 0.1, 0.3};
     //! Share of the slots that an account beyond its fair share leaves free for the others.
     //! Fair order alone is not enough: a small account would wait for a slot of a large one.
     double accountHeadroom = 0.1;
@@ -47,7 +47,9 @@
 struct PoolCapacity
 {
     std::uint32_t fleetSlots = 0; //!< Slots of all usable backend servers of the pool.
-    std::uint32_t fleetFree = 0; //!< Slots that the last load reports show free.
+    //! Slots less running and queued requests by the last load reports, summed over the
+    //! fleet. An overfull server must count against the others, or nodes keep borrowing.
+    std::uint32_t fleetFree = 0;
     std::uint32_t liveNodes = 1; //!< Entry nodes alive, this node included.
 };
 
@@ -174,6 +176,7 @@
     bool isQueueFull(const Pool &pool, const WorkItem &item) const;
     const AccountQueue *pickAccount(const RankQueue &queue, std::uint32_t limit,
                                     bool onlyWithinShare) const;
+    std::optional<Choice> pickInTurn(const Pool &pool) const;
     std::optional<Choice> pick(const Pool &pool) const;
     double charge(Pool &pool, Rank rank, double cost) const;
     static void removeWaiting(RankQueue &queue, AccountQueue &account, double cost);
--- a/Source/Core/enginerouter.cpp
+++ b/Source/Core/enginerouter.cpp
@@ -97,7 +97,7 @@
     choice.firstToken = Duration(static_cast<std::int64_t>(firstToken * 1000.0));
     choice.cachedTokens = static_cast<std::uint32_t>(cached);
     choice.sameZone = engine.zone == query.entryZone;
-    const std::size_t rank = static_cast<std::size_t>(query.rank);
+    const auto rank = static_cast<std::size_t>(query.rank);
     const bool crowded = busy + 1.0 > engine.slots * (1.0 - m_options.headroom[rank]);
     const double price = averagePrice > 0.0 ? engine.pricePerHour / averagePrice : 0.0;
     return firstToken + price * m_options.priceWeightMs[rank]
--- a/Source/Core/enginerouter.h
+++ b/Source/Core/enginerouter.h
@@ -73,7 +73,7 @@
     double riskWeightMs = 20.0;
     //! Share of each engine's slots that a rank avoids while other engines have room. Keeps
     //! the engine that caches an urgent request's prefix usable in a flood of other work.
-    std::array<double, rankCount> headroom {0.0, 0.1, 0.2};
+    std::array<double, rankCount> headroom {0.0, 0.1, 0.3};
     //! Engines whose scores differ by less count as equal. The nodes see the same reports;
     //! without this they all choose the same engine until the next one.
     double equalWithinMs = 25.0;
--- a/Tests/admissiontest.cpp
+++ b/Tests/admissiontest.cpp
@@ -123,7 +123,9 @@
 // Guards against urgent work that waits for a slot because batch work holds all of them.
 Test(admission, lowerRanksLeaveHeadroom)
 {
-    AdmissionController admission;
+    AdmissionOptions options;
+    options.headroom = {0.0, 0.1, 0.2};
+    AdmissionController admission(options);
     admission.setCapacity("m", {.fleetSlots = 20, .liveNodes = 1});
     for (int i = 0; i < 100; ++i)
         admission.submit(itemOf(Rank::Batch, "a"), start);
