--- a/Bench/simulation.cpp
+++ b/Bench/simulation.cpp
@@ -599,7 +599,7 @@
     loads.warmPeers = static_cast<std::uint32_t>(ready / 4);
     if (sinceStart() > reclaimAt && ready >= m_engineGoal && m_result.recoverySeconds == 0.0)
         m_result.recoverySeconds = sinceStart() - reclaimAt;
-    for (const StartOrder &order : m_planner.nextStarts(plan, options, loads))
+    for (const PlannedStart &order : m_planner.nextStarts(plan, options, loads))
         startEngine(options[order.option]);
 }
 
