Hand open requests over when a zone is reclaimed

On notice for its own instance a node freezes each stream, passes prompt and delivered text to a peer in another zone and tells the caller where to continue. Streams on a leaving engine move by KV export and import, else by recomputing.

--- a/Generated/peer_types.cpp
+++ b/Generated/peer_types.cpp
@@ -517,6 +517,10 @@
 void OpenRequest::__set_attempt(const int32_t val) {
   this->attempt = val;
 }
+
+void OpenRequest::__set_deliveredText(const std::string& val) {
+  this->deliveredText = val;
+}
 std::ostream& operator<<(std::ostream& out, const OpenRequest& obj)
 {
   obj.printTo(out);
@@ -609,6 +613,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->deliveredText);
+          this->__isset.deliveredText = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -658,6 +670,10 @@
   xfer += oprot->writeI32(this->attempt);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("deliveredText", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeBinary(this->deliveredText);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -673,6 +689,7 @@
   swap(a.deliveredTokens, b.deliveredTokens);
   swap(a.engine, b.engine);
   swap(a.attempt, b.attempt);
+  swap(a.deliveredText, b.deliveredText);
   swap(a.__isset, b.__isset);
 }
 
@@ -685,6 +702,7 @@
   deliveredTokens = other8.deliveredTokens;
   engine = other8.engine;
   attempt = other8.attempt;
+  deliveredText = other8.deliveredText;
   __isset = other8.__isset;
 }
 OpenRequest& OpenRequest::operator=(const OpenRequest& other9) {
@@ -696,6 +714,7 @@
   deliveredTokens = other9.deliveredTokens;
   engine = other9.engine;
   attempt = other9.attempt;
+  deliveredText = other9.deliveredText;
   __isset = other9.__isset;
   return *this;
 }
@@ -710,6 +729,7 @@
   out << ", " << "deliveredTokens=" << to_string(deliveredTokens);
   out << ", " << "engine=" << to_string(engine);
   out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "deliveredText=" << to_string(deliveredText);
   out << ")";
 }
 
--- a/Generated/peer_types.h
+++ b/Generated/peer_types.h
@@ -275,7 +275,7 @@
 std::ostream& operator<<(std::ostream& out, const FleetQuery& obj);
 
 typedef struct _OpenRequest__isset {
-  _OpenRequest__isset() : requestId(false), account(false), model(false), rank(false), body(false), deliveredTokens(false), engine(false), attempt(false) {}
+  _OpenRequest__isset() : requestId(false), account(false), model(false), rank(false), body(false), deliveredTokens(false), engine(false), attempt(false), deliveredText(false) {}
   bool requestId :1;
   bool account :1;
   bool model :1;
@@ -284,6 +284,7 @@
   bool deliveredTokens :1;
   bool engine :1;
   bool attempt :1;
+  bool deliveredText :1;
 } _OpenRequest__isset;
 
 /**
@@ -302,7 +303,8 @@
                 body(),
                 deliveredTokens(0),
                 engine(),
-                attempt(0) {
+                attempt(0),
+                deliveredText() {
   }
 
   virtual ~OpenRequest() noexcept;
@@ -314,6 +316,10 @@
   int64_t deliveredTokens;
   std::string engine;
   int32_t attempt;
+  /**
+   * Text of the delivered tokens.
+   */
+  std::string deliveredText;
 
   _OpenRequest__isset __isset;
 
@@ -333,6 +339,8 @@
 
   void __set_attempt(const int32_t val);
 
+  void __set_deliveredText(const std::string& val);
+
   bool operator == (const OpenRequest & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -351,6 +359,8 @@
       return false;
     if (!(attempt == rhs.attempt))
       return false;
+    if (!(deliveredText == rhs.deliveredText))
+      return false;
     return true;
   }
   bool operator != (const OpenRequest &rhs) const {
--- a/Interface/peer.thrift
+++ b/Interface/peer.thrift
@@ -39,6 +39,8 @@
   6: i64 deliveredTokens
   7: string engine
   8: i32 attempt
+  /** Text of the delivered tokens. */
+  9: binary deliveredText
 }
 
 struct Handover {
--- a/Source/Node/enginecall.cpp
+++ b/Source/Node/enginecall.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::chrono::milliseconds longestRun = std::chrono::minutes(30);
 constexpr std::chrono::milliseconds cancelTimeout {2000};
+constexpr std::chrono::milliseconds transferTimeout {5000};
 constexpr std::chrono::seconds defaultStreamKeep {30};
 constexpr std::string_view urlScheme = "http://";
 constexpr int statusBadRequest = 400;
@@ -47,7 +48,7 @@
     */
     bool feed(std::string_view part)
     {
-        if (m_stream.isDetached() || m_stream.isMoveRequested())
+        if (m_stream.isDetached() || m_stream.isMoveRequested() || m_stream.isHandoverRequested())
             return false;
         const bool valid = m_parser.feed(part, [this](const SseEvent &event) {
             take(event);
@@ -109,6 +110,8 @@
         return {.end = AttemptEnd::Detached, .reason = "the caller is gone"};
     if (reader.isEnded())
         return {.end = AttemptEnd::Ended, .reason = "the engine ended the run"};
+    if (stream.isHandoverRequested())
+        return {.end = AttemptEnd::HandedOver, .reason = "the entry node is leaving"};
     if (stream.isMoveRequested())
         return {.end = AttemptEnd::Moved, .reason = "the engine is leaving"};
     if (reply.status == CallStatus::NotSent)
@@ -152,19 +155,7 @@
     return baseUrl(engine.address) + "/v1/streams/" + stream.engineRequestId();
 }
 
-} // namespace
-
-AttemptEngine toAttemptEngine(const BackendView &view)
-{
-    const std::string_view address(view.address);
-    const bool hasScheme = address.starts_with(urlScheme);
-    const auto endpoint = parseEndpoint(hasScheme ? address.substr(urlScheme.size()) : address);
-    return {.id = view.id,
-            .incarnation = static_cast<std::uint64_t>(view.incarnation),
-            .address = endpoint.value_or(Endpoint {})};
-}
-
-std::string makeTokenEvent(NodeContext &context, ModelStream &stream, std::string_view type)
+std::string signToken(NodeContext &context, ModelStream &stream)
 {
     const std::chrono::milliseconds keep = streamKeep(context);
     ResumeToken token;
@@ -182,12 +173,37 @@
     token.promptTokens = static_cast<std::uint64_t>(estimateTokens(stream.request().prompt));
     // The run itself may be long; the engine keeps it for the stream time after the loss.
     token.expiry = context.clock.wallMillis() + longestRun.count() + keep.count();
-    const std::string signedToken = token.sign(context.settings.tokenKey);
+    return token.sign(context.settings.tokenKey);
+}
+
+} // namespace
+
+AttemptEngine toAttemptEngine(const BackendView &view)
+{
+    const std::string_view address(view.address);
+    const bool hasScheme = address.starts_with(urlScheme);
+    const auto endpoint = parseEndpoint(hasScheme ? address.substr(urlScheme.size()) : address);
+    return {.id = view.id,
+            .incarnation = static_cast<std::uint64_t>(view.incarnation),
+            .address = endpoint.value_or(Endpoint {})};
+}
+
+std::string makeTokenEvent(NodeContext &context, ModelStream &stream, std::string_view type)
+{
+    const std::string token = signToken(context, stream);
     const JsonPtr body(json_pack("{s:s,s:s}", "request_id", stream.requestId().c_str(),
-                                 "resume_token", signedToken.c_str()));
+                                 "resume_token", token.c_str()));
     return "event: " + std::string(type) + "\ndata: " + dumpJson(body.get()) + "\n\n";
 }
 
+std::string makeContinueEvent(NodeContext &context, ModelStream &stream, const std::string &address)
+{
+    const std::string token = signToken(context, stream);
+    const JsonPtr body(json_pack("{s:s,s:s,s:s}", "request_id", stream.requestId().c_str(),
+                                 "resume_token", token.c_str(), "address", address.c_str()));
+    return "event: continue_at\ndata: " + dumpJson(body.get()) + "\n\n";
+}
+
 AttemptResult startAttempt(NodeContext &context, ModelStream &stream, const BackendView &engine)
 {
     const StreamAttempt attempt = stream.session().lock()->beginAttempt(toAttemptEngine(engine));
@@ -224,6 +240,36 @@
     return result;
 }
 
+std::optional<AttemptResult> transferAttempt(NodeContext &context, ModelStream &stream,
+                                             const BackendView &target)
+{
+    AttemptEngine source;
+    std::uint64_t attempt = 0;
+    {
+        auto session = stream.session().lock();
+        source = session->engine();
+        attempt = session->attempt();
+    }
+    const std::string id = "?id=" + stream.engineRequestId() + "&attempt=";
+    const BackendReply exported = callBackend(
+            {.method = "POST",
+             .url = baseUrl(source.address) + "/v1/kv/export" + id + std::to_string(attempt),
+             .timeout = transferTimeout});
+    if (exported.status != CallStatus::Replied || exported.reply.status >= statusBadRequest)
+        return std::nullopt;
+    const BackendReply imported = callBackend(
+            {.method = "POST",
+             .url = target.address + "/v1/kv/import" + id + std::to_string(attempt + 1),
+             .body = exported.reply.body,
+             .timeout = transferTimeout});
+    if (imported.status != CallStatus::Replied || imported.reply.status >= statusBadRequest)
+        return std::nullopt;
+    const AttemptEngine engine = toAttemptEngine(target);
+    stream.session().lock()->continueAttempt(engine, attempt + 1);
+    stream.buffer().write(makeTokenEvent(context, stream, "moved"));
+    return attachAttempt(context, stream, engine, attempt + 1);
+}
+
 bool cancelAttempt(ModelStream &stream)
 {
     AttemptEngine engine;
--- a/Source/Node/enginecall.h
+++ b/Source/Node/enginecall.h
@@ -16,6 +16,7 @@
     Lost, //!< The connection broke; the run on the engine may go on.
     Ended, //!< The engine ended or lost the run.
     Moved, //!< The run is to continue on another engine.
+    HandedOver, //!< The request is to continue on another entry node.
     Detached, //!< The caller's side was closed.
     Rejected //!< The engine found the request itself at fault.
 };
@@ -38,6 +39,14 @@
 AttemptResult attachAttempt(NodeContext &context, ModelStream &stream, const AttemptEngine &engine,
                             std::uint64_t attempt);
 
+/*!
+    Moves the current attempt of \a stream with its KV cache from its engine to \a target and
+    reads it there. Returns std::nullopt, and the caller starts a new attempt instead, if the
+    state cannot be exported and imported.
+*/
+std::optional<AttemptResult> transferAttempt(NodeContext &context, ModelStream &stream,
+                                             const BackendView &target);
+
 /*!
     Cancels the current attempt on its engine. Returns true if the engine confirmed that the
     attempt never started.
@@ -54,4 +63,10 @@
 */
 std::string makeTokenEvent(NodeContext &context, ModelStream &stream, std::string_view type);
 
+/*!
+    Returns the event that tells the caller to resume \a stream at the entry node \a address.
+*/
+std::string makeContinueEvent(NodeContext &context, ModelStream &stream,
+                              const std::string &address);
+
 } // namespace sesame
--- a/Source/Node/entrynode.cpp
+++ b/Source/Node/entrynode.cpp
@@ -7,6 +7,7 @@
 #include "Node/backendmonitor.h"
 #include "Node/callerapi.h"
 #include "Node/fleetwatcher.h"
+#include "Node/handoverservice.h"
 #include "Node/modelservice.h"
 #include "Node/nodecontext.h"
 #include "Node/operatorapi.h"
@@ -43,12 +44,12 @@
 {
 public:
     explicit EntryNode(const NodeSettings &settings)
-        : m_context(settings), m_models(m_context), m_routes(m_context),
-          m_peers(m_context, m_models), m_fleet(m_context, m_peers),
-          m_monitor(m_context, m_models, m_peers,
-                    [this] {
-                        withdraw();
-                    }),
+        : m_context(settings), m_handovers(m_context), m_models(m_context, m_handovers),
+          m_routes(m_context), m_peers(m_context, m_models, m_handovers),
+          m_fleet(m_context, m_peers), m_monitor(m_context, m_models, m_peers,
+                                                 [this] {
+                                                     reclaim();
+                                                 }),
           m_callerApi(m_context, m_models, m_routes), m_operatorApi(m_context, [this] {
               withdraw();
           })
@@ -90,6 +91,18 @@
 
     void withdraw() { m_context.lifecycle.advance(NodePhase::Withdrawn); }
 
+    /*!
+        Leaves as fast as possible: the instance disappears within seconds.
+    */
+    void reclaim()
+    {
+        if (m_context.lifecycle.phase() >= NodePhase::Withdrawn)
+            return;
+        logEvent(LogLevel::Warning, "instance is being reclaimed");
+        withdraw();
+        m_models.handOverAll();
+    }
+
 private:
     bool startServers()
     {
@@ -180,6 +193,7 @@
     }
 
     NodeContext m_context;
+    HandoverService m_handovers;
     ModelService m_models;
     RouteService m_routes;
     PeerExchange m_peers;
--- a/Source/Node/modelservice.cpp
+++ b/Source/Node/modelservice.cpp
@@ -4,6 +4,7 @@
 #include "Adapter/json.h"
 #include "Adapter/log.h"
 #include "Core/fleetfile.h"
+#include "Core/handoverplanner.h"
 
 #include <algorithm>
 #include <charconv>
@@ -18,6 +19,11 @@
 constexpr std::chrono::milliseconds engineCheckTimeout {500};
 constexpr std::chrono::milliseconds suspectPause {100};
 constexpr std::chrono::minutes longestService {30};
+// A model with grouped-query attention and 16-bit values stores about this much per token.
+constexpr double kvBytesPerToken = 160'000.0;
+constexpr double transferBytesPerSecond = 1.25e9; // 10 Gbit/s.
+constexpr std::chrono::milliseconds transferOverhead {10};
+constexpr std::chrono::seconds shortestNotice {5}; // Transfers that need longer are not tried.
 
 std::string incarnationOf(const BackendView &engine)
 {
@@ -288,11 +294,10 @@
 
 RequestResult ModelService::serve(const ModelStreamPtr &stream)
 {
-    Backoff backoff;
-    std::set<std::string> excluded;
+    ServeState state;
     const Timestamp end = m_context.clock.now() + longestService;
     while (m_context.clock.now() < end) {
-        if (auto result = serveOnce(stream, backoff, excluded))
+        if (auto result = serveOnce(stream, state))
             return *result;
     }
     return {.outcome = Outcome::Failed,
@@ -300,8 +305,8 @@
             .reason = "the request did not complete in time"};
 }
 
-std::optional<RequestResult> ModelService::serveOnce(const ModelStreamPtr &stream, Backoff &backoff,
-                                                     std::set<std::string> &excluded)
+std::optional<RequestResult> ModelService::serveOnce(const ModelStreamPtr &stream,
+                                                     ServeState &state)
 {
     const bool started = stream->hasStarted();
     if (stream->isDetached())
@@ -311,13 +316,17 @@
                               .code = ResultCode::RequestQuarantined,
                               .reason = "this request crashed two backend servers"};
     }
-    const auto engine = chooseEngine(*stream, excluded);
+    if (stream->isHandoverRequested()) {
+        if (auto result = handOver(*stream))
+            return result;
+    }
+    const auto engine = chooseEngine(*stream, state.excluded);
     if (!engine) {
-        excluded.clear();
+        state.excluded.clear();
         std::this_thread::sleep_for(suspectPause);
         return std::nullopt;
     }
-    const AttemptResult attempt = runAttempt(*stream, *engine);
+    const AttemptResult attempt = runAttempt(*stream, *engine, std::exchange(state.moving, false));
     switch (attempt.end) {
     case AttemptEnd::Completed:
         return RequestResult {.outcome = Outcome::Complete, .code = ResultCode::Ok};
@@ -329,6 +338,9 @@
         return endDetached(*stream);
     case AttemptEnd::Moved:
         stream->clearMoveRequest();
+        state.moving = true;
+        return std::nullopt;
+    case AttemptEnd::HandedOver:
         return std::nullopt;
     case AttemptEnd::Lost:
         checkLostEngine(*engine);
@@ -336,7 +348,7 @@
     case AttemptEnd::NotSent:
     case AttemptEnd::Refused:
     case AttemptEnd::Ended:
-        excluded.insert(engine->id);
+        state.excluded.insert(engine->id);
         break;
     }
     logEvent(LogLevel::Warning, "attempt ended early",
@@ -344,7 +356,7 @@
               {"account", stream->account()},
               {"engine", engine->id},
               {"reason", attempt.reason}});
-    pauseBeforeRetry(backoff);
+    pauseBeforeRetry(state.backoff);
     return std::nullopt;
 }
 
@@ -413,14 +425,18 @@
     return suspects->mayRunOn(stream.fingerprint(), incarnationOf(engine), now);
 }
 
-AttemptResult ModelService::runAttempt(ModelStream &stream, const BackendView &engine)
+AttemptResult ModelService::runAttempt(ModelStream &stream, const BackendView &engine, bool moving)
 {
     const std::string incarnation = incarnationOf(engine);
     {
         const std::lock_guard lock(m_runningMutex);
         m_running[incarnation].insert(stream.fingerprint());
     }
-    AttemptResult result = startAttempt(m_context, stream, engine);
+    std::optional<AttemptResult> transferred;
+    if (moving && shouldTransfer(stream, engine))
+        transferred = transferAttempt(m_context, stream, engine);
+    const AttemptResult result = transferred ? *transferred
+                                             : startAttempt(m_context, stream, engine);
     const bool lost = result.end == AttemptEnd::Lost;
     if (lost)
         checkLostEngine(engine);
@@ -443,6 +459,55 @@
     return result;
 }
 
+std::optional<RequestResult> ModelService::handOver(ModelStream &stream)
+{
+    const std::string peer = stream.takeHandoverTarget();
+    stream.session().lock()->endAttempt();
+    const auto address = m_handovers.handOver(stream, peer);
+    if (!address)
+        return std::nullopt;
+    logEvent(LogLevel::Info, "request handed over",
+             {{"request_id", stream.requestId()}, {"account", stream.account()}, {"peer", peer}});
+    return RequestResult {.outcome = Outcome::Unknown,
+                          .code = ResultCode::NodeLeaving,
+                          .reason = "continue at " + *address};
+}
+
+void ModelService::handOverAll()
+{
+    const std::vector<ModelStreamPtr> streams = m_context.streams.all();
+    m_handovers.chooseTargets(streams);
+    for (const ModelStreamPtr &stream : streams) {
+        const bool waiting = m_context.admission.lock()->cancel(stream->ticket())
+                == CancelResult::Waiting;
+        if (waiting)
+            m_context.workers.submit([this, stream] {
+                run(stream);
+            });
+    }
+}
+
+bool ModelService::shouldTransfer(ModelStream &stream, const BackendView &target)
+{
+    EngineMove move;
+    move.requestId = stream.requestId();
+    move.rank = stream.rank();
+    move.textKnown = stream.hasPrompt();
+    const auto delivered = stream.session().lock()->nextOffset();
+    const auto promptTokens = static_cast<std::uint64_t>(estimateTokens(stream.request().prompt));
+    const auto maxTokens = static_cast<std::uint64_t>(stream.request().maxTokens);
+    move.contextTokens = promptTokens + delivered;
+    move.remainingTokens = maxTokens - std::min(maxTokens, delivered);
+    MoveCosts costs;
+    costs.kvBytesPerToken = kvBytesPerToken;
+    costs.transferBytesPerSecond = transferBytesPerSecond;
+    costs.transferOverhead = transferOverhead;
+    costs.prefillTokensPerSecond = target.report ? target.report->prefillTokensPerSecond : 0.0;
+    costs.tokenTime = std::chrono::milliseconds(1);
+    const auto plan = planEngineMoves(std::span(&move, 1), costs, shortestNotice);
+    return plan.front().method == MoveMethod::Transfer;
+}
+
 void ModelService::checkLostEngine(const BackendView &engine)
 {
     const HttpCall call {.method = "GET",
@@ -524,19 +589,7 @@
         old->detach(false);
         m_context.streams.remove(old);
     }
-    ChatRequest chat;
-    chat.model = token->model;
-    chat.stream = true;
-    auto stream = std::make_shared<ModelStream>(
-            ModelStreamOptions {.account = account.name,
-                                .requestId = token->requestId,
-                                .rank = token->rank,
-                                .request = std::move(chat),
-                                .start = {.requestId = token->requestId,
-                                          .account = account.name,
-                                          .lastAttempt = token->attempt,
-                                          .offset = *offset,
-                                          .text = {}}});
+    const ModelStreamPtr stream = makeResumedStream(*token, *offset);
     m_context.streams.add(stream);
     m_context.workers.submit([this, stream, token = *token] {
         reattach(stream, token);
@@ -544,6 +597,29 @@
     return respond(stream);
 }
 
+ModelStreamPtr ModelService::makeResumedStream(const ResumeToken &token, std::uint64_t offset)
+{
+    ModelStreamOptions options {.account = token.account,
+                                .requestId = token.requestId,
+                                .rank = token.rank,
+                                .start = {.requestId = token.requestId,
+                                          .account = token.account,
+                                          .lastAttempt = token.attempt,
+                                          .offset = offset,
+                                          .text = {}}};
+    const auto handedOver = m_handovers.take(token.account, token.requestId);
+    if (handedOver && handedOver->deliveredTokens == static_cast<std::int64_t>(offset)) {
+        if (auto chat = parseChatRequest(handedOver->body))
+            options.request = std::move(*chat);
+        options.start.text = handedOver->deliveredText;
+        options.start.lastAttempt = std::max(token.attempt,
+                                             static_cast<std::uint64_t>(handedOver->attempt));
+    }
+    options.request.model = token.model;
+    options.request.stream = true;
+    return std::make_shared<ModelStream>(std::move(options));
+}
+
 void ModelService::reattach(const ModelStreamPtr &stream, const ResumeToken &token)
 {
     const AttemptEngine engine {.id = token.engineId,
@@ -554,6 +630,10 @@
         finish(stream, {.outcome = Outcome::Complete, .code = ResultCode::Ok});
         return;
     }
+    if (stream->hasPrompt()) {
+        finish(stream, serve(stream));
+        return;
+    }
     // Without the prompt this node cannot run the request elsewhere. The caller sends it again
     // under its id with the text it has.
     finish(stream,
--- a/Source/Node/modelservice.h
+++ b/Source/Node/modelservice.h
@@ -3,6 +3,7 @@
 #include "Adapter/httpmessage.h"
 #include "Core/backoff.h"
 #include "Node/enginecall.h"
+#include "Node/handoverservice.h"
 #include "Node/nodecontext.h"
 
 #include <map>
@@ -21,7 +22,10 @@
 class ModelService
 {
 public:
-    explicit ModelService(NodeContext &context) : m_context(context) { }
+    ModelService(NodeContext &context, HandoverService &handovers)
+        : m_context(context), m_handovers(handovers)
+    {
+    }
 
     /*!
         Serves a chat completion of \a account.
@@ -43,6 +47,11 @@
     */
     void leaveEngine(std::string_view id);
 
+    /*!
+        Hands all open requests over to peers, because the instance is being reclaimed.
+    */
+    void handOverAll();
+
     /*!
         Records that \a engine died without notice; its running requests become suspects.
         Later calls for the same incarnation have no effect.
@@ -63,23 +72,34 @@
     void dispatchPool(const Model &model);
     PoolCapacity measureCapacity(const std::vector<BackendView> &engines);
     void run(const ModelStreamPtr &stream);
+    //! State of the attempts of one request.
+    struct ServeState
+    {
+        Backoff backoff;
+        std::set<std::string> excluded; //!< Engines that did not take the request.
+        bool moving = false; //!< The last attempt is to be moved off its engine.
+    };
+
     RequestResult serve(const ModelStreamPtr &stream);
-    std::optional<RequestResult> serveOnce(const ModelStreamPtr &stream, Backoff &backoff,
-                                           std::set<std::string> &excluded);
+    std::optional<RequestResult> serveOnce(const ModelStreamPtr &stream, ServeState &state);
+    std::optional<RequestResult> handOver(ModelStream &stream);
+    bool shouldTransfer(ModelStream &stream, const BackendView &target);
     std::optional<BackendView> chooseEngine(ModelStream &stream,
                                             const std::set<std::string> &excluded);
     bool mayRunOn(const ModelStream &stream, const BackendView &engine);
-    AttemptResult runAttempt(ModelStream &stream, const BackendView &engine);
+    AttemptResult runAttempt(ModelStream &stream, const BackendView &engine, bool moving);
     void checkLostEngine(const BackendView &engine);
     RequestResult endDetached(ModelStream &stream);
     void pauseBeforeRetry(Backoff &backoff);
     void finish(const ModelStreamPtr &stream, const RequestResult &result);
+    ModelStreamPtr makeResumedStream(const ResumeToken &token, std::uint64_t offset);
     void reattach(const ModelStreamPtr &stream, const ResumeToken &token);
     HttpResponse respond(const ModelStreamPtr &stream);
     HttpResponse collect(const ModelStreamPtr &stream);
     std::vector<EngineView> makeEngineViews(const std::vector<BackendView> &engines) const;
 
     NodeContext &m_context;
+    HandoverService &m_handovers;
     std::mutex m_runningMutex;
     std::map<std::string, std::multiset<std::uint64_t>> m_running; //!< Fingerprints by incarnation.
     std::set<std::string> m_crashed; //!< Incarnations already recorded as crashed.
--- a/Source/Node/modelstream.cpp
+++ b/Source/Node/modelstream.cpp
@@ -27,9 +27,25 @@
     m_buffer.close();
 }
 
+void ModelStream::requestHandover(std::string peer)
+{
+    *m_handoverTarget.lock() = std::move(peer);
+    m_handoverRequested = true;
+}
+
+std::string ModelStream::takeHandoverTarget()
+{
+    m_handoverRequested = false;
+    return std::exchange(*m_handoverTarget.lock(), {});
+}
+
 void ModelStream::finish(const RequestResult &result)
 {
     *m_result.lock() = result;
+    if (m_handedOver) {
+        m_buffer.finish();
+        return;
+    }
     const auto tokens = static_cast<json_int_t>(m_session.lock()->nextOffset());
     const JsonPtr body(json_pack("{s:s,s:i,s:s,s:I,s:s}", "outcome",
                                  std::string(toString(result.outcome)).c_str(), "code",
--- a/Source/Node/modelstream.h
+++ b/Source/Node/modelstream.h
@@ -74,6 +74,20 @@
     bool isMoveRequested() const { return m_moveRequested; }
     void clearMoveRequest() { m_moveRequested = false; }
 
+    /*!
+        Asks the worker to pass the request to the entry node \a peer. Events of the current
+        attempt that arrive later are not delivered here.
+    */
+    void requestHandover(std::string peer);
+
+    /*!
+        Returns the peer of requestHandover() and forgets it, or returns an empty text.
+    */
+    std::string takeHandoverTarget();
+    //! The caller was told to continue on a peer, which tells it the outcome.
+    void markHandedOver() { m_handedOver = true; }
+    bool isHandoverRequested() const { return m_handoverRequested; }
+
     void setTicket(Ticket ticket) { m_ticket = ticket; }
     Ticket ticket() const { return m_ticket; }
 
@@ -89,9 +103,12 @@
     const std::vector<std::uint64_t> m_blocks;
     Guarded<StreamSession> m_session;
     Guarded<RequestResult> m_result;
+    Guarded<std::string> m_handoverTarget;
     StreamBuffer m_buffer;
     std::atomic<bool> m_cancelled {false};
     std::atomic<bool> m_moveRequested {false};
+    std::atomic<bool> m_handoverRequested {false};
+    std::atomic<bool> m_handedOver {false};
     std::atomic<Ticket> m_ticket {0};
 };
 
--- a/Source/Node/peerexchange.cpp
+++ b/Source/Node/peerexchange.cpp
@@ -34,8 +34,8 @@
 
 } // namespace
 
-PeerExchange::PeerExchange(NodeContext &context, ModelService &models)
-    : m_context(context), m_models(models),
+PeerExchange::PeerExchange(NodeContext &context, ModelService &models, HandoverService &handovers)
+    : m_context(context), m_models(models), m_handovers(handovers),
       m_client(PeerIdentity {.node = context.settings.node, .key = context.settings.peerKey})
 {
 }
@@ -119,6 +119,8 @@
     answer.alive = true;
     if (request.__isset.pingRequest)
         answer.alive = probe(request.pingRequest.target, request.pingRequest.sequence);
+    if (request.__isset.handover)
+        answer.acceptedRequests = m_handovers.accept(request.handover);
     if (request.__isset.fleetQuery) {
         auto fleet = m_context.fleet.lock();
         if (static_cast<std::int64_t>(fleet->fleetVersion()) > request.fleetQuery.haveVersion)
--- a/Source/Node/peerexchange.h
+++ b/Source/Node/peerexchange.h
@@ -17,7 +17,7 @@
 class PeerExchange
 {
 public:
-    PeerExchange(NodeContext &context, ModelService &models);
+    PeerExchange(NodeContext &context, ModelService &models, HandoverService &handovers);
 
     /*!
         Sends the probes and rumours that are due. Called about every 50 ms.
@@ -51,6 +51,7 @@
 
     NodeContext &m_context;
     ModelService &m_models;
+    HandoverService &m_handovers;
     PeerClient m_client;
 };
 
--- a/Tests/atmostonceprocesstest.cpp
+++ b/Tests/atmostonceprocesstest.cpp
@@ -12,7 +12,8 @@
 
 const std::string dispatchPath = "/orders/dispatch";
 
-TestReply dispatch(const TestDeployment::Node &node, const std::string &key, int timeoutMillis = 8000)
+TestReply dispatch(const TestDeployment::Node &node, const std::string &key,
+                   int timeoutMillis = 8000)
 {
     return callUrl("POST", node.callerUrl() + dispatchPath, "{}", callerHeaders(key),
                    timeoutMillis);
@@ -20,7 +21,9 @@
 
 std::future<TestReply> dispatchAsync(const TestDeployment::Node &node, const std::string &key)
 {
-    return std::async(std::launch::async, [node, key] { return dispatch(node, key); });
+    return std::async(std::launch::async, [node, key] {
+        return dispatch(node, key);
+    });
 }
 
 void controlStore(const TestDeployment &deployment, const std::string &body)
@@ -118,8 +121,8 @@
     cr_expect_eq(refused.code, 1203);
     cr_expect_neq(refused.body.find("retry_after_ms"), std::string::npos);
     cr_expect_eq(countOf(deployment, "down"), 0);
-    const TestReply lookup
-            = callUrl("GET", nodes[1].callerUrl() + "/orders/stock/kapok", {}, callerHeaders());
+    const TestReply lookup = callUrl("GET", nodes[1].callerUrl() + "/orders/stock/kapok", {},
+                                     callerHeaders());
     cr_expect_str_eq(lookup.outcome.c_str(), "complete");
     cr_expect_eq(runCommand(deployment.callerCommand("chat", {"--model=loft-assessment"}),
                             deployment.logFile("caller"), 20'000),
