--- /dev/null
+++ b/Tests/backendleaveprocesstest.cpp
@@ -0,0 +1,89 @@
+#include "Adapter/json.h"
+#include "support/printfigure.h"
+#include "support/testdeployment.h"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+
+using namespace sesame;
+using namespace sesame::test;
+
+namespace {
+
+constexpr std::int64_t targetMillis = 2000;
+
+std::int64_t wallMillis()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+}
+
+std::int64_t countRuns(const TestDeployment::Backend &engine)
+{
+    const TestReply reply = callUrl("GET", engine.url + "/control/executions");
+    const JsonPtr body = parseJson(reply.body);
+    std::int64_t n = 0;
+    const char *key = nullptr;
+    json_t *value = nullptr;
+    json_object_foreach(body.get(), key, value) n += json_integer_value(value);
+    return n;
+}
+
+/*!
+    Returns the time after \a notice at which \a engine received its last new request, watching
+    for \a watchMillis.
+*/
+std::int64_t findLastSend(const TestDeployment::Backend &engine, std::int64_t notice,
+                          int watchMillis)
+{
+    std::int64_t last = 0;
+    std::int64_t runs = countRuns(engine);
+    for (int waited = 0; waited < watchMillis; waited += 20) {
+        sleepMillis(20);
+        const std::int64_t now = countRuns(engine);
+        if (now != runs)
+            last = wallMillis() - notice;
+        runs = now;
+    }
+    return last;
+}
+
+pid_t startLoad(TestDeployment &deployment, const std::string &log)
+{
+    return deployment.processes().start(
+            deployment.callerCommand("chat",
+                                     {"--model=loft-assessment", "--max_tokens=5",
+                                      "--concurrency=12", "--duration=9", "--json"}),
+            log);
+}
+
+void giveNotice(const TestDeployment &deployment, const std::string &instance)
+{
+    const std::string body = R"({"instance":")" + instance + R"(","seconds":20})";
+    cr_assert_eq(callUrl("POST", deployment.cloudUrl() + "/control/notice", body).status, 200);
+}
+
+} // namespace
+
+// Guards against new work for a backend server after its reclaim notice, with a lagging list
+// and without the store.
+Test(backendleave, noNewWorkAfterNotice)
+{
+    TestDeployment deployment({.nodes = 7, .engines = 4, .applications = 1});
+    cr_assert_eq(
+            callUrl("POST", deployment.cloudUrl() + "/control", R"({"list_lag_ms":30000})").status,
+            200);
+    cr_assert_eq(callUrl("POST", deployment.storeUrl() + "/control", R"({"outage":true})").status,
+                 200);
+    const std::string log = deployment.logFile("load");
+    const pid_t load = startLoad(deployment, log);
+    sleepMillis(2000);
+    cr_assert_gt(countRuns(deployment.engines()[1]), 0);
+    const std::int64_t notice = wallMillis();
+    giveNotice(deployment, deployment.engines()[1].id);
+    const std::int64_t last = findLastSend(deployment.engines()[1], notice, 5000);
+    printFigure("last send %ld ms after the notice", last);
+    cr_expect_leq(last, targetMillis);
+    cr_expect_eq(deployment.processes().waitForExit(load, 30'000), 0, "%s", readFile(log).c_str());
+}
