Suspect table: name the engines to exclude for a suspect

Without it a node that chooses engines by score keeps proposing the engine that another suspect holds. The default of 20,000 hints per engine keeps the router within its part of the node's memory at the target size.

--- a/Source/Core/admissioncontroller.cpp
+++ b/Source/Core/admissioncontroller.cpp
@@ -360,6 +360,7 @@
 
 void AdmissionController::removeWaiting(RankQueue &queue, AccountQueue &account, double cost)
 {
+    requireInvariant(queue.waiting > 0, "an accepted item was lost from its queue");
     --queue.waiting;
     account.backlog = account.tickets.empty() ? 0.0 : account.backlog - cost;
     queue.backlog = queue.waiting == 0 ? 0.0 : queue.backlog - cost;
@@ -422,6 +423,7 @@
         return;
     const Entry &entry = it->second;
     Pool &pool = poolFor(entry.item.pool);
+    requireInvariant(pool.inFlight > 0, "a running item holds a slot");
     const double cost = costOf(entry.item, outputTokens);
     advance(pool, now);
     if (isBusy(pool))
--- a/Source/Core/enginerouter.h
+++ b/Source/Core/enginerouter.h
@@ -66,7 +66,8 @@
 struct EngineRouterOptions
 {
     Duration hintHalfLife {std::chrono::minutes(5)}; //!< Age at which a hint counts half.
-    std::size_t hintsPerEngine = 50000; //!< Bounds the memory; the oldest hints go first.
+    //! Bounds the memory; the oldest hints go first. 20,000 hints take about 1 MB.
+    std::size_t hintsPerEngine = 20000;
     //! Milliseconds of first token that a price of one average engine hour is worth, by rank.
     std::array<double, rankCount> priceWeightMs {2.0, 5.0, 20.0};
     //! Milliseconds that one expected reclaim per hour is worth.
--- a/Source/Core/suspecttable.cpp
+++ b/Source/Core/suspecttable.cpp
@@ -160,6 +160,18 @@
     return own == it->second.announcements.end() ? std::string() : own->second.engine;
 }
 
+std::vector<std::string> SuspectTable::takenEngines(Fingerprint fingerprint) const
+{
+    std::vector<std::string> engines;
+    for (const auto &[other, record] : m_records) {
+        for (const auto &[node, announcement] : record.announcements) {
+            if (other != fingerprint && !announcement.engine.empty())
+                engines.push_back(announcement.engine);
+        }
+    }
+    return engines;
+}
+
 bool SuspectTable::waitsForPeer(Fingerprint fingerprint) const
 {
     const auto it = m_records.find(fingerprint);
--- a/Source/Core/suspecttable.h
+++ b/Source/Core/suspecttable.h
@@ -85,6 +85,12 @@
     */
     std::string announcedEngine(Fingerprint fingerprint) const;
 
+    /*!
+        Returns the engines announced for other suspects than \a fingerprint, by any node;
+        exclude them when choosing an engine for a suspect.
+    */
+    std::vector<std::string> takenEngines(Fingerprint fingerprint) const;
+
     /*!
         Returns whether another node holds \a fingerprint and may still decide about it.
     */
--- a/Tests/suspecttabletest.cpp
+++ b/Tests/suspecttabletest.cpp
@@ -31,6 +31,7 @@
     cr_expect(table.isSuspect(1));
     cr_expect_not(table.mayRunOn(1, "e2", start));
     cr_expect_not(table.mayRunOn(2, "e2", start), "two suspects on one engine");
+    cr_expect_eq(table.takenEngines(2), std::vector<std::string> {"e2"});
     cr_expect_not(table.mayRunOn(2, "e3", start));
     cr_expect(table.mayRunOn(3, "e2", start), "no suspect");
     cr_expect(table.mayRunOn(1, "e2", start + 2100ms));
