--- a/Source/Core/admissioncontroller.h
+++ b/Source/Core/admissioncontroller.h
@@ -18,7 +18,9 @@
 
 struct WorkItem
 {
-    std::string pool; //!< Model name or service name.
+    //! Model or service name. Models that share engines need one pool, because ranks and
+    //! accounts are weighed against each other only within a pool.
+    std::string pool;
     Rank rank = Rank::Standard;
     std::string account;
     double accountShare = 1.0; //!< Weight of the account within its rank; above zero.
