Use the object service client in apply, and give each command test its own ports

Criterion runs the tests of a program at the same time, and the HTTP server shares a port with a second listener instead of failing, so one test's requests went to the other's server.

--- a/Source/Command/applycommand.cpp
+++ b/Source/Command/applycommand.cpp
@@ -1,7 +1,7 @@
+#include "Adapter/objectserviceclient.h"
 #include "Core/sesamecore.h"
 #include "commands.h"
 #include "operatorclient.h"
-#include "storeclient.h"
 #include "textfile.h"
 
 #include <absl/flags/flag.h>
@@ -106,7 +106,7 @@
 
 int publish(ApplyRequest request, const std::vector<std::string> &nodes)
 {
-    StoreClient store(absl::GetFlag(FLAGS_store));
+    ObjectServiceClient store({.url = absl::GetFlag(FLAGS_store)});
     const std::optional<std::uint64_t> highest = queryHighestVersion(nodes);
     if (!highest && !absl::GetFlag(FLAGS_without_nodes)
         && store.read(fleetObjectKey).status != StoreStatus::NotFound) {
@@ -114,7 +114,7 @@
         return ExitFailure;
     }
     request.highestNodeVersion = highest.value_or(0);
-    FleetPublisher<StoreClient> publisher(store, [] {
+    FleetPublisher<ObjectServiceClient> publisher(store, [] {
         std::this_thread::sleep_for(readBackInterval);
     });
     const ApplyResult result = publisher.apply(request);
--- a/Tests/commandprocesstest.cpp
+++ b/Tests/commandprocesstest.cpp
@@ -17,10 +17,15 @@
 
 namespace {
 
-constexpr std::uint16_t storePort = 18951;
-constexpr std::uint16_t nodePort = 18952;
-const std::string storeUrl = "http://127.0.0.1:18951";
-const std::string nodeAddress = "127.0.0.1:18952";
+// Criterion runs the tests of a program at the same time, so each has its own ports.
+constexpr std::uint16_t applyStorePort = 18951;
+constexpr std::uint16_t applyNodePort = 18952;
+constexpr std::uint16_t statusNodePort = 18953;
+
+std::string formatAddress(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
 
 struct Result
 {
@@ -91,28 +96,35 @@
     HttpResponse serveStore(const HttpRequest &request)
     {
         const std::lock_guard lock(mutex);
-        if (request.method == "PUT") {
-            if (request.header("If-Version").value_or("") != std::to_string(version))
-                return {.status = 409, .headers = {{"X-Version", std::to_string(version)}}};
+        const bool isWrite = request.method == "PUT";
+        const bool isCurrent = request.header("If-Version") == std::to_string(version);
+        if (isWrite && isCurrent) {
             value = request.body;
             ++version;
-            if (losesAnswers)
-                return {.status = 504};
         }
-        return {.status = version == 0 ? 404 : 200,
-                .headers = {{"X-Version", std::to_string(version)}},
-                .body = request.method == "GET" ? value : ""};
+        HttpResponse response;
+        response.headers = {{"X-Version", std::to_string(version)}};
+        if (isWrite)
+            response.status = !isCurrent ? 409 : losesAnswers ? 504 : 200;
+        else if (version == 0)
+            response.status = 404;
+        else
+            response.body = value;
+        return response;
     }
 
     HttpResponse serveNode(const HttpRequest &request)
     {
         const std::lock_guard lock(mutex);
+        HttpResponse response;
         if (request.path == "/v1/drain")
-            return {.status = request.method == "POST" ? 200 : 404};
-        if (request.path == "/v1/burn")
-            return {.body = R"({"rows":[]})"};
-        return {.body = "{\"fleet_version\":" + std::to_string(version - nodeLag + nodeLead)
-                        + ",\"confirmation\":\"confirmed\"}"};
+            response.status = request.method == "POST" ? 200 : 404;
+        else if (request.path == "/v1/burn")
+            response.body = R"({"rows":[]})";
+        else
+            response.body = "{\"fleet_version\":" + std::to_string(version - nodeLag + nodeLead)
+                    + ",\"confirmation\":\"confirmed\"}";
+        return response;
     }
 };
 
@@ -169,10 +181,12 @@
 Test(command, applyReportsWhatHolds)
 {
     Servers servers;
-    const HttpServer store = startServer(storePort, [&](const HttpRequest &request) {
+    const std::string nodeAddress = formatAddress(applyNodePort);
+    const std::string storeUrl = "http://" + formatAddress(applyStorePort);
+    const HttpServer store = startServer(applyStorePort, [&](const HttpRequest &request) {
         return servers.serveStore(request);
     });
-    const HttpServer node = startServer(nodePort, [&](const HttpRequest &request) {
+    const HttpServer node = startServer(applyNodePort, [&](const HttpRequest &request) {
         return servers.serveNode(request);
     });
     const TemporaryFile first(makeFleetFile(10, "first"));
@@ -207,7 +221,8 @@
 Test(command, nodeCommandsReportSilentNodes)
 {
     Servers servers;
-    const HttpServer node = startServer(nodePort, [&](const HttpRequest &request) {
+    const std::string nodeAddress = formatAddress(statusNodePort);
+    const HttpServer node = startServer(statusNodePort, [&](const HttpRequest &request) {
         return servers.serveNode(request);
     });
     expectRun("status --nodes " + nodeAddress, 0, "\"confirmation\":\"confirmed\"");
