--- a/Source/Adapter/metrics.cpp
+++ b/Source/Adapter/metrics.cpp
@@ -65,8 +65,11 @@
             return text;
         for (double probability : quantiles) {
             const double value = acc::quantile(samples, acc::quantile_probability = probability);
-            text += name + "{" + label + ",quantile=\"" + formatNumber(probability) + "\"} "
-                    + formatNumber(value) + "\n";
+            text += name;
+            text += "{" + label;
+            text += ",quantile=\"" + formatNumber(probability);
+            text += "\"} " + formatNumber(value);
+            text += "\n";
         }
         return text;
     }
