--- a/Source/Node/claimcommitter.h
+++ b/Source/Node/claimcommitter.h
@@ -81,17 +81,20 @@
     }
 
     /*!
-        Writes outcomes that the store could not take earlier. Should be called every second.
+        Writes outcomes that the store could not take earlier. Should be called every second and
+        before the process ends. Returns false if some still wait for the store.
     */
-    void flush()
+    bool flush()
     {
         if (!hasLedger())
-            return;
+            return true;
+        bool flushed = true;
         for (std::uint32_t shard = 0; shard < m_lanes.size(); ++shard) {
             Job job;
-            job.flushOnly = true;
             runInLane(shard, job);
+            flushed = flushed && job.flushed;
         }
+        return flushed;
     }
 
 private:
@@ -101,8 +104,8 @@
         const OutcomeRecord *outcome = nullptr;
         const std::string *key = nullptr; //!< To look up, or to settle if \c executed.
         bool executed = false;
-        bool flushOnly = false;
         bool done = false;
+        bool flushed = false; //!< No outcome of the shard waits for the store.
         ClaimResult claimResult;
         RecordStatus recordStatus = RecordStatus::Pending;
         LookupResult lookupResult;
@@ -188,15 +191,17 @@
             result = m_ledger->commit(
                     shard, {.claims = claims, .outcomes = outcomes, .executedKeys = executed});
         }
-        distribute(jobs, std::move(result));
+        distribute(shard, jobs, std::move(result));
     }
 
-    void distribute(const std::vector<Job *> &jobs, CommitResult result)
+    void distribute(std::uint32_t shard, const std::vector<Job *> &jobs, CommitResult result)
     {
         auto claim = result.claims.begin();
         auto outcome = result.outcomes.begin();
         auto executed = result.executed.begin();
+        const bool flushed = !m_ledger->needsFlush(shard);
         for (Job *job : jobs) {
+            job->flushed = flushed;
             if (job->claim)
                 job->claimResult = std::move(*claim++);
             else if (job->outcome)
--- a/Tests/claimledgertest.cpp
+++ b/Tests/claimledgertest.cpp
@@ -245,3 +245,21 @@
     cr_expect_eq(granted.load(), threads / 2);
     cr_expect_leq(store.writes - writesBefore, threads / 2);
 }
+
+// Guards against a node that ends while the store does not have its outcomes yet.
+Test(claimcommitter, flushReportsWaitingOutcomes)
+{
+    FakeStore store;
+    const FakeClock clock;
+    ClaimCommitter<FakeStore, FakeClock> committer(store, clock, nodeOptions(1));
+    cr_expect(committer.flush());
+    const ClaimResult result = committer.claim(makeRequest("k"));
+    store.fault = [](bool) {
+        return StoreFault::Refused;
+    };
+    cr_expect(committer.recordOutcome(result.claim, makeAnswer("a")) == RecordStatus::Pending);
+    cr_expect_not(committer.flush());
+    store.fault = nullptr;
+    cr_expect(committer.flush());
+    cr_expect(committer.claim(makeRequest("k")).status == ClaimStatus::CompletedEarlier);
+}
