--- a/Generated/peer_types.cpp
+++ b/Generated/peer_types.cpp
@@ -1430,6 +1430,10 @@
 void PeerAnswer::__set_storeReachable(const bool val) {
   this->storeReachable = val;
 }
+
+void PeerAnswer::__set_suspects(const std::vector<SuspectRumour> & val) {
+  this->suspects = val;
+}
 std::ostream& operator<<(std::ostream& out, const PeerAnswer& obj)
 {
   obj.printTo(out);
@@ -1526,6 +1530,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspects.clear();
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->suspects.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
+            {
+              xfer += this->suspects[_i55].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1559,10 +1583,10 @@
   xfer += oprot->writeFieldBegin("rumours", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rumours.size()));
-    std::vector<Rumour> ::const_iterator _iter51;
-    for (_iter51 = this->rumours.begin(); _iter51 != this->rumours.end(); ++_iter51)
+    std::vector<Rumour> ::const_iterator _iter56;
+    for (_iter56 = this->rumours.begin(); _iter56 != this->rumours.end(); ++_iter56)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += (*_iter56).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1580,6 +1604,18 @@
   xfer += oprot->writeBool(this->storeReachable);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
+    std::vector<SuspectRumour> ::const_iterator _iter57;
+    for (_iter57 = this->suspects.begin(); _iter57 != this->suspects.end(); ++_iter57)
+    {
+      xfer += (*_iter57).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1594,28 +1630,31 @@
   swap(a.fleetVersion, b.fleetVersion);
   swap(a.incarnation, b.incarnation);
   swap(a.storeReachable, b.storeReachable);
+  swap(a.suspects, b.suspects);
   swap(a.__isset, b.__isset);
 }
 
-PeerAnswer::PeerAnswer(const PeerAnswer& other52) {
-  alive = other52.alive;
-  fleetDocument = other52.fleetDocument;
-  acceptedRequests = other52.acceptedRequests;
-  rumours = other52.rumours;
-  fleetVersion = other52.fleetVersion;
-  incarnation = other52.incarnation;
-  storeReachable = other52.storeReachable;
-  __isset = other52.__isset;
-}
-PeerAnswer& PeerAnswer::operator=(const PeerAnswer& other53) {
-  alive = other53.alive;
-  fleetDocument = other53.fleetDocument;
-  acceptedRequests = other53.acceptedRequests;
-  rumours = other53.rumours;
-  fleetVersion = other53.fleetVersion;
-  incarnation = other53.incarnation;
-  storeReachable = other53.storeReachable;
-  __isset = other53.__isset;
+PeerAnswer::PeerAnswer(const PeerAnswer& other58) {
+  alive = other58.alive;
+  fleetDocument = other58.fleetDocument;
+  acceptedRequests = other58.acceptedRequests;
+  rumours = other58.rumours;
+  fleetVersion = other58.fleetVersion;
+  incarnation = other58.incarnation;
+  storeReachable = other58.storeReachable;
+  suspects = other58.suspects;
+  __isset = other58.__isset;
+}
+PeerAnswer& PeerAnswer::operator=(const PeerAnswer& other59) {
+  alive = other59.alive;
+  fleetDocument = other59.fleetDocument;
+  acceptedRequests = other59.acceptedRequests;
+  rumours = other59.rumours;
+  fleetVersion = other59.fleetVersion;
+  incarnation = other59.incarnation;
+  storeReachable = other59.storeReachable;
+  suspects = other59.suspects;
+  __isset = other59.__isset;
   return *this;
 }
 void PeerAnswer::printTo(std::ostream& out) const {
@@ -1628,6 +1667,7 @@
   out << ", " << "fleetVersion=" << to_string(fleetVersion);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "storeReachable=" << to_string(storeReachable);
+  out << ", " << "suspects=" << to_string(suspects);
   out << ")";
 }
 
@@ -1758,19 +1798,19 @@
   swap(a.__isset, b.__isset);
 }
 
-SealedMessage::SealedMessage(const SealedMessage& other54) {
-  sender = other54.sender;
-  sentAtMillis = other54.sentAtMillis;
-  body = other54.body;
-  authenticationCode = other54.authenticationCode;
-  __isset = other54.__isset;
+SealedMessage::SealedMessage(const SealedMessage& other60) {
+  sender = other60.sender;
+  sentAtMillis = other60.sentAtMillis;
+  body = other60.body;
+  authenticationCode = other60.authenticationCode;
+  __isset = other60.__isset;
 }
-SealedMessage& SealedMessage::operator=(const SealedMessage& other55) {
-  sender = other55.sender;
-  sentAtMillis = other55.sentAtMillis;
-  body = other55.body;
-  authenticationCode = other55.authenticationCode;
-  __isset = other55.__isset;
+SealedMessage& SealedMessage::operator=(const SealedMessage& other61) {
+  sender = other61.sender;
+  sentAtMillis = other61.sentAtMillis;
+  body = other61.body;
+  authenticationCode = other61.authenticationCode;
+  __isset = other61.__isset;
   return *this;
 }
 void SealedMessage::printTo(std::ostream& out) const {
@@ -1876,15 +1916,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerRefused::PeerRefused(const PeerRefused& other56) : TException() {
-  code = other56.code;
-  reason = other56.reason;
-  __isset = other56.__isset;
+PeerRefused::PeerRefused(const PeerRefused& other62) : TException() {
+  code = other62.code;
+  reason = other62.reason;
+  __isset = other62.__isset;
 }
-PeerRefused& PeerRefused::operator=(const PeerRefused& other57) {
-  code = other57.code;
-  reason = other57.reason;
-  __isset = other57.__isset;
+PeerRefused& PeerRefused::operator=(const PeerRefused& other63) {
+  code = other63.code;
+  reason = other63.reason;
+  __isset = other63.__isset;
   return *this;
 }
 void PeerRefused::printTo(std::ostream& out) const {
--- a/Generated/peer_types.h
+++ b/Generated/peer_types.h
@@ -615,7 +615,7 @@
 std::ostream& operator<<(std::ostream& out, const PeerRequest& obj);
 
 typedef struct _PeerAnswer__isset {
-  _PeerAnswer__isset() : alive(false), fleetDocument(false), acceptedRequests(false), rumours(false), fleetVersion(false), incarnation(false), storeReachable(false) {}
+  _PeerAnswer__isset() : alive(false), fleetDocument(false), acceptedRequests(false), rumours(false), fleetVersion(false), incarnation(false), storeReachable(false), suspects(false) {}
   bool alive :1;
   bool fleetDocument :1;
   bool acceptedRequests :1;
@@ -623,6 +623,7 @@
   bool fleetVersion :1;
   bool incarnation :1;
   bool storeReachable :1;
+  bool suspects :1;
 } _PeerAnswer__isset;
 
 class PeerAnswer : public virtual ::apache::thrift::TBase {
@@ -647,6 +648,7 @@
   int64_t fleetVersion;
   int64_t incarnation;
   bool storeReachable;
+  std::vector<SuspectRumour>  suspects;
 
   _PeerAnswer__isset __isset;
 
@@ -664,6 +666,8 @@
 
   void __set_storeReachable(const bool val);
 
+  void __set_suspects(const std::vector<SuspectRumour> & val);
+
   bool operator == (const PeerAnswer & rhs) const
   {
     if (!(alive == rhs.alive))
@@ -682,6 +686,8 @@
       return false;
     if (!(storeReachable == rhs.storeReachable))
       return false;
+    if (!(suspects == rhs.suspects))
+      return false;
     return true;
   }
   bool operator != (const PeerAnswer &rhs) const {
--- a/Interface/peer.thrift
+++ b/Interface/peer.thrift
@@ -80,6 +80,7 @@
   11: i64 fleetVersion
   12: i64 incarnation
   13: bool storeReachable
+  14: list<SuspectRumour> suspects
 }
 
 /** A serialised PeerRequest or PeerAnswer with its authentication code. */
--- a/Source/Core/suspecttable.cpp
+++ b/Source/Core/suspecttable.cpp
@@ -239,6 +239,16 @@
     }
 }
 
+void SuspectTable::forgetHolders(std::string_view prefix, std::string_view kept)
+{
+    for (auto &[fingerprint, record] : m_records) {
+        for (auto &[holder, announcement] : record.announcements) {
+            if (holder.starts_with(prefix) && holder != kept)
+                announcement.engine.clear();
+        }
+    }
+}
+
 SuspectRumour SuspectTable::rumourOf(Fingerprint fingerprint, const Record &record) const
 {
     return SuspectRumour {.fingerprint = fingerprint,
--- a/Source/Core/suspecttable.h
+++ b/Source/Core/suspecttable.h
@@ -121,6 +121,11 @@
     */
     void forgetNode(std::string_view node);
 
+    /*!
+        Drops the announcements of all holders whose name starts with \a prefix, except \a kept.
+    */
+    void forgetHolders(std::string_view prefix, std::string_view kept = {});
+
     /*!
         Returns the rumours to send since the last call and decides what has become due.
         Call it at least every 100 ms and send the result to all peers.
--- a/Source/Node/modelservice.cpp
+++ b/Source/Node/modelservice.cpp
@@ -214,11 +214,14 @@
 {
     PoolCapacity capacity;
     capacity.liveNodes = m_context.liveNodes();
+    std::uint32_t usedSlots = 0;
     for (const EngineView &engine : makeEngineViews(engines)) {
         const std::uint32_t used = engine.queued + engine.running;
         capacity.fleetSlots += engine.slots;
-        capacity.fleetFree += engine.slots > used ? engine.slots - used : 0;
+        usedSlots += used;
     }
+    // Over the whole fleet, so that the queue of an overfull engine counts against the others.
+    capacity.fleetFree = capacity.fleetSlots - std::min(capacity.fleetSlots, usedSlots);
     return capacity;
 }
 
@@ -393,7 +396,8 @@
     const auto engines = m_context.backends.lock()->usableEngines(model->name,
                                                                   model->backendClasses, now);
     const std::vector<EngineView> views = makeEngineViews(engines);
-    const std::vector<std::string> excludedIds(excluded.begin(), excluded.end());
+    std::vector<std::string> excludedIds(excluded.begin(), excluded.end());
+    excludeTakenEngines(stream, engines, excludedIds);
     RouteQuery query;
     query.blocks = stream.promptBlocks();
     query.promptTokens = static_cast<std::uint32_t>(estimateTokens(stream.request().prompt));
@@ -415,6 +419,20 @@
     return engine;
 }
 
+void ModelService::excludeTakenEngines(const ModelStream &stream,
+                                       const std::vector<BackendView> &engines,
+                                       std::vector<std::string> &excluded)
+{
+    auto suspects = m_context.suspects.lock();
+    if (!suspects->isSuspect(stream.fingerprint()))
+        return;
+    const auto taken = suspects->takenEngines(stream.fingerprint());
+    for (const BackendView &engine : engines) {
+        if (std::find(taken.begin(), taken.end(), incarnationOf(engine)) != taken.end())
+            excluded.push_back(engine.id);
+    }
+}
+
 bool ModelService::mayRunOn(const ModelStream &stream, const BackendView &engine)
 {
     const Timestamp now = m_context.clock.now();
--- a/Source/Node/modelservice.h
+++ b/Source/Node/modelservice.h
@@ -86,6 +86,8 @@
     bool shouldTransfer(ModelStream &stream, const BackendView &target);
     std::optional<BackendView> chooseEngine(ModelStream &stream,
                                             const std::set<std::string> &excluded);
+    void excludeTakenEngines(const ModelStream &stream, const std::vector<BackendView> &engines,
+                             std::vector<std::string> &excluded);
     bool mayRunOn(const ModelStream &stream, const BackendView &engine);
     AttemptResult runAttempt(ModelStream &stream, const BackendView &engine, bool moving);
     void checkLostEngine(const BackendView &engine);
--- a/Source/Node/nodecontext.cpp
+++ b/Source/Node/nodecontext.cpp
@@ -25,6 +25,11 @@
 
 } // namespace
 
+std::string suspectHolder(std::string_view node, std::int64_t incarnation)
+{
+    return std::string(node) + "#" + std::to_string(incarnation);
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -36,7 +41,7 @@
       fleet(FleetKeeperOptions {.zone = settings.zone}),
       membership(makeSelf(settings, incarnation), MembershipOptions {},
                  std::mt19937_64(randomSeed())),
-      backends(BackendOptions {}), suspects(settings.node),
+      backends(BackendOptions {}), suspects(suspectHolder(settings.node, incarnation)),
       store(ObjectServiceClientOptions {.url = settings.objectServiceUrl}),
       ledger(store, clock, makeLedgerOptions(settings)), workers(WorkerPoolOptions {}),
       controlWorkers(WorkerPoolOptions {.maxThreads = 32})
--- a/Source/Node/nodecontext.h
+++ b/Source/Node/nodecontext.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "Adapter/metrics.h"
 #include "Adapter/objectserviceclient.h"
 #include "Adapter/systemclock.h"
 #include "Core/admissioncontroller.h"
 #include "Core/backendtable.h"
+#include "Core/burnreport.h"
 #include "Core/enginerouter.h"
 #include "Core/fleetkeeper.h"
 #include "Core/membershiptable.h"
@@ -59,12 +61,20 @@
     Guarded<SuspectTable> suspects;
     Guarded<RetryBudget> retries;
     StreamTable streams;
+    Guarded<BurnAccumulator> burn;
+    Metrics metrics;
     ObjectServiceClient store;
     Ledger ledger;
     WorkerPool workers; //!< Run requests.
     WorkerPool controlWorkers; //!< Run short calls to peers and backend servers.
 };
 
+/*!
+    Returns the name under which one run of \a node announces suspects. A node that restarts
+    numbers its announcements anew, so each run needs a name of its own.
+*/
+std::string suspectHolder(std::string_view node, std::int64_t incarnation);
+
 /*!
     Returns a seed that differs between processes.
 */
--- a/Source/Node/peerexchange.cpp
+++ b/Source/Node/peerexchange.cpp
@@ -40,6 +40,15 @@
 {
 }
 
+template <typename Message>
+void PeerExchange::notePeer(std::string_view peer, const Message &message)
+{
+    m_context.fleet.lock()->recordPeer(m_context.clock.now(), peer,
+                                       static_cast<std::uint64_t>(message.fleetVersion),
+                                       message.storeReachable);
+    noteIncarnation(peer, message.incarnation);
+}
+
 void PeerExchange::tick()
 {
     const Timestamp now = m_context.clock.now();
@@ -114,7 +123,7 @@
 {
     apply(request.rumours);
     applySuspects(request.suspects);
-    notePeer(sender, request.fleetVersion, request.storeReachable);
+    notePeer(sender, request);
     wire::PeerAnswer answer;
     answer.alive = true;
     if (request.__isset.pingRequest)
@@ -133,6 +142,10 @@
                 wantsState ? membership->allRumours()
                            : membership->rumoursToSend(rumoursPerMessage, sender));
     }
+    if (request.__isset.ping && request.ping.wantsState) {
+        for (const SuspectRumour &rumour : m_context.suspects.lock()->allRumours())
+            answer.suspects.push_back(toWire(rumour));
+    }
     answer.fleetVersion = static_cast<std::int64_t>(m_context.fleet.lock()->fleetVersion());
     answer.incarnation = m_context.incarnation;
     answer.storeReachable = m_context.storeReachable;
@@ -157,13 +170,21 @@
 void PeerExchange::noteAnswer(const PeerReply &reply)
 {
     apply(reply.answer.rumours);
-    notePeer(reply.sender, reply.answer.fleetVersion, reply.answer.storeReachable);
+    applySuspects(reply.answer.suspects);
+    notePeer(reply.sender, reply.answer);
 }
 
-void PeerExchange::notePeer(std::string_view peer, std::int64_t fleetVersion, bool storeReachable)
+void PeerExchange::noteIncarnation(std::string_view peer, std::int64_t incarnation)
 {
-    m_context.fleet.lock()->recordPeer(m_context.clock.now(), peer,
-                                       static_cast<std::uint64_t>(fleetVersion), storeReachable);
+    {
+        auto incarnations = m_incarnations.lock();
+        const auto it = incarnations->find(peer);
+        if (it != incarnations->end() && it->second >= incarnation)
+            return;
+        incarnations->insert_or_assign(std::string(peer), incarnation);
+    }
+    m_context.suspects.lock()->forgetHolders(std::string(peer) + "#",
+                                             suspectHolder(peer, incarnation));
 }
 
 void PeerExchange::apply(std::span<const wire::Rumour> rumours)
@@ -178,7 +199,7 @@
             m_models.leaveEngine(rumour.subject);
         } else if (rumour.kind == RumourKind::NodeDead || rumour.kind == RumourKind::NodeLeaving) {
             m_context.fleet.lock()->forgetPeer(rumour.subject);
-            m_context.suspects.lock()->forgetNode(rumour.subject);
+            m_context.suspects.lock()->forgetHolders(rumour.subject + "#");
             logEvent(LogLevel::Info, "peer gone", {{"peer", rumour.subject}});
         }
     }
--- a/Source/Node/peerexchange.h
+++ b/Source/Node/peerexchange.h
@@ -5,6 +5,8 @@
 #include "Node/modelservice.h"
 #include "Node/nodecontext.h"
 
+#include <functional>
+#include <map>
 #include <span>
 #include <string>
 #include <string_view>
@@ -47,12 +49,15 @@
     void apply(std::span<const wire::Rumour> rumours);
     void applySuspects(const std::vector<wire::SuspectRumour> &rumours);
     void noteAnswer(const PeerReply &reply);
-    void notePeer(std::string_view peer, std::int64_t fleetVersion, bool storeReachable);
+    template <typename Message>
+    void notePeer(std::string_view peer, const Message &message);
+    void noteIncarnation(std::string_view peer, std::int64_t incarnation);
 
     NodeContext &m_context;
     ModelService &m_models;
     HandoverService &m_handovers;
     PeerClient m_client;
+    Guarded<std::map<std::string, std::int64_t, std::less<>>> m_incarnations; //!< By peer.
 };
 
 } // namespace sesame
