--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -9,6 +9,7 @@
 #include "Core/capacityplanner.h"
 #include "Core/claimledger.h"
 #include "Core/claimshard.h"
+#include "Core/enginepools.h"
 #include "Core/enginerouter.h"
 #include "Core/fleetconfig.h"
 #include "Core/fleetdocument.h"
--- a/Source/Node/enginecall.cpp
+++ b/Source/Node/enginecall.cpp
@@ -38,8 +38,8 @@
 class TokenReader
 {
 public:
-    TokenReader(ModelStream &stream, StreamAttempt attempt)
-        : m_stream(stream), m_attempt(std::move(attempt))
+    TokenReader(NodeContext &context, ModelStream &stream, StreamAttempt attempt)
+        : m_context(context), m_stream(stream), m_attempt(std::move(attempt))
     {
     }
 
@@ -80,6 +80,8 @@
             return;
         const std::string token = tokenText(event.data);
         const StreamVerdict verdict = m_stream.session().lock()->accept(m_attempt, offset, token);
+        if (verdict == StreamVerdict::Delivered)
+            recordToken();
         if (verdict == StreamVerdict::Delivered)
             m_broken = !m_stream.buffer().write("id: " + event.id + "\ndata: " + event.data
                                                 + "\n\n");
@@ -87,6 +89,17 @@
             m_broken = true;
     }
 
+    void recordToken()
+    {
+        const bool first = m_stream.timing().tokens == 0;
+        const Duration time = m_stream.noteToken(m_context.clock.now());
+        if (first)
+            m_context.metrics.recordFirstToken(m_stream.rank(), time);
+        else
+            m_context.metrics.recordTokenGap(m_stream.rank(), time);
+    }
+
+    NodeContext &m_context;
     ModelStream &m_stream;
     StreamAttempt m_attempt;
     SseParser m_parser;
@@ -121,9 +134,10 @@
     return {.end = AttemptEnd::Lost, .reason = reply.reason};
 }
 
-AttemptResult readStream(ModelStream &stream, const HttpCall &call, const StreamAttempt &attempt)
+AttemptResult readStream(NodeContext &context, ModelStream &stream, const HttpCall &call,
+                         const StreamAttempt &attempt)
 {
-    TokenReader reader(stream, attempt);
+    TokenReader reader(context, stream, attempt);
     const BackendReply reply = streamFromBackend(call, [&reader](std::string_view part) {
         return reader.feed(part);
     });
@@ -210,15 +224,15 @@
     const bool first = attempt.number == 1;
     stream.buffer().write(makeTokenEvent(context, stream, first ? "accepted" : "moved"));
     const HttpCall call = makeStartCall(context, stream, engine);
-    AttemptResult result = readStream(stream, call, attempt);
+    AttemptResult result = readStream(context, stream, call, attempt);
     if (result.end != AttemptEnd::Lost)
         return result;
     // The run may still be alive if only the connection broke.
     return attachAttempt(context, stream, toAttemptEngine(engine), attempt.number);
 }
 
-AttemptResult attachAttempt(NodeContext & /*context*/, ModelStream &stream,
-                            const AttemptEngine &engine, std::uint64_t attempt)
+AttemptResult attachAttempt(NodeContext &context, ModelStream &stream, const AttemptEngine &engine,
+                            std::uint64_t attempt)
 {
     StreamAttempt current;
     std::uint64_t from = 0;
@@ -233,7 +247,7 @@
                          .headers = {},
                          .body = {},
                          .timeout = longestRun};
-    AttemptResult result = readStream(stream, call, current);
+    AttemptResult result = readStream(context, stream, call, current);
     const bool refused = result.end == AttemptEnd::Refused || result.end == AttemptEnd::Rejected;
     if (refused || result.end == AttemptEnd::NotSent)
         result.end = AttemptEnd::Lost;
--- a/Source/Node/modelservice.cpp
+++ b/Source/Node/modelservice.cpp
@@ -105,7 +105,7 @@
         return fail(ResultCode::MalformedRequest,
                     "X-Resume-From: must count the tokens of the last assistant message");
     WorkItem item;
-    item.pool = chat->model;
+    item.pool = findEnginePool(groupEnginePools(*config), chat->model);
     item.rank = *rank;
     item.account = account.name;
     item.accountShare = account.share;
@@ -118,11 +118,13 @@
                        .lastAttempt = 0,
                        .offset = *offset,
                        .text = chat->receivedText};
-    auto stream = std::make_shared<ModelStream>(ModelStreamOptions {.account = account.name,
-                                                                    .requestId = requestId,
-                                                                    .rank = *rank,
-                                                                    .request = std::move(*chat),
-                                                                    .start = std::move(start)});
+    auto stream = std::make_shared<ModelStream>(
+            ModelStreamOptions {.account = account.name,
+                                .requestId = requestId,
+                                .rank = *rank,
+                                .request = std::move(*chat),
+                                .start = std::move(start),
+                                .arrived = m_context.clock.now()});
     return PreparedRequest {.stream = std::move(stream), .item = std::move(item)};
 }
 
@@ -259,22 +261,37 @@
     const auto config = m_context.config();
     if (!config)
         return;
-    for (const Model &model : config->models)
-        dispatchPool(model);
+    for (const EnginePool &pool : groupEnginePools(*config))
+        dispatchPool(*config, pool);
 }
 
-void ModelService::dispatchPool(const Model &model)
+std::vector<BackendView> ModelService::enginesOf(const FleetConfig &config, const EnginePool &pool)
 {
     const Timestamp now = m_context.clock.now();
-    const auto engines = m_context.backends.lock()->usableEngines(model.name, model.backendClasses,
-                                                                  now);
-    const PoolCapacity capacity = measureCapacity(engines);
+    std::map<std::string, BackendView> engines;
+    for (const std::string &name : pool.models) {
+        const Model *model = findModel(config, name);
+        auto backends = m_context.backends.lock();
+        for (BackendView &engine : backends->usableEngines(name, model->backendClasses, now))
+            engines.try_emplace(engine.id, std::move(engine));
+    }
+    std::vector<BackendView> list;
+    list.reserve(engines.size());
+    for (auto &[id, engine] : engines)
+        list.push_back(std::move(engine));
+    return list;
+}
+
+void ModelService::dispatchPool(const FleetConfig &config, const EnginePool &pool)
+{
+    const Timestamp now = m_context.clock.now();
+    const PoolCapacity capacity = measureCapacity(enginesOf(config, pool));
     while (true) {
         ModelStreamPtr stream;
         {
             auto admission = m_context.admission.lock();
-            admission->setCapacity(model.name, capacity);
-            const auto ticket = admission->takeNext(model.name, now);
+            admission->setCapacity(pool.name, capacity);
+            const auto ticket = admission->takeNext(pool.name, now);
             if (!ticket)
                 return;
             stream = m_context.streams.findByTicket(*ticket);
@@ -582,6 +599,7 @@
         m_context.retries.lock()->recordSuccess();
     }
     m_context.streams.remove(stream);
+    recordService(*stream, result);
     stream->finish(result);
     logEvent(LogLevel::Info, "request ended",
              {{"request_id", stream->requestId()},
@@ -592,6 +610,21 @@
               {"tokens", static_cast<std::int64_t>(tokens)}});
 }
 
+void ModelService::recordService(ModelStream &stream, const RequestResult &result)
+{
+    m_context.metrics.recordResult(stream.rank(), result.code);
+    const auto config = m_context.config();
+    // A request that continues elsewhere is counted by the node that ends it.
+    if (!config || stream.isHandedOver() || stream.isDetached())
+        return;
+    const RankPolicy &policy = config->ranks[static_cast<std::size_t>(stream.rank())];
+    const StreamTiming timing = stream.timing();
+    const bool good = result.outcome == Outcome::Complete
+            && timing.firstToken <= policy.firstTokenTarget
+            && timing.meanGap() <= policy.tokenGapTarget;
+    m_context.burn.lock()->record(m_context.clock.now(), stream.rank(), stream.model(), good);
+}
+
 HttpResponse ModelService::resume(const HttpRequest &request, const Account &account)
 {
     const auto offset = parseOffset(request.query("from"));
@@ -624,7 +657,8 @@
                                           .account = token.account,
                                           .lastAttempt = token.attempt,
                                           .offset = offset,
-                                          .text = {}}};
+                                          .text = {}},
+                                .arrived = m_context.clock.now()};
     const auto handedOver = m_handovers.take(token.account, token.requestId);
     if (handedOver && handedOver->deliveredTokens == static_cast<std::int64_t>(offset)) {
         if (auto chat = parseChatRequest(handedOver->body))
--- a/Source/Node/modelservice.h
+++ b/Source/Node/modelservice.h
@@ -2,6 +2,7 @@
 
 #include "Adapter/httpmessage.h"
 #include "Core/backoff.h"
+#include "Core/enginepools.h"
 #include "Node/enginecall.h"
 #include "Node/handoverservice.h"
 #include "Node/nodecontext.h"
@@ -69,7 +70,8 @@
     std::optional<Rank> chooseRank(const HttpRequest &request, const Account &account,
                                    const Model &model) const;
     bool submit(const PreparedRequest &prepared, RequestResult *refusal);
-    void dispatchPool(const Model &model);
+    void dispatchPool(const FleetConfig &config, const EnginePool &pool);
+    std::vector<BackendView> enginesOf(const FleetConfig &config, const EnginePool &pool);
     PoolCapacity measureCapacity(const std::vector<BackendView> &engines);
     void run(const ModelStreamPtr &stream);
     //! State of the attempts of one request.
@@ -94,6 +96,7 @@
     RequestResult endDetached(ModelStream &stream);
     void pauseBeforeRetry(Backoff &backoff);
     void finish(const ModelStreamPtr &stream, const RequestResult &result);
+    void recordService(ModelStream &stream, const RequestResult &result);
     ModelStreamPtr makeResumedStream(const ResumeToken &token, std::uint64_t offset);
     void reattach(const ModelStreamPtr &stream, const ResumeToken &token);
     HttpResponse respond(const ModelStreamPtr &stream);
--- a/Source/Node/modelstream.cpp
+++ b/Source/Node/modelstream.cpp
@@ -10,7 +10,9 @@
 ModelStream::ModelStream(ModelStreamOptions options)
     : m_options(std::move(options)),
       m_fingerprint(requestFingerprint(m_options.account, m_options.request.prompt)),
-      m_blocks(sesame::promptBlocks(m_options.request.prompt)), m_session(m_options.start)
+      m_blocks(sesame::promptBlocks(m_options.request.prompt)),
+      m_session(m_options.start), m_timing {.arrived = m_options.arrived,
+                                            .lastToken = m_options.arrived}
 {
 }
 
@@ -20,6 +22,23 @@
     return session->attempt() > 0 || session->nextOffset() > 0;
 }
 
+Duration StreamTiming::meanGap() const
+{
+    if (tokens < 2)
+        return {};
+    return (lastToken - arrived - firstToken) / static_cast<std::int64_t>(tokens - 1);
+}
+
+Duration ModelStream::noteToken(Timestamp now)
+{
+    const Duration gap = now - m_timing.lastToken;
+    if (m_timing.tokens == 0)
+        m_timing.firstToken = gap;
+    m_timing.lastToken = now;
+    ++m_timing.tokens;
+    return gap;
+}
+
 void ModelStream::detach(bool cancel)
 {
     if (cancel)
--- a/Source/Node/modelstream.h
+++ b/Source/Node/modelstream.h
@@ -25,6 +25,23 @@
     Rank rank = Rank::Standard;
     ChatRequest request;
     StreamStart start;
+    Timestamp arrived {};
+};
+
+/*!
+    When the tokens of a request were delivered.
+*/
+struct StreamTiming
+{
+    Timestamp arrived;
+    Timestamp lastToken;
+    Duration firstToken {0}; //!< Time from the arrival to the first token.
+    std::uint64_t tokens = 0;
+
+    /*!
+        Returns the mean time between two tokens, 0 before the second one.
+    */
+    Duration meanGap() const;
 };
 
 /*!
@@ -85,9 +102,17 @@
     */
     std::string takeHandoverTarget();
     //! The caller was told to continue on a peer, which tells it the outcome.
+    bool isHandedOver() const { return m_handedOver; }
     void markHandedOver() { m_handedOver = true; }
     bool isHandoverRequested() const { return m_handoverRequested; }
 
+    /*!
+        Notes that a token was delivered at \a now. Returns the time since the token before, or
+        since the arrival for the first one. Only called by the thread that runs the request.
+    */
+    Duration noteToken(Timestamp now);
+    const StreamTiming &timing() const { return m_timing; }
+
     void setTicket(Ticket ticket) { m_ticket = ticket; }
     Ticket ticket() const { return m_ticket; }
 
@@ -102,6 +127,7 @@
     const std::uint64_t m_fingerprint;
     const std::vector<std::uint64_t> m_blocks;
     Guarded<StreamSession> m_session;
+    StreamTiming m_timing;
     Guarded<RequestResult> m_result;
     Guarded<std::string> m_handoverTarget;
     StreamBuffer m_buffer;
--- a/Source/Node/operatorapi.cpp
+++ b/Source/Node/operatorapi.cpp
@@ -1,5 +1,6 @@
 #include "Node/operatorapi.h"
 
+#include "Adapter/burnjson.h"
 #include "Adapter/json.h"
 #include "Node/answer.h"
 
@@ -39,10 +40,22 @@
         m_drain();
         return reportStatus();
     }
+    if (request.method == "GET" && request.path == "/v1/burn")
+        return reportBurn();
+    if (request.method == "GET" && request.path == "/metrics")
+        return {.headers = {{"Content-Type", "text/plain"}}, .body = m_context.metrics.render()};
     return answerWith(
             notRun({.code = ResultCode::UnknownRoute, .text = "no operator path " + request.path}));
 }
 
+HttpResponse OperatorApi::reportBurn()
+{
+    const auto config = m_context.config();
+    const auto ranks = config ? config->ranks : FleetConfig().ranks;
+    const BurnReport report = m_context.burn.lock()->report(m_context.clock.now(), ranks);
+    return answerJson(dumpBurnReport(report));
+}
+
 HttpResponse OperatorApi::reportStatus()
 {
     const JsonPtr body(json_object());
--- a/Source/Node/operatorapi.h
+++ b/Source/Node/operatorapi.h
@@ -8,7 +8,7 @@
 namespace sesame {
 
 /*!
-    The interface towards operators: status and drain.
+    The interface towards operators: status, drain, service levels and metrics.
 */
 class OperatorApi
 {
@@ -25,6 +25,7 @@
 
 private:
     HttpResponse reportStatus();
+    HttpResponse reportBurn();
 
     NodeContext &m_context;
     std::function<void()> m_drain;
--- a/Source/Node/routeservice.cpp
+++ b/Source/Node/routeservice.cpp
@@ -125,7 +125,22 @@
 HttpResponse RouteService::call(const HttpRequest &request, const Account &account,
                                 const Route &route)
 {
-    return route.idempotent ? callIdempotent(request, route) : callOnce(request, account, route);
+    const Timestamp start = m_context.clock.now();
+    HttpResponse response = route.idempotent ? callIdempotent(request, route)
+                                             : callOnce(request, account, route);
+    recordService(route, response, m_context.clock.now() - start);
+    return response;
+}
+
+void RouteService::recordService(const Route &route, const HttpResponse &response, Duration time)
+{
+    const auto config = m_context.config();
+    const RankPolicy &policy = config->ranks[static_cast<std::size_t>(route.rank)];
+    const bool complete = response.status < firstServerError;
+    m_context.metrics.recordFirstToken(route.rank, time);
+    m_context.metrics.count(complete ? "service_calls_complete" : "service_calls_other");
+    const bool good = complete && time <= policy.firstTokenTarget;
+    m_context.burn.lock()->record(m_context.clock.now(), route.rank, route.prefix, good);
 }
 
 std::optional<BackendView> RouteService::chooseServer(const Route &route,
--- a/Source/Node/routeservice.h
+++ b/Source/Node/routeservice.h
@@ -37,6 +37,7 @@
         bool tooLate = false; //!< The claim's deadline passed before a byte was sent.
     };
 
+    void recordService(const Route &route, const HttpResponse &response, Duration time);
     HttpResponse callIdempotent(const HttpRequest &request, const Route &route);
     HttpResponse callOnce(const HttpRequest &request, const Account &account, const Route &route);
     HttpResponse sendClaimed(const KeyedCall &keyed, const Claim &claim);
