--- a/StandIns/main.cpp
+++ b/StandIns/main.cpp
@@ -1,4 +1,4 @@
-#include "Core/lastreason.h"
+#include "Core/nodesettingsfile.h"
 #include "applicationengine.h"
 #include "callercommand.h"
 #include "cloud.h"
@@ -95,9 +95,10 @@
 {
     const std::vector<char *> words = absl::ParseCommandLine(argc, argv);
     const std::string_view name = words.size() > 1 ? words[1] : "";
-    const auto address = endpointFromText(absl::GetFlag(FLAGS_address));
+    const auto address = parseEndpoint(absl::GetFlag(FLAGS_address));
     if (!address) {
-        std::fprintf(stderr, "--address: %s\n", lastReason().text.c_str());
+        std::fprintf(stderr, "--address: expected IP:PORT, found %s\n",
+                     absl::GetFlag(FLAGS_address).c_str());
         return usageError;
     }
     for (const Command &command : commands) {
--- a/StandIns/termination.h
+++ b/StandIns/termination.h
@@ -1,10 +1,5 @@
 #pragma once
 
-#include "Core/nodesettings.h"
-
-#include <optional>
-#include <string_view>
-
 namespace sesame {
 
 /*!
@@ -17,9 +12,4 @@
 */
 void waitForTermination();
 
-/*!
-    Converts "IP:PORT". Returns std::nullopt with a last reason if \a text is anything else.
-*/
-std::optional<Endpoint> endpointFromText(std::string_view text);
-
 } // namespace sesame
