--- a/Source/Core/admissioncontroller.h
+++ b/Source/Core/admissioncontroller.h
@@ -18,7 +18,9 @@
 
 struct WorkItem
 {
-    std::string pool; //!< Model name or service name.
+    //! Model or service name. Models that share engines need one pool, because ranks and
+    //! accounts are weighed against each other only within a pool.
+    std::string pool;
     Rank rank = Rank::Standard;
     std::string account;
     double accountShare = 1.0; //!< Weight of the account within its rank; above zero.
@@ -137,12 +139,15 @@
         double credit = 0.0; //!< Cost owed to this rank under its floor.
         double virtualTime = 0.0;
         double arrivalCost = 0.0; //!< Cost asked for, decaying.
+        double busyCost = 0.0; //!< With busySeconds, the decaying mean cost per second that
+        double busySeconds = 0.0; //!< was dispatched for this rank while it waited.
     };
     struct Pool
     {
         std::array<RankQueue, rankCount> ranks;
         std::uint32_t inFlight = 0;
         std::uint32_t limit = 0;
+        std::uint32_t share = 0; //!< The limit without borrowed slots.
         std::uint32_t liveNodes = 1;
         double servedCost = 0.0; //!< With servedSeconds, the decaying mean cost per slot-second.
         double servedSeconds = 0.0;
