End a test's processes when the test ends by an assertion

Engines of a failed run stayed alive for 22 minutes and shared their port with those of later runs. A trial with a failing assertion after the start left no process.

--- a/Tests/support/processgroup.cpp
+++ b/Tests/support/processgroup.cpp
@@ -1,7 +1,7 @@
 #include "support/processgroup.h"
 
 #include <fcntl.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -19,6 +19,20 @@
 constexpr int pollMillis = 10;
 constexpr int signalExitBase = 128;
 constexpr int logFileMode = 0644;
+constexpr int executionFailed = 127;
+
+[[noreturn]] void executeInChild(char **arguments, const char *logFile)
+{
+    // A failed assertion ends a test without running destructors. A server that outlives its
+    // test would share the port with the server of the next run and answer for it.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int log = open(logFile, O_WRONLY | O_CREAT | O_APPEND, logFileMode);
+    dup2(log, STDOUT_FILENO);
+    dup2(log, STDERR_FILENO);
+    execv(arguments[0], arguments);
+    _exit(executionFailed);
+}
+
 } // namespace
 
 ProcessGroup::~ProcessGroup()
@@ -35,15 +49,9 @@
     for (const std::string &part : command)
         arguments.push_back(const_cast<char *>(part.c_str()));
     arguments.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, logFileMode);
-    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    pid_t pid = -1;
-    if (posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(), environ) != 0)
-        pid = -1;
-    posix_spawn_file_actions_destroy(&actions);
+    const pid_t pid = fork();
+    if (pid == 0)
+        executeInChild(arguments.data(), logFile.c_str());
     if (pid > 0)
         m_running.push_back(pid);
     return pid;
