Move re-attached streams off a leaving engine, and number attempts by the clock

Ruled out: the handover, since the node was killed. The stream now moves by KV export, and the caller sends the request again with its text on code 1109.

--- a/Generated/peer_types.cpp
+++ b/Generated/peer_types.cpp
@@ -514,7 +514,7 @@
   this->engine = val;
 }
 
-void OpenRequest::__set_attempt(const int32_t val) {
+void OpenRequest::__set_attempt(const int64_t val) {
   this->attempt = val;
 }
 
@@ -606,8 +606,8 @@
         }
         break;
       case 8:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->attempt);
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->attempt);
           this->__isset.attempt = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -666,8 +666,8 @@
   xfer += oprot->writeString(this->engine);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 8);
-  xfer += oprot->writeI32(this->attempt);
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->attempt);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("deliveredText", ::apache::thrift::protocol::T_STRING, 9);
--- a/Generated/peer_types.h
+++ b/Generated/peer_types.h
@@ -315,7 +315,7 @@
   std::string body;
   int64_t deliveredTokens;
   std::string engine;
-  int32_t attempt;
+  int64_t attempt;
   /**
    * Text of the delivered tokens.
    */
@@ -337,7 +337,7 @@
 
   void __set_engine(const std::string& val);
 
-  void __set_attempt(const int32_t val);
+  void __set_attempt(const int64_t val);
 
   void __set_deliveredText(const std::string& val);
 
--- a/Interface/peer.thrift
+++ b/Interface/peer.thrift
@@ -38,7 +38,7 @@
   5: binary body
   6: i64 deliveredTokens
   7: string engine
-  8: i32 attempt
+  8: i64 attempt
   /** Text of the delivered tokens. */
   9: binary deliveredText
 }
--- a/Source/Node/enginecall.cpp
+++ b/Source/Node/enginecall.cpp
@@ -5,6 +5,7 @@
 #include "Core/nodesettingsfile.h"
 #include "Core/sseparser.h"
 
+#include <algorithm>
 #include <charconv>
 #include <string_view>
 
@@ -220,8 +221,11 @@
 
 AttemptResult startAttempt(NodeContext &context, ModelStream &stream, const BackendView &engine)
 {
-    const StreamAttempt attempt = stream.session().lock()->beginAttempt(toAttemptEngine(engine));
-    const bool first = attempt.number == 1;
+    const bool first = stream.session().lock()->attempt() == 0;
+    // Numbers from the wall clock keep two nodes that continue one token from using the same.
+    const auto lowest = static_cast<std::uint64_t>(context.clock.wallMillis());
+    const StreamAttempt attempt = stream.session().lock()->beginAttempt(toAttemptEngine(engine),
+                                                                        lowest);
     stream.buffer().write(makeTokenEvent(context, stream, first ? "accepted" : "moved"));
     const HttpCall call = makeStartCall(context, stream, engine);
     AttemptResult result = readStream(context, stream, call, attempt);
@@ -264,6 +268,8 @@
         source = session->engine();
         attempt = session->attempt();
     }
+    const std::uint64_t next = std::max(attempt + 1,
+                                        static_cast<std::uint64_t>(context.clock.wallMillis()));
     const std::string id = "?id=" + stream.engineRequestId() + "&attempt=";
     const BackendReply exported = callBackend(
             {.method = "POST",
@@ -273,15 +279,15 @@
         return std::nullopt;
     const BackendReply imported = callBackend(
             {.method = "POST",
-             .url = target.address + "/v1/kv/import" + id + std::to_string(attempt + 1),
+             .url = target.address + "/v1/kv/import" + id + std::to_string(next),
              .body = exported.reply.body,
              .timeout = transferTimeout});
     if (imported.status != CallStatus::Replied || imported.reply.status >= statusBadRequest)
         return std::nullopt;
     const AttemptEngine engine = toAttemptEngine(target);
-    stream.session().lock()->continueAttempt(engine, attempt + 1);
+    stream.session().lock()->continueAttempt(engine, next);
     stream.buffer().write(makeTokenEvent(context, stream, "moved"));
-    return attachAttempt(context, stream, engine, attempt + 1);
+    return attachAttempt(context, stream, engine, next);
 }
 
 bool cancelAttempt(ModelStream &stream)
--- a/Source/Node/handoverservice.cpp
+++ b/Source/Node/handoverservice.cpp
@@ -84,7 +84,7 @@
     request.deliveredTokens = static_cast<std::int64_t>(session->nextOffset());
     request.deliveredText = session->resumePrefix();
     request.engine = session->engine().id;
-    request.attempt = static_cast<std::int32_t>(session->attempt());
+    request.attempt = static_cast<std::int64_t>(session->attempt());
     return request;
 }
 
--- a/Source/Node/modelservice.cpp
+++ b/Source/Node/modelservice.cpp
@@ -672,12 +672,29 @@
     return std::make_shared<ModelStream>(std::move(options));
 }
 
+AttemptResult ModelService::transferWithoutPrompt(ModelStream &stream)
+{
+    const AttemptResult lost {.end = AttemptEnd::Lost, .reason = "the engine is leaving"};
+    stream.clearMoveRequest();
+    if (stream.hasPrompt())
+        return lost;
+    const auto target = chooseEngine(stream, {});
+    if (!target)
+        return lost;
+    const auto result = transferAttempt(m_context, stream, *target);
+    m_context.backends.lock()->endCall(target->id, target->incarnation, CallHealth::Neutral,
+                                       m_context.clock.now());
+    return result ? *result : lost;
+}
+
 void ModelService::reattach(const ModelStreamPtr &stream, const ResumeToken &token)
 {
     const AttemptEngine engine {.id = token.engineId,
                                 .incarnation = token.engineIncarnation,
                                 .address = token.engineAddress};
-    const AttemptResult attempt = attachAttempt(m_context, *stream, engine, token.attempt);
+    AttemptResult attempt = attachAttempt(m_context, *stream, engine, token.attempt);
+    while (attempt.end == AttemptEnd::Moved)
+        attempt = transferWithoutPrompt(*stream);
     if (attempt.end == AttemptEnd::Completed) {
         finish(stream, {.outcome = Outcome::Complete, .code = ResultCode::Ok});
         return;
--- a/Source/Node/modelservice.h
+++ b/Source/Node/modelservice.h
@@ -98,6 +98,7 @@
     void finish(const ModelStreamPtr &stream, const RequestResult &result);
     void recordService(ModelStream &stream, const RequestResult &result);
     ModelStreamPtr makeResumedStream(const ResumeToken &token, std::uint64_t offset);
+    AttemptResult transferWithoutPrompt(ModelStream &stream);
     void reattach(const ModelStreamPtr &stream, const ResumeToken &token);
     HttpResponse respond(const ModelStreamPtr &stream);
     HttpResponse collect(const ModelStreamPtr &stream);
--- a/StandIns/chatcall.cpp
+++ b/StandIns/chatcall.cpp
@@ -85,7 +85,10 @@
     HttpCall call = makeCall();
     call.url = m_entry + "/v1/requests/" + m_requestId + "?from=" + std::to_string(m_result.tokens)
             + "&token=" + m_resumeToken;
+    m_runLost = false;
     const Next next = stream(call);
+    if (m_runLost)
+        return Next::Resend;
     // A node that cannot re-attach says so; only the caller still has prompt and text.
     return next == Next::Done && !m_finished ? Next::Resend : next;
 }
@@ -249,6 +252,11 @@
 
 void ChatCall::takeOutcome(std::string_view outcome, int code)
 {
+    // The node has neither the prompt nor the run; the caller has both prompt and text.
+    if (code == static_cast<int>(ResultCode::RequestNotFound)) {
+        m_runLost = true;
+        return;
+    }
     m_finished = true;
     m_result.outcome = outcome;
     m_result.code = code;
--- a/StandIns/chatcall.h
+++ b/StandIns/chatcall.h
@@ -53,6 +53,7 @@
     bool m_sent = false; //!< The request reached an entry, at least partly.
     bool m_resendNext = false; //!< The last resume was refused.
     bool m_finished = false;
+    bool m_runLost = false; //!< The node told that the run cannot be resumed.
     CallResult m_result;
 };
 
--- a/Tests/gracefulstopprocesstest.cpp
+++ b/Tests/gracefulstopprocesstest.cpp
@@ -61,8 +61,15 @@
     sleepMillis(2000);
     deployment.processes().signal(nodes[0].pid, SIGTERM);
     cr_expect_eq(drain(deployment, 1), 0);
-    sleepMillis(100);
+    sleepMillis(1000);
     deployment.processes().signal(nodes[0].pid, SIGTERM);
+    const std::string body = R"({"model":"loft-assessment","max_tokens":4,"messages":[)"
+                             R"({"role":"user","content":"short note"}]})";
+    for (std::size_t n : {0, 1}) {
+        const TestReply reply = callUrl("POST", nodes[n].callerUrl() + "/v1/chat/completions", body,
+                                        callerHeaders());
+        cr_expect_eq(reply.status, 200, "an old address must serve for its ttl of 2 s");
+    }
     cr_expect_eq(deployment.processes().waitForExit(nodes[0].pid, stopTimeoutMillis), 0);
     cr_expect_eq(deployment.processes().waitForExit(nodes[1].pid, stopTimeoutMillis), 0);
     cr_expect_eq(deployment.processes().waitForExit(load, stopTimeoutMillis), 0);
