--- a/Source/Adapter/peerclient.cpp
+++ b/Source/Adapter/peerclient.cpp
@@ -1,5 +1,6 @@
 #include "Adapter/peerclient.h"
 
+#include "Adapter/peertransport.h"
 #include "Adapter/systemclock.h"
 #include "Core/lastreason.h"
 
@@ -36,7 +37,7 @@
     const auto left = std::max(call.timeout - elapsed, std::chrono::milliseconds(1));
     socket->setSendTimeout(static_cast<int>(left.count()));
     socket->setRecvTimeout(static_cast<int>(left.count()));
-    const auto framed = std::make_shared<TFramedTransport>(socket, config);
+    const auto framed = std::make_shared<PeerTransport>(socket, config);
     wire::PeerClient client(std::make_shared<TCompactProtocolT<TFramedTransport>>(
             framed, peerFrameLimitBytes, peerListLimit));
     wire::SealedMessage answer;
--- a/Source/Adapter/peerserver.cpp
+++ b/Source/Adapter/peerserver.cpp
@@ -1,6 +1,7 @@
 #include "Adapter/peerserver.h"
 
 #include "Adapter/log.h"
+#include "Adapter/peertransport.h"
 #include "Adapter/systemclock.h"
 #include "Core/lastreason.h"
 
@@ -27,7 +28,6 @@
 using apache::thrift::protocol::TCompactProtocolFactory;
 using apache::thrift::server::TServerEventHandler;
 using apache::thrift::server::TThreadPoolServer;
-using apache::thrift::transport::TFramedTransport;
 using apache::thrift::transport::TServerSocket;
 using apache::thrift::transport::TTransport;
 using apache::thrift::transport::TTransportFactory;
@@ -42,7 +42,7 @@
     {
         const auto config = std::make_shared<TConfiguration>(peerFrameLimitBytes,
                                                              peerFrameLimitBytes);
-        return std::make_shared<TFramedTransport>(transport, config);
+        return std::make_shared<PeerTransport>(transport, config);
     }
 };
 
--- /dev/null
+++ b/Source/Adapter/peertransport.cpp
@@ -0,0 +1,33 @@
+#include "Adapter/peertransport.h"
+
+#include <atomic>
+
+namespace sesame {
+
+namespace {
+constexpr std::uint64_t frameHeaderBytes = 4;
+std::atomic<std::uint64_t> bytesSent {0};
+std::atomic<std::uint64_t> bytesReceived {0};
+} // namespace
+
+PeerTraffic peerTraffic()
+{
+    return {.bytesSent = bytesSent, .bytesReceived = bytesReceived};
+}
+
+void PeerTransport::flush()
+{
+    // The buffer begins with room for the frame's header.
+    bytesSent += static_cast<std::uint64_t>(wBase_ - wBuf_.get());
+    TFramedTransport::flush();
+}
+
+bool PeerTransport::readFrame()
+{
+    if (!TFramedTransport::readFrame())
+        return false;
+    bytesReceived += static_cast<std::uint64_t>(rBound_ - rBase_) + frameHeaderBytes;
+    return true;
+}
+
+} // namespace sesame
--- a/Source/Node/operatorapi.cpp
+++ b/Source/Node/operatorapi.cpp
@@ -1,6 +1,7 @@
 #include "Node/operatorapi.h"
 
 #include "Adapter/json.h"
+#include "Adapter/peertransport.h"
 #include "Node/answer.h"
 
 #include <string>
@@ -59,6 +60,11 @@
     json_object_set_new(body.get(), "store_reachable", json_boolean(m_context.storeReachable));
     json_object_set_new(body.get(), "open_streams",
                         json_integer(static_cast<json_int_t>(m_context.streams.size())));
+    const PeerTraffic traffic = peerTraffic();
+    json_object_set_new(body.get(), "peer_bytes_sent",
+                        json_integer(static_cast<json_int_t>(traffic.bytesSent)));
+    json_object_set_new(body.get(), "peer_bytes_received",
+                        json_integer(static_cast<json_int_t>(traffic.bytesReceived)));
     json_t *peers = json_array();
     json_object_set_new(body.get(), "peers", peers);
     for (const Peer &peer : m_context.membership.lock()->liveNodes()) {
