--- a/Source/Node/streambuffer.cpp
+++ b/Source/Node/streambuffer.cpp
@@ -16,8 +16,13 @@
     });
     if (m_closed)
         return false;
+    const bool wasEmpty = m_text.empty();
     m_text.append(text);
-    m_changed.notify_all();
+    lock.unlock();
+    // Notified without the lock, so that the reader does not wake up only to wait for it. A
+    // reader waits only while the text is empty.
+    if (wasEmpty)
+        m_changed.notify_all();
     return true;
 }
 
@@ -37,7 +42,10 @@
     if (m_text.empty() && (m_finished || m_closed))
         return std::nullopt;
     std::string text = std::exchange(m_text, {});
-    m_changed.notify_all();
+    lock.unlock();
+    // A writer waits only while the text is at its limit.
+    if (text.size() >= unreadLimitBytes)
+        m_changed.notify_all();
     return text;
 }
 
