--- a/Tests/membershiptest.cpp
+++ b/Tests/membershiptest.cpp
@@ -28,7 +28,10 @@
 
 Rumour nodeRumour(RumourKind kind, const std::string &node, std::int64_t incarnation)
 {
-    return {.kind = kind, .subject = node, .incarnation = incarnation, .detail = "10.0.0.2:2 10.0.0.2:3 z"};
+    return {.kind = kind,
+            .subject = node,
+            .incarnation = incarnation,
+            .detail = "10.0.0.2:2 10.0.0.2:3 z"};
 }
 
 Timestamp at(Millis time)
