Start and stop model engines from the entry node that holds a lease

The planner, the lease and the order issuer had no caller in the node. The holder of the lease "capacity" now compares plan and fleet once per interval, starts what is missing, stops its own surplus engines once they report no work, and orders engines to load the models of their class. It is off by default.

The cloud API checks no fencing numbers. Starts therefore use the client tokens of recorded slots, and a slot keeps its token after a refusal and for another zone or market. A new token for each attempt was ruled out, because a late start of a paused holder under an abandoned token is not counted against the limit. OrderIssuer changes the token with the state and is used for the orders to engines only.

The cloud stand-in can refuse one zone or market and lose the answers of starts; the engine stand-in lists a model once when it is loaded twice.

--- a/Source/Adapter/cloudclient.cpp
+++ b/Source/Adapter/cloudclient.cpp
@@ -112,6 +112,17 @@
 }
 
 std::optional<std::vector<ListedInstance>> CloudClient::instances() const
+{
+    auto instances = allInstances();
+    if (instances) {
+        std::erase_if(*instances, [](const ListedInstance &instance) {
+            return instance.address.empty();
+        });
+    }
+    return instances;
+}
+
+std::optional<std::vector<ListedInstance>> CloudClient::allInstances() const
 {
     const JsonPtr value = read("/v1/instances");
     if (!value)
@@ -122,7 +133,7 @@
     std::vector<ListedInstance> instances;
     for (std::size_t n = 0; n < json_array_size(list); ++n) {
         auto instance = instanceFromJson(json_array_get(list, n));
-        if (instance && !instance->address.empty())
+        if (instance)
             instances.push_back(std::move(*instance));
     }
     return instances;
--- a/Source/Adapter/cloudclient.h
+++ b/Source/Adapter/cloudclient.h
@@ -58,6 +58,11 @@
     */
     std::optional<std::vector<ListedInstance>> instances() const;
 
+    /*!
+        As instances(), but with those that have no address yet.
+    */
+    std::optional<std::vector<ListedInstance>> allInstances() const;
+
     /*!
         Returns the notices after sequence number \a after.
     */
--- a/Source/Core/admissioncontroller.cpp
+++ b/Source/Core/admissioncontroller.cpp
@@ -476,6 +476,16 @@
     return pool ? pool->inFlight : 0;
 }
 
+std::array<std::uint32_t, rankCount> AdmissionController::openItems(std::string_view pool) const
+{
+    std::array<std::uint32_t, rankCount> counts {};
+    for (const auto &[ticket, entry] : m_entries) {
+        if (entry.item.pool == pool)
+            ++counts[static_cast<std::size_t>(entry.item.rank)];
+    }
+    return counts;
+}
+
 std::uint32_t AdmissionController::slotLimit(std::string_view name) const
 {
     const Pool *pool = findPool(name);
--- a/Source/Core/admissioncontroller.h
+++ b/Source/Core/admissioncontroller.h
@@ -119,6 +119,11 @@
 
     std::size_t waiting(std::string_view pool, Rank rank) const;
     std::uint32_t inFlight(std::string_view pool) const;
+
+    /*!
+        Returns the numbers of waiting and running items of \a pool by rank.
+    */
+    std::array<std::uint32_t, rankCount> openItems(std::string_view pool) const;
     std::uint32_t slotLimit(std::string_view pool) const;
 
 private:
--- a/Source/Core/fleetconfig.h
+++ b/Source/Core/fleetconfig.h
@@ -79,6 +79,8 @@
     double retryBudget = 0.1; //!< Retries per successful call.
     std::chrono::seconds recoveryGrace {10}; //!< Good health needed before full share again.
     std::uint32_t capacityLimit = 0; //!< Largest number of model engines. May only grow.
+    bool capacityControl = false; //!< Whether the fleet starts and stops its model engines.
+    std::chrono::seconds capacityInterval {10}; //!< Between two comparisons of plan and fleet.
 };
 
 /*!
--- a/Source/Core/fleetexceptions.cpp
+++ b/Source/Core/fleetexceptions.cpp
@@ -14,9 +14,10 @@
         = "defaults.KEY, ranks.RANK.KEY, account.share, route.timeout_ms, route.rank, model.rank";
 
 // Nodes must agree on these: shards are found by hash, claims are dropped by age, and the
-// capacity limit is one number for the fleet.
-constexpr std::array<std::string_view, 2> fleetOnlyKeys {"defaults.capacity_limit",
-                                                         "defaults.claim_retention_hours"};
+// capacity limit and control are the same whichever node holds the lease.
+constexpr std::array<std::string_view, 4> fleetOnlyKeys {
+        "defaults.capacity_limit", "defaults.capacity_control",
+        "defaults.capacity_interval_seconds", "defaults.claim_retention_hours"};
 // A change would look for existing claims in other shards and run a call a second time.
 constexpr std::string_view fixedKey = "defaults.claim_shards";
 
--- a/Source/Core/fleetfields.cpp
+++ b/Source/Core/fleetfields.cpp
@@ -14,7 +14,7 @@
 constexpr double largestBody = 64.0 * 1024 * 1024;
 constexpr double largestCount = 1'000'000;
 
-constexpr std::array<NumberField<FleetDefaults>, 9> defaultTable {{
+constexpr std::array<NumberField<FleetDefaults>, 11> defaultTable {{
         {"body_limit_bytes", NumberKind::Integer, 1024, largestBody,
          [](FleetDefaults &to, double n) {
              to.bodyLimitBytes = static_cast<std::size_t>(n);
@@ -54,6 +54,14 @@
              to.capacityLimit = static_cast<std::uint32_t>(n);
          },
          true},
+        {"capacity_control", NumberKind::Boolean, 0, 1,
+         [](FleetDefaults &to, double n) {
+             to.capacityControl = n != 0.0;
+         }},
+        {"capacity_interval_seconds", NumberKind::Integer, 1, 3600,
+         [](FleetDefaults &to, double n) {
+             to.capacityInterval = seconds(static_cast<int>(n));
+         }},
 }};
 
 constexpr std::array<NumberField<RankPolicy>, 6> rankTable {{
--- a/Source/Core/orderissuer.h
+++ b/Source/Core/orderissuer.h
@@ -119,6 +119,20 @@
         return store(states);
     }
 
+    /*!
+        Returns the targets that have a desired state, or std::nullopt as for
+        DesireStatus::LeaseLost and DesireStatus::StoreUnavailable.
+    */
+    std::optional<std::set<std::string>> targets()
+    {
+        if (adopt() != DesireStatus::Recorded)
+            return std::nullopt;
+        std::set<std::string> names;
+        for (const wire::DesiredEntry &entry : m_states.entries)
+            names.insert(entry.target);
+        return names;
+    }
+
     /*!
         Compares every target with its desired state and orders what differs.
     */
--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -35,6 +35,7 @@
 #include "Core/servicerouter.h"
 #include "Core/settingserror.h"
 #include "Core/sseparser.h"
+#include "Core/startrecord.h"
 #include "Core/streamsession.h"
 #include "Core/suspecttable.h"
 #include "Core/wireformat.h"
--- /dev/null
+++ b/Source/Core/startrecord.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "Core/market.h"
+#include "Core/ports.h"
+#include "Core/wireformat.h"
+
+#include <lease_types.h>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace sesame {
+
+enum class StartState : std::uint8_t {
+    Idle, //!< The token was refused or not used yet; a start under it may still be on its way.
+    Asked, //!< A start was or will be sent, and its answer is not known.
+    Started, //!< The cloud named the instance, which is not listed yet.
+    Listed,
+    Leaving //!< To be stopped as soon as it is idle.
+};
+
+/*!
+    The right to start one instance. Its client token never changes, so that all starts under it,
+    also late ones of an earlier lease holder and those for another zone, start one instance.
+*/
+struct StartSlot
+{
+    std::string token;
+    StartState state = StartState::Idle;
+    std::string className;
+    std::string zone;
+    Market market = Market::Reclaimable;
+    std::string instance; //!< From StartState::Started on.
+};
+
+/*!
+    The start slots of the capacity controller, in the object "desired/NAME".
+
+    A slot is recorded before it is used. The record holds at most as many slots as instances may
+    be started, which bounds the starts of all holders together.
+*/
+template <ObjectStore Store>
+class StartRecord
+{
+public:
+    /*!
+        \a nonce makes the tokens differ from those of a store that was restored or emptied.
+    */
+    StartRecord(Store &store, std::string_view name, std::uint64_t nonce)
+        : m_store(store), m_key("desired/" + std::string(name)), m_name(name), m_nonce(nonce)
+    {
+    }
+
+    /*!
+        Takes the record over for the holder with number \a fencing, which ends the writes of
+        earlier holders. Returns false if a later holder has it or the store is unavailable.
+    */
+    bool adopt(std::uint64_t fencing)
+    {
+        if (m_term == fencing)
+            return true;
+        const StoreResult found = m_store.read(m_key);
+        wire::DesiredStates states;
+        if (found.status == StoreStatus::Ok) {
+            const auto decoded = decodeWire<wire::DesiredStates>(found.value);
+            if (!decoded || static_cast<std::uint64_t>(decoded->fencing) > fencing)
+                return false;
+            states = *decoded;
+        } else if (found.status != StoreStatus::NotFound) {
+            return false;
+        }
+        m_version = found.version;
+        m_tokens = states.tokens;
+        m_term = fencing;
+        return save(decode(states));
+    }
+
+    const std::vector<StartSlot> &slots() const { return m_slots; }
+
+    /*!
+        Returns a slot with a new token; it counts once it is saved.
+    */
+    StartSlot makeSlot()
+    {
+        StartSlot slot;
+        slot.token = m_name + "-" + std::to_string(m_nonce) + "-" + std::to_string(++m_tokens);
+        return slot;
+    }
+
+    /*!
+        Writes \a slots. Returns false if it is not known to be written; adopt() must then be
+        called before anything else.
+    */
+    bool save(std::vector<StartSlot> slots)
+    {
+        wire::DesiredStates states;
+        states.fencing = static_cast<std::int64_t>(m_term);
+        states.tokens = m_tokens;
+        for (const StartSlot &slot : slots)
+            states.entries.push_back(encode(slot));
+        const StoreResult written = m_store.writeIf(m_key, encodeWire(states), m_version);
+        if (written.status != StoreStatus::Ok) {
+            m_term = 0;
+            return false;
+        }
+        m_version = written.version;
+        m_slots = std::move(slots);
+        return true;
+    }
+
+private:
+    static constexpr std::array<std::string_view, 5> stateNames {"idle", "asked", "started",
+                                                                 "listed", "leaving"};
+
+    static wire::DesiredEntry encode(const StartSlot &slot)
+    {
+        wire::DesiredEntry entry;
+        entry.target = slot.token;
+        entry.clientToken = slot.token;
+        std::ostringstream text;
+        text << stateNames[static_cast<std::size_t>(slot.state)] << '\t' << slot.className << '\t'
+             << slot.zone << '\t' << static_cast<int>(slot.market) << '\t' << slot.instance;
+        entry.state = text.str();
+        return entry;
+    }
+
+    static std::vector<StartSlot> decode(const wire::DesiredStates &states)
+    {
+        std::vector<StartSlot> slots;
+        for (const wire::DesiredEntry &entry : states.entries) {
+            StartSlot slot;
+            slot.token = entry.clientToken;
+            std::istringstream text(entry.state);
+            std::string state;
+            std::string market;
+            std::getline(text, state, '\t');
+            std::getline(text, slot.className, '\t');
+            std::getline(text, slot.zone, '\t');
+            std::getline(text, market, '\t');
+            std::getline(text, slot.instance);
+            slot.market = market == "0" ? Market::Reclaimable : Market::OnDemand;
+            for (std::size_t n = 0; n < stateNames.size(); ++n) {
+                if (stateNames[n] == state)
+                    slot.state = static_cast<StartState>(n);
+            }
+            slots.push_back(std::move(slot));
+        }
+        return slots;
+    }
+
+    Store &m_store;
+    std::string m_key;
+    std::string m_name;
+    std::uint64_t m_nonce;
+    std::uint64_t m_term = 0;
+    std::uint64_t m_version = 0;
+    std::int64_t m_tokens = 0;
+    std::vector<StartSlot> m_slots;
+};
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Node/capacitycontroller.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "Adapter/cloudclient.h"
+#include "Core/capacityplanner.h"
+#include "Core/leaseholder.h"
+#include "Core/orderissuer.h"
+#include "Core/startrecord.h"
+#include "Node/engineordertarget.h"
+#include "Node/nodecontext.h"
+#include "Node/peerexchange.h"
+
+#include <array>
+#include <map>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sesame {
+
+/*!
+    Starts and stops model engines, and orders them to load models, while this node holds the
+    lease "capacity". Used by one thread.
+
+    The capacity limit is kept by counting slots and not answers: every start uses the client
+    token of a recorded slot, and slots and other listed engines together never exceed the limit
+    when a slot is added. Only instances that the controller started are stopped.
+*/
+class CapacityController
+{
+public:
+    CapacityController(NodeContext &context, PeerExchange &peers);
+
+    /*!
+        Measures demand, renews the lease and, once per interval, compares plan and fleet.
+        To be called several times a second.
+    */
+    void tick();
+
+private:
+    using Lease = LeaseHolder<ObjectServiceClient, SystemClock>;
+    using Issuer = OrderIssuer<ObjectServiceClient, SystemClock, EngineOrderTarget>;
+    using Slots = std::vector<StartSlot>;
+
+    //! The fleet as one step sees it.
+    struct View
+    {
+        std::vector<ListedInstance> listed; //!< Model engines in the cloud API's list.
+        std::vector<BackendView> engines;
+        std::uint32_t limit = 0;
+    };
+
+    void sampleDemand(const FleetConfig &config, Timestamp now);
+    bool holdLease(Timestamp now);
+    void resign();
+    void step(const FleetConfig &config);
+
+    std::optional<View> observe();
+    bool adoptList(const View &view, bool listEmpty);
+    void repeatUnanswered();
+    void stopIdle(const View &view);
+    void followPlan(const FleetConfig &config, const BackendClass &backendClass, const View &view);
+    void startOne(const CapacityOption &option, const View &view);
+    bool sendStart(const std::string &token);
+    void stopSurplus(const BackendClass &backendClass, const CapacityPlan &plan,
+                     std::span<const CapacityOption> options, const View &view);
+    CapacityDemand demandOf(const FleetConfig &config, const BackendClass &backendClass) const;
+    std::vector<CapacityOption> optionsOf(const FleetConfig &config,
+                                          const BackendClass &backendClass, const View &view) const;
+    std::uint32_t countRunning(const CapacityOption &option, const View &view) const;
+    LoadState loadState(const std::string &className, const View &view) const;
+    bool isOwned(std::string_view instance) const;
+
+    void orderModels(const FleetConfig &config, Fencing fencing, Issuer &issuer);
+
+    NodeContext &m_context;
+    PeerExchange &m_peers;
+    CloudClient m_cloud;
+    EngineOrderTarget m_engines;
+    Lease m_lease;
+    StartRecord<ObjectServiceClient> m_record;
+    Issuer m_checkedOrders;
+    Issuer m_uncheckedOrders;
+    std::map<std::string, CapacityPlanner> m_planners; //!< By backend class.
+    std::map<std::string, std::array<double, rankCount>> m_demand; //!< Open requests by model.
+    std::map<std::string, Timestamp> m_slotSince; //!< By token: when this holder first saw it.
+    std::map<std::string, Timestamp> m_leavingSince; //!< By token.
+    std::map<std::string, std::uint32_t> m_surplusSteps; //!< By backend class.
+    std::mt19937_64 m_random;
+    std::uint64_t m_loggedTerm = 0;
+    Timestamp m_nextLease;
+    Timestamp m_nextStep;
+    Timestamp m_sampledAt;
+};
+
+} // namespace sesame
--- a/Source/Node/entrynode.cpp
+++ b/Source/Node/entrynode.cpp
@@ -6,6 +6,7 @@
 #include "Core/nodesettingsfile.h"
 #include "Node/backendmonitor.h"
 #include "Node/callerapi.h"
+#include "Node/capacitycontroller.h"
 #include "Node/fleetwatcher.h"
 #include "Node/handoverservice.h"
 #include "Node/modelservice.h"
@@ -31,6 +32,7 @@
 constexpr std::chrono::milliseconds fleetInterval {200};
 constexpr std::chrono::milliseconds cloudInterval {250};
 constexpr std::chrono::milliseconds engineInterval {500};
+constexpr std::chrono::milliseconds capacityInterval {250};
 constexpr std::chrono::milliseconds dispatchInterval {50};
 constexpr std::chrono::milliseconds ledgerInterval {1000};
 constexpr std::chrono::milliseconds idlePoll {20};
@@ -50,7 +52,8 @@
                                                  [this] {
                                                      reclaim();
                                                  }),
-          m_callerApi(m_context, m_models, m_routes), m_operatorApi(m_context, [this] {
+          m_capacity(m_context, m_peers), m_callerApi(m_context, m_models, m_routes),
+          m_operatorApi(m_context, [this] {
               withdraw();
           })
     {
@@ -173,6 +176,9 @@
         repeat(engineInterval, [this] {
             m_monitor.pollEngines();
         });
+        repeat(capacityInterval, [this] {
+            m_capacity.tick();
+        });
         repeat(dispatchInterval, [this] {
             m_models.dispatchWaiting();
         });
@@ -199,6 +205,7 @@
     PeerExchange m_peers;
     FleetWatcher m_fleet;
     BackendMonitor m_monitor;
+    CapacityController m_capacity;
     CallerApi m_callerApi;
     OperatorApi m_operatorApi;
     std::optional<PeerServer> m_peerServer;
--- a/StandIns/cloud.cpp
+++ b/StandIns/cloud.cpp
@@ -65,6 +65,9 @@
     std::int64_t m_startCount = 0;
     Milliseconds m_listLag {0};
     bool m_refuseStarts = false;
+    std::string m_refusedZone; //!< Starts in it are refused.
+    std::string m_refusedMarket; //!< Starts in it are refused.
+    std::int64_t m_loseAnswers = 0; //!< Starts to execute without an answer.
 };
 
 HttpResponse Cloud::handle(const HttpRequest &request)
@@ -136,7 +139,9 @@
     // A repeated order is answered as the first one, even while starts are refused.
     auto it = m_started.find(token);
     if (it == m_started.end()) {
-        if (m_refuseStarts)
+        const std::string zone = jsonString(order, "zone");
+        if (m_refuseStarts || zone == m_refusedZone
+            || jsonString(order, "market") == m_refusedMarket)
             return reply(409);
         const std::string id = "started-" + std::to_string(++m_startCount);
         m_instances[id] = ListedInstance {.id = id,
@@ -151,7 +156,10 @@
     }
     JsonPtr body(json_object());
     json_object_set_new(body.get(), "id", json_string(it->second.c_str()));
-    return reply(200, body);
+    HttpResponse response = reply(200, body);
+    response.broken = m_loseAnswers > 0;
+    m_loseAnswers -= response.broken ? 1 : 0;
+    return response;
 }
 
 HttpResponse Cloud::stop(const std::string &id)
@@ -205,6 +213,9 @@
         return reply(400);
     m_listLag = Milliseconds(lag);
     m_refuseStarts = jsonBool(body, "refuse_starts", m_refuseStarts);
+    m_refusedZone = jsonString(body, "refuse_zone", m_refusedZone);
+    m_refusedMarket = jsonString(body, "refuse_market", m_refusedMarket);
+    m_loseAnswers = jsonInteger(body, "lose_answers", m_loseAnswers);
     return reply(200);
 }
 
--- a/StandIns/enginehandler.cpp
+++ b/StandIns/enginehandler.cpp
@@ -319,13 +319,14 @@
     const std::scoped_lock lock(m_ordersMutex);
     if (m_options.checksFencing && fencing < m_highestFencing)
         return errorResponse(409, "old fencing number");
-    if (order == "load_model")
+    if (order == "load_model"
+        && std::find(m_models.begin(), m_models.end(), argument) == m_models.end())
         m_models.push_back(argument);
     else if (order == "unload_model")
         std::erase(m_models, argument);
     else if (order == "set_role")
         m_role = argument;
-    else if (order != "load_adapter" && order != "load_version")
+    else if (order != "load_model" && order != "load_adapter" && order != "load_version")
         return errorResponse(400, "unknown order");
     m_highestFencing = std::max(m_highestFencing, fencing);
     const JsonPtr reply(json_pack("{s:I}", "fencing", static_cast<json_int_t>(m_highestFencing)));
--- a/Tests/fleetfiletest.cpp
+++ b/Tests/fleetfiletest.cpp
@@ -83,6 +83,8 @@
     cr_assert(config.has_value());
     cr_expect_eq(config->defaults.claimRetention, std::chrono::hours(168));
     cr_expect_eq(config->defaults.capacityLimit, 24);
+    cr_expect_not(config->defaults.capacityControl);
+    cr_expect_eq(config->defaults.capacityInterval, std::chrono::seconds(10));
     cr_expect_eq(config->ranks[0].tokenGapTarget, std::chrono::milliseconds(57));
     cr_expect_eq(config->ranks[2].queueLimit, std::chrono::milliseconds(300'000));
     cr_expect_float_eq(config->ranks[1].floorShare, 0.1, 1e-9);
@@ -104,6 +106,9 @@
             {"entry_ttl_seconds = 10", "retry_budget = nan", "defaults.retry_budget"},
             {"entry_ttl_seconds = 10", "cancel_on_disconnect = 1", "defaults.cancel_on_disconnect"},
             {"capacity_limit = 10", "", "defaults.capacity_limit"},
+            {"entry_ttl_seconds = 10", "capacity_control = 1", "defaults.capacity_control"},
+            {"entry_ttl_seconds = 10", "capacity_interval_seconds = 0",
+             "defaults.capacity_interval_seconds"},
             {"floor_share = 0.1", "floor_share = 0.96", "ranks"},
             {"[ranks.batch]\nfloor_share = 0.05", "", "ranks.batch"},
             {"kind = \"model_engine\"", "kind = \"engine\"", "backend_class[0].kind"},
@@ -185,6 +190,8 @@
             {"defaults.claim_shards", "fleet", "32", "key"},
             {"defaults.entry_ttl_seconds", "zone:west", "20", "scope"},
             {"defaults.capacity_limit", "zone:north", "20", "scope"},
+            {"defaults.capacity_control", "zone:north", "true", "scope"},
+            {"defaults.capacity_interval_seconds", "zone:north", "20", "scope"},
             {"account.share", "account:x", "2", "scope"},
             {"route.timeout_ms", "route:/x", "2", "scope"},
             {"defaults.entry_ttl_seconds", "fleet", "1.5", "value"},
--- a/Tests/support/testdeployment.cpp
+++ b/Tests/support/testdeployment.cpp
@@ -94,6 +94,8 @@
     std::string text = readFile(PROJECT_DIRECTORY "/examples/nunkapok.toml");
     text = std::regex_replace(text, std::regex("entry_ttl_seconds = \\d+"),
                               "entry_ttl_seconds = 2");
+    text = std::regex_replace(text, std::regex("capacity_limit = \\d+"),
+                              "capacity_limit = " + std::to_string(m_options.capacityLimit));
     writeFile(fleetFile(), text);
 }
 
@@ -118,11 +120,15 @@
         Backend engine {.id = "engine-" + std::to_string(n + 1),
                         .zone = zones[zone],
                         .url = "http://" + address};
-        engine.pid = m_processes.start({STANDINS_BINARY, "engine", "--address=" + address,
-                                        "--instance=" + engine.id,
-                                        "--slots=" + std::to_string(m_options.slots),
-                                        "--token_ms=" + std::to_string(m_options.tokenMillis)},
-                                       logFile(engine.id));
+        std::vector<std::string> command {STANDINS_BINARY,
+                                          "engine",
+                                          "--address=" + address,
+                                          "--instance=" + engine.id,
+                                          "--slots=" + std::to_string(m_options.slots),
+                                          "--token_ms=" + std::to_string(m_options.tokenMillis)};
+        command.insert(command.end(), m_options.engineArguments.begin(),
+                       m_options.engineArguments.end());
+        engine.pid = m_processes.start(command, logFile(engine.id));
         m_engines.push_back(engine);
     }
     for (int n = 0; n < m_options.applications; ++n) {
--- a/Tests/support/testdeployment.h
+++ b/Tests/support/testdeployment.h
@@ -17,6 +17,8 @@
     int applications = 2;
     double tokenMillis = 5.0;
     int slots = 16;
+    int capacityLimit = 24;
+    std::vector<std::string> engineArguments {}; //!< Added to each engine's command line.
 };
 
 /*!
