--- a/Source/Adapter/httpserver.cpp
+++ b/Source/Adapter/httpserver.cpp
@@ -184,7 +184,7 @@
     ulfius_set_default_endpoint(instance, &dispatch, &state->handler);
     const auto completed = reinterpret_cast<intptr_t>(&countEnd);
     const auto logger = reinterpret_cast<intptr_t>(&countStart);
-    std::array<MHD_OptionItem, 9> items {{
+    std::array<MHD_OptionItem, 8> items {{
             {MHD_OPTION_NOTIFY_COMPLETED, completed, &state->activeRequests},
             {MHD_OPTION_URI_LOG_CALLBACK, logger, &state->activeRequests},
             {MHD_OPTION_SOCK_ADDR, 0, &state->address},
@@ -193,7 +193,6 @@
             {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(options.connectionLimit), nullptr},
             {MHD_OPTION_CONNECTION_MEMORY_LIMIT, connectionMemoryBytes, nullptr},
             {MHD_OPTION_THREAD_STACK_SIZE, threadStackBytes, nullptr},
-            {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr},
             {MHD_OPTION_END, 0, nullptr},
     }};
     // poll() instead of select(), because a node has more than 1,024 open descriptors.
--- a/Source/Node/entrynode.cpp
+++ b/Source/Node/entrynode.cpp
@@ -146,6 +146,10 @@
                 + std::to_string(settings.peerAddress.port);
         const StoreResult old = m_context.store.read(ownKey);
         m_context.store.writeIf(ownKey, address, old.version);
+        std::erase_if(seeds, [&settings](const Endpoint &it) {
+            return it.host == settings.peerAddress.host && it.port == settings.peerAddress.port;
+        });
+        m_context.fleet.lock()->setPeerCount(seeds.size());
         m_context.membership.lock()->join(std::move(seeds));
     }
 
--- a/Source/Node/fleetwatcher.cpp
+++ b/Source/Node/fleetwatcher.cpp
@@ -13,6 +13,8 @@
 // Shorter than FleetKeeperOptions::freshness, so that a quiet store still counts as reached.
 constexpr std::chrono::milliseconds watchWait {2000};
 constexpr std::chrono::milliseconds failurePause {500};
+// Shows a restore of the store that enough later writes have hidden from the revision.
+constexpr std::chrono::seconds rereadInterval {10};
 
 } // namespace
 
@@ -35,7 +37,8 @@
     }
     const bool restored = changes->revision < m_revision;
     m_revision = changes->revision;
-    if (restored || !changes->objects.empty())
+    const bool due = m_context.clock.now() - m_lastRead >= rereadInterval;
+    if (restored || due || !changes->objects.empty())
         readStore();
 }
 
@@ -55,6 +58,7 @@
         }
     }
     m_hasRead = reachable;
+    m_lastRead = m_context.clock.now();
     if (reachable)
         restoreStore(read.version, storedVersion);
 }
@@ -72,6 +76,9 @@
 
 void FleetWatcher::tick()
 {
+    const std::size_t live = m_context.membership.lock()->liveNodes().size();
+    if (live > 1)
+        m_context.fleet.lock()->setPeerCount(live - 1);
     m_peers.pullFleet();
     std::optional<std::string> alarm;
     std::uint64_t version = 0;
@@ -86,8 +93,9 @@
     }
     if (alarm)
         logEvent(LogLevel::Error, "fleet configuration alarm", {{"reason", *alarm}});
-    if (config && version != m_appliedVersion) {
-        m_appliedVersion = version;
+    // After a restore of the store the same version can be adopted with other content.
+    if (config && config != m_applied) {
+        m_applied = config;
         m_context.backends.lock()->setRecoveryGrace(config->defaults.recoveryGrace);
         m_context.admission.lock()->setOptions(AdmissionOptions {.ranks = config->ranks});
         m_context.retries.lock()->setRetriesPerSuccess(config->defaults.retryBudget);
--- a/Source/Node/fleetwatcher.h
+++ b/Source/Node/fleetwatcher.h
@@ -35,7 +35,8 @@
     PeerExchange &m_peers;
     std::uint64_t m_revision = 0;
     bool m_hasRead = false;
-    std::uint64_t m_appliedVersion = 0;
+    Timestamp m_lastRead;
+    std::shared_ptr<const FleetConfig> m_applied;
 };
 
 } // namespace sesame
--- a/Source/Node/modelservice.cpp
+++ b/Source/Node/modelservice.cpp
@@ -14,9 +14,7 @@
 
 namespace {
 
-constexpr std::size_t longestRequestId = 64;
 constexpr std::chrono::milliseconds readWait {1000};
-constexpr std::chrono::milliseconds engineCheckTimeout {500};
 constexpr std::chrono::milliseconds suspectPause {100};
 constexpr std::chrono::minutes longestService {30};
 // A model with grouped-query attention and 16-bit values stores about this much per token.
@@ -25,110 +23,9 @@
 constexpr std::chrono::milliseconds transferOverhead {10};
 constexpr std::chrono::seconds shortestNotice {5}; // Transfers that need longer are not tried.
 
-std::string incarnationOf(const BackendView &engine)
-{
-    return engine.id + "#" + std::to_string(engine.incarnation);
-}
-
-bool isValidRequestId(std::string_view id)
-{
-    const auto allowed = [](unsigned char c) {
-        return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
-    };
-    return !id.empty() && id.size() <= longestRequestId
-            && std::all_of(id.begin(), id.end(), allowed);
-}
-
-std::string newRequestId()
-{
-    return "r" + std::to_string(randomSeed());
-}
-
-std::optional<std::uint64_t> parseOffset(const std::optional<std::string> &text)
-{
-    if (!text)
-        return 0;
-    std::uint64_t value = 0;
-    const char *end = text->data() + text->size();
-    const auto [rest, ec] = std::from_chars(text->data(), end, value);
-    if (ec != std::errc() || rest != end)
-        return std::nullopt;
-    return value;
-}
-
-const Model *findModel(const FleetConfig &config, std::string_view name)
-{
-    for (const Model &model : config.models) {
-        if (model.name == name)
-            return &model;
-    }
-    return nullptr;
-}
-
 } // namespace
 
-std::optional<Rank> ModelService::chooseRank(const HttpRequest &request, const Account &account,
-                                             const Model &model) const
-{
-    Rank rank = model.rank;
-    if (const auto claimed = request.header("X-Rank")) {
-        const auto parsed = parseRank(*claimed);
-        if (!parsed)
-            return fail(ResultCode::MalformedRequest,
-                        "X-Rank: allowed are urgent, standard and batch");
-        rank = *parsed;
-    }
-    if (std::find(account.ranks.begin(), account.ranks.end(), rank) == account.ranks.end())
-        return fail(ResultCode::RankNotGranted, "the account may not use this rank");
-    return rank;
-}
-
-std::optional<ModelService::PreparedRequest> ModelService::prepare(const HttpRequest &request,
-                                                                   const Account &account)
-{
-    const auto config = m_context.config();
-    auto chat = parseChatRequest(request.body);
-    if (!chat)
-        return std::nullopt;
-    const Model *model = findModel(*config, chat->model);
-    if (!model)
-        return fail(ResultCode::UnknownModel, "model: " + chat->model + " is not declared");
-    const auto rank = chooseRank(request, account, *model);
-    if (!rank)
-        return std::nullopt;
-    const std::string requestId = request.header("X-Request-Id").value_or(newRequestId());
-    if (!isValidRequestId(requestId))
-        return fail(ResultCode::MalformedRequest,
-                    "X-Request-Id: allowed are 1 to 64 letters, digits, '-', '_' and '.'");
-    const auto offset = parseOffset(request.header("X-Resume-From"));
-    if (!offset || (*offset > 0) != !chat->receivedText.empty())
-        return fail(ResultCode::MalformedRequest,
-                    "X-Resume-From: must count the tokens of the last assistant message");
-    WorkItem item;
-    item.pool = findEnginePool(groupEnginePools(*config), chat->model);
-    item.rank = *rank;
-    item.account = account.name;
-    item.accountShare = account.share;
-    item.promptTokens = static_cast<std::uint32_t>(estimateTokens(chat->prompt));
-    item.outputTokens = static_cast<std::uint32_t>(chat->maxTokens);
-    item.deadline = m_context.clock.now()
-            + config->ranks[static_cast<std::size_t>(*rank)].queueLimit;
-    StreamStart start {.requestId = requestId,
-                       .account = account.name,
-                       .lastAttempt = 0,
-                       .offset = *offset,
-                       .text = chat->receivedText};
-    auto stream = std::make_shared<ModelStream>(
-            ModelStreamOptions {.account = account.name,
-                                .requestId = requestId,
-                                .rank = *rank,
-                                .request = std::move(*chat),
-                                .start = std::move(start),
-                                .arrived = m_context.clock.now()});
-    return PreparedRequest {.stream = std::move(stream), .item = std::move(item)};
-}
-
-bool ModelService::submit(const PreparedRequest &prepared, RequestResult *refusal)
+bool ModelService::submit(const PreparedChat &prepared, RequestResult *refusal)
 {
     const Timestamp now = m_context.clock.now();
     if (!m_context.streams.add(prepared.stream)) {
@@ -153,7 +50,7 @@
 
 HttpResponse ModelService::complete(const HttpRequest &request, const Account &account)
 {
-    const auto prepared = prepare(request, account);
+    const auto prepared = prepareChat(m_context, request, account);
     if (!prepared)
         return answerWith(notRun(lastReason()));
     const ModelStreamPtr &stream = prepared->stream;
@@ -212,50 +109,6 @@
     return response;
 }
 
-PoolCapacity ModelService::measureCapacity(const std::vector<BackendView> &engines)
-{
-    PoolCapacity capacity;
-    capacity.liveNodes = m_context.liveNodes();
-    std::uint32_t usedSlots = 0;
-    for (const EngineView &engine : makeEngineViews(engines)) {
-        const std::uint32_t used = engine.queued + engine.running;
-        capacity.fleetSlots += engine.slots;
-        usedSlots += used;
-    }
-    // Over the whole fleet, so that the queue of an overfull engine counts against the others.
-    capacity.fleetFree = capacity.fleetSlots - std::min(capacity.fleetSlots, usedSlots);
-    return capacity;
-}
-
-std::vector<EngineView> ModelService::makeEngineViews(const std::vector<BackendView> &engines) const
-{
-    std::vector<EngineView> views;
-    const auto config = m_context.config();
-    for (const BackendView &engine : engines) {
-        EngineView view;
-        view.id = engine.id;
-        view.zone = engine.zone;
-        view.pricePerHour = engine.pricePerHour;
-        view.zoneRisk = engine.market == Market::Reclaimable ? 1.0 : 0.0;
-        for (const BackendClass &backendClass : config->backendClasses) {
-            if (backendClass.name == engine.className)
-                view.slots = backendClass.slots;
-        }
-        if (engine.report) {
-            view.slots = engine.report->slots;
-            view.queued = engine.report->queued;
-            view.running = engine.report->running;
-            view.tokenMs = engine.report->tokenMillis;
-            view.prefillTokensPerSecond = engine.report->prefillTokensPerSecond;
-        }
-        view.ownInFlight = engine.inFlight;
-        view.ownReported = engine.inFlight - std::min(engine.inFlight, engine.sentSinceReport);
-        view.reportAge = engine.reportAge;
-        views.push_back(std::move(view));
-    }
-    return views;
-}
-
 void ModelService::dispatchWaiting()
 {
     const auto config = m_context.config();
@@ -265,27 +118,10 @@
         dispatchPool(*config, pool);
 }
 
-std::vector<BackendView> ModelService::enginesOf(const FleetConfig &config, const EnginePool &pool)
-{
-    const Timestamp now = m_context.clock.now();
-    std::map<std::string, BackendView> engines;
-    for (const std::string &name : pool.models) {
-        const Model *model = findModel(config, name);
-        auto backends = m_context.backends.lock();
-        for (BackendView &engine : backends->usableEngines(name, model->backendClasses, now))
-            engines.try_emplace(engine.id, std::move(engine));
-    }
-    std::vector<BackendView> list;
-    list.reserve(engines.size());
-    for (auto &[id, engine] : engines)
-        list.push_back(std::move(engine));
-    return list;
-}
-
 void ModelService::dispatchPool(const FleetConfig &config, const EnginePool &pool)
 {
     const Timestamp now = m_context.clock.now();
-    const PoolCapacity capacity = measureCapacity(enginesOf(config, pool));
+    const PoolCapacity capacity = m_engines.measureCapacity(m_engines.enginesOf(config, pool));
     while (true) {
         ModelStreamPtr stream;
         {
@@ -340,7 +176,7 @@
         if (auto result = handOver(*stream))
             return result;
     }
-    const auto engine = chooseEngine(*stream, state.excluded);
+    const auto engine = m_engines.choose(*stream, state.excluded);
     if (!engine) {
         state.excluded.clear();
         std::this_thread::sleep_for(suspectPause);
@@ -363,7 +199,7 @@
     case AttemptEnd::HandedOver:
         return std::nullopt;
     case AttemptEnd::Lost:
-        checkLostEngine(*engine);
+        m_crashes.checkEngine(*engine);
         break;
     case AttemptEnd::NotSent:
     case AttemptEnd::Refused:
@@ -402,88 +238,17 @@
     std::this_thread::sleep_for(withinBudget ? pause : BackoffOptions().longest);
 }
 
-std::optional<BackendView> ModelService::chooseEngine(ModelStream &stream,
-                                                      const std::set<std::string> &excluded)
-{
-    const auto config = m_context.config();
-    const Model *model = findModel(*config, stream.model());
-    if (!model)
-        return std::nullopt;
-    const Timestamp now = m_context.clock.now();
-    const auto engines = m_context.backends.lock()->usableEngines(model->name,
-                                                                  model->backendClasses, now);
-    const std::vector<EngineView> views = makeEngineViews(engines);
-    std::vector<std::string> excludedIds(excluded.begin(), excluded.end());
-    excludeTakenEngines(stream, engines, excludedIds);
-    RouteQuery query;
-    query.blocks = stream.promptBlocks();
-    query.promptTokens = static_cast<std::uint32_t>(estimateTokens(stream.request().prompt));
-    query.outputTokens = static_cast<std::uint32_t>(stream.request().maxTokens);
-    query.rank = stream.rank();
-    query.entryZone = m_context.settings.zone;
-    query.liveNodes = m_context.liveNodes();
-    query.tieBreak = stream.fingerprint();
-    query.excluded = excludedIds;
-    const auto choice = m_context.router.lock()->choose(query, views, now);
-    if (!choice)
-        return std::nullopt;
-    const BackendView &engine = engines[choice->engine];
-    if (!mayRunOn(stream, engine))
-        return std::nullopt;
-    if (!m_context.backends.lock()->beginCall(engine.id, engine.incarnation, now))
-        return std::nullopt;
-    m_context.router.lock()->recordSend(engine.id, stream.promptBlocks(), now);
-    return engine;
-}
-
-void ModelService::excludeTakenEngines(const ModelStream &stream,
-                                       const std::vector<BackendView> &engines,
-                                       std::vector<std::string> &excluded)
-{
-    auto suspects = m_context.suspects.lock();
-    if (!suspects->isSuspect(stream.fingerprint()))
-        return;
-    const auto taken = suspects->takenEngines(stream.fingerprint());
-    for (const BackendView &engine : engines) {
-        if (std::find(taken.begin(), taken.end(), incarnationOf(engine)) != taken.end())
-            excluded.push_back(engine.id);
-    }
-}
-
-bool ModelService::mayRunOn(const ModelStream &stream, const BackendView &engine)
-{
-    const Timestamp now = m_context.clock.now();
-    auto suspects = m_context.suspects.lock();
-    const std::string announced = suspects->announcedEngine(stream.fingerprint());
-    if (!announced.empty() && announced != incarnationOf(engine))
-        suspects->release(stream.fingerprint(), now);
-    return suspects->mayRunOn(stream.fingerprint(), incarnationOf(engine), now);
-}
-
 AttemptResult ModelService::runAttempt(ModelStream &stream, const BackendView &engine, bool moving)
 {
-    const std::string incarnation = incarnationOf(engine);
-    {
-        const std::lock_guard lock(m_runningMutex);
-        m_running[incarnation].insert(stream.fingerprint());
-    }
+    m_crashes.beginRun(engine, stream.fingerprint());
     std::optional<AttemptResult> transferred;
     if (moving && shouldTransfer(stream, engine))
         transferred = transferAttempt(m_context, stream, engine);
-    const AttemptResult result = transferred ? *transferred
-                                             : startAttempt(m_context, stream, engine);
+    AttemptResult result = transferred ? *transferred : startAttempt(m_context, stream, engine);
     const bool lost = result.end == AttemptEnd::Lost;
     if (lost)
-        checkLostEngine(engine);
-    {
-        const std::lock_guard lock(m_runningMutex);
-        auto &running = m_running[incarnation];
-        const auto it = running.find(stream.fingerprint());
-        if (it != running.end())
-            running.erase(it);
-        if (running.empty())
-            m_running.erase(incarnation);
-    }
+        m_crashes.checkEngine(engine);
+    m_crashes.endRun(engine, stream.fingerprint());
     const bool atFault = lost || result.end == AttemptEnd::NotSent;
     const bool good = result.end == AttemptEnd::Completed;
     const CallHealth health = good ? CallHealth::Good
@@ -543,42 +308,6 @@
     return plan.front().method == MoveMethod::Transfer;
 }
 
-void ModelService::checkLostEngine(const BackendView &engine)
-{
-    const HttpCall call {.method = "GET",
-                         .url = engine.address + "/v1/load",
-                         .headers = {},
-                         .body = {},
-                         .timeout = engineCheckTimeout};
-    const BackendReply reply = callBackend(call);
-    if (reply.status == CallStatus::Replied) {
-        const JsonPtr body = parseJson(reply.reply.body);
-        if (jsonInteger(body.get(), "incarnation", engine.incarnation) == engine.incarnation)
-            return;
-    }
-    recordEngineCrash(engine);
-}
-
-void ModelService::recordEngineCrash(const BackendView &engine)
-{
-    const std::string incarnation = incarnationOf(engine);
-    std::vector<Fingerprint> running;
-    {
-        const std::lock_guard lock(m_runningMutex);
-        if (!m_crashed.insert(incarnation).second)
-            return;
-        const auto it = m_running.find(incarnation);
-        if (it != m_running.end())
-            running.assign(it->second.begin(), it->second.end());
-    }
-    logEvent(LogLevel::Warning, "engine died without notice",
-             {{"engine", engine.id},
-              {"incarnation", engine.incarnation},
-              {"requests", static_cast<std::int64_t>(running.size())}});
-    const Timestamp now = m_context.clock.now();
-    m_context.suspects.lock()->recordCrash(incarnation, engine.zone, running, now);
-}
-
 void ModelService::leaveEngine(std::string_view id)
 {
     for (const ModelStreamPtr &stream : m_context.streams.all()) {
@@ -674,11 +403,11 @@
 
 AttemptResult ModelService::transferWithoutPrompt(ModelStream &stream)
 {
-    const AttemptResult lost {.end = AttemptEnd::Lost, .reason = "the engine is leaving"};
+    AttemptResult lost {.end = AttemptEnd::Lost, .reason = "the engine is leaving"};
     stream.clearMoveRequest();
     if (stream.hasPrompt())
         return lost;
-    const auto target = chooseEngine(stream, {});
+    const auto target = m_engines.choose(stream, {});
     if (!target)
         return lost;
     const auto result = transferAttempt(m_context, stream, *target);
--- a/Source/Node/peerexchange.cpp
+++ b/Source/Node/peerexchange.cpp
@@ -77,12 +77,12 @@
     PeerCall call;
     call.address = action.address;
     call.node = action.node;
+    call.timeout = std::chrono::ceil<std::chrono::milliseconds>(action.timeout);
     if (action.kind == ProbeKind::PingRequest) {
         wire::PingRequest ping;
         ping.sequence = action.sequence;
         ping.target = action.target;
         request.__set_pingRequest(ping);
-        call.timeout *= 2; // The receiver itself waits for the target.
     } else {
         wire::Ping ping;
         ping.sequence = action.sequence;
@@ -232,8 +232,10 @@
     if (!name)
         return;
     const auto peer = m_context.membership.lock()->find(*name);
-    if (!peer)
+    if (!peer) {
+        m_context.fleet.lock()->recordPullFailure(*name);
         return;
+    }
     wire::PeerRequest request = makeRequest(*name);
     wire::FleetQuery query;
     query.haveVersion = static_cast<std::int64_t>(m_context.fleet.lock()->fleetVersion());
@@ -241,8 +243,10 @@
     PeerCall call {.address = peer->address, .node = peer->node};
     call.timeout *= 2; // The document may be large.
     const auto reply = m_client.exchange(call, request);
-    if (!reply)
+    if (!reply) {
+        m_context.fleet.lock()->recordPullFailure(*name);
         return;
+    }
     noteAnswer(*reply);
     if (reply->answer.__isset.fleetDocument) {
         auto fleet = m_context.fleet.lock();
