Count only frames that are sent, and test that both sides count the same bytes

Thrift flushes once more after each call without a frame, which counted 4 bytes too many per frame; the new test found it.

--- a/Source/Adapter/peertransport.cpp
+++ b/Source/Adapter/peertransport.cpp
@@ -17,8 +17,10 @@
 
 void PeerTransport::flush()
 {
-    // The buffer begins with room for the frame's header.
-    bytesSent += static_cast<std::uint64_t>(wBase_ - wBuf_.get());
+    // The buffer begins with room for the frame's header; without more, nothing is sent.
+    const auto bytes = static_cast<std::uint64_t>(wBase_ - wBuf_.get());
+    if (bytes > frameHeaderBytes)
+        bytesSent += bytes;
     TFramedTransport::flush();
 }
 
--- a/Source/Adapter/sesameadapter.h
+++ b/Source/Adapter/sesameadapter.h
@@ -16,4 +16,5 @@
 #include "Adapter/peerclient.h"
 #include "Adapter/peermessage.h"
 #include "Adapter/peerserver.h"
+#include "Adapter/peertransport.h"
 #include "Adapter/systemclock.h"
--- a/Tests/peerservicetest.cpp
+++ b/Tests/peerservicetest.cpp
@@ -151,6 +151,20 @@
 }
 
 // Guards against a stranger on the network who starts handovers or spreads rumours.
+// Guards against frames or frame headers that are missing from the traffic counters: within one
+// process, both sides must count the same bytes.
+Test(peerservice, bothSidesCountTheSameBytes)
+{
+    const Service service;
+    const PeerTraffic before = peerTraffic();
+    service.expectStillAnswers();
+    const PeerTraffic after = peerTraffic();
+    const std::uint64_t sent = after.bytesSent - before.bytesSent;
+    cr_expect_eq(sent, after.bytesReceived - before.bytesReceived);
+    constexpr std::uint64_t twoSealsBytes = 64;
+    cr_expect_gt(sent, twoSealsBytes);
+}
+
 Test(peerservice, wrongKeyIsRefused)
 {
     const Service service;
