--- a/Source/Core/startrecord.h
+++ b/Source/Core/startrecord.h
@@ -99,6 +99,9 @@
     */
     bool save(std::vector<StartSlot> slots)
     {
+        // Without a term the write would take the fencing number out of the record.
+        if (m_term == 0)
+            return false;
         wire::DesiredStates states;
         states.fencing = static_cast<std::int64_t>(m_term);
         states.tokens = m_tokens;
