--- a/Source/Node/modelservice.cpp
+++ b/Source/Node/modelservice.cpp
@@ -435,8 +435,7 @@
     std::optional<AttemptResult> transferred;
     if (moving && shouldTransfer(stream, engine))
         transferred = transferAttempt(m_context, stream, engine);
-    const AttemptResult result = transferred ? *transferred
-                                             : startAttempt(m_context, stream, engine);
+    AttemptResult result = transferred ? *transferred : startAttempt(m_context, stream, engine);
     const bool lost = result.end == AttemptEnd::Lost;
     if (lost)
         checkLostEngine(engine);
--- a/Tests/atmostonceprocesstest.cpp
+++ b/Tests/atmostonceprocesstest.cpp
@@ -141,6 +141,7 @@
     for (int n = 0; n < 30; ++n) {
         const std::string key = "race-" + std::to_string(n);
         std::vector<std::future<TestReply>> replies;
+        replies.reserve(nodes.size());
         for (const auto &node : nodes)
             replies.push_back(dispatchAsync(node, key));
         int completed = 0;
--- a/Tests/fleetspreadprocesstest.cpp
+++ b/Tests/fleetspreadprocesstest.cpp
@@ -21,7 +21,7 @@
 {
     const std::string text = std::regex_replace(readFile(deployment.fleetFile()),
                                                 std::regex(pattern), replacement);
-    const std::string path = deployment.logFile(name) + ".toml";
+    std::string path = deployment.logFile(name) + ".toml";
     writeFile(path, text);
     return path;
 }
