Apply the claim settings of the fleet file, and check the store's version without reading the document

The ledger kept its built-in 64 shards and 168 h whatever the fleet file said. The check for a restored store read the whole document every 10 s, which would be 33 KB/s at 2,000 accounts; it asks for the version now. Test that cancel_on_disconnect cancels, and only if it is set.

--- a/Source/Core/claimledger.h
+++ b/Source/Core/claimledger.h
@@ -7,6 +7,7 @@
 #include "Core/resultcode.h"
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -154,7 +155,8 @@
 {
 public:
     ClaimLedger(Store &store, const ClockType &clock, ClaimLedgerOptions options)
-        : m_store(store), m_clock(clock), m_options(std::move(options)), m_shards(m_options.shards)
+        : m_store(store), m_clock(clock), m_options(std::move(options)),
+          m_retentionMillis(m_options.retention.count()), m_shards(m_options.shards)
     {
     }
 
@@ -165,6 +167,14 @@
         return claimShardOf(key, m_options.shards);
     }
 
+    /*!
+        Sets how long claims are kept. May be called at any time, from any thread.
+    */
+    void setRetention(std::chrono::milliseconds retention)
+    {
+        m_retentionMillis = retention.count();
+    }
+
     /*!
         Tries to claim one call.
     */
@@ -334,7 +344,8 @@
         for (const ClaimRequest &request : batch.claims) {
             requireInvariant(&m_shards[shardOf(request.key)] == &state, "claim in its own shard");
             // A window near the retention time would let a claim expire before it is sent.
-            const auto window = std::min(request.sendWindow, m_options.retention / 2);
+            const auto window = std::min(request.sendWindow,
+                                         std::chrono::milliseconds(m_retentionMillis.load()) / 2);
             round.claims.push_back({.key = request.key,
                                     .attempt = attemptId(m_options.incarnation, ++state.attempts),
                                     .sendBefore = now + window,
@@ -368,7 +379,7 @@
         Draft draft;
         draft.content = *state.content;
         draft.version = state.version;
-        draft.content.dropExpired(m_clock.wallMillis() - m_options.retention.count());
+        draft.content.dropExpired(m_clock.wallMillis() - m_retentionMillis.load());
         for (const Abandoned &entry : state.abandoned) {
             const wire::ClaimRecord *found = draft.content.find(entry.key);
             if (!found || found->attempt != entry.attempt)
@@ -539,6 +550,7 @@
     Store &m_store;
     const ClockType &m_clock;
     ClaimLedgerOptions m_options;
+    std::atomic<std::int64_t> m_retentionMillis;
     std::vector<ShardState> m_shards;
 };
 
--- a/Source/Node/claimcommitter.h
+++ b/Source/Node/claimcommitter.h
@@ -31,6 +31,19 @@
     {
     }
 
+    /*!
+        Applies the fleet configuration. The number of shards only matters before the first claim
+        of the deployment.
+    */
+    void configure(std::uint32_t shards, std::chrono::milliseconds retention)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_options.shards = shards;
+        m_options.retention = retention;
+        if (m_ledger)
+            m_ledger->setRetention(retention);
+    }
+
     /*!
         As ClaimLedger::claim(). Blocks until the store has answered.
     */
@@ -128,11 +141,17 @@
         return m_ledger.has_value();
     }
 
+    std::uint32_t configuredShards()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_options.shards;
+    }
+
     bool prepareLedger()
     {
         if (hasLedger())
             return true;
-        const auto shards = agreeOnShardCount(m_store, m_options.shards);
+        const auto shards = agreeOnShardCount(m_store, configuredShards());
         if (!shards)
             return false;
         const std::lock_guard lock(m_mutex);
@@ -215,8 +234,8 @@
 
     Store &m_store;
     const ClockType &m_clock;
-    const ClaimLedgerOptions m_options;
-    std::mutex m_mutex; //!< Guards the creation of the ledger and its lanes.
+    ClaimLedgerOptions m_options;
+    std::mutex m_mutex; //!< Guards m_options and the creation of the ledger and its lanes.
     std::optional<Ledger> m_ledger;
     std::vector<Lane> m_lanes;
 };
--- a/Source/Node/fleetwatcher.cpp
+++ b/Source/Node/fleetwatcher.cpp
@@ -14,7 +14,7 @@
 constexpr std::chrono::milliseconds watchWait {2000};
 constexpr std::chrono::milliseconds failurePause {500};
 // Shows a restore of the store that enough later writes have hidden from the revision.
-constexpr std::chrono::seconds rereadInterval {10};
+constexpr std::chrono::seconds checkInterval {10};
 
 } // namespace
 
@@ -37,11 +37,21 @@
     }
     const bool restored = changes->revision < m_revision;
     m_revision = changes->revision;
-    const bool due = m_context.clock.now() - m_lastRead >= rereadInterval;
-    if (restored || due || !changes->objects.empty())
+    if (restored || !changes->objects.empty() || hasUnseenVersion())
         readStore();
 }
 
+bool FleetWatcher::hasUnseenVersion()
+{
+    const Timestamp now = m_context.clock.now();
+    if (now - m_lastCheck < checkInterval)
+        return false;
+    m_lastCheck = now;
+    // A list has the version without the document, which may have up to 1 MB.
+    const auto list = m_context.store.list(fleetObjectKey);
+    return list && !list->objects.empty() && list->objects.front().version != m_objectVersion;
+}
+
 void FleetWatcher::readStore()
 {
     const StoreResult read = m_context.store.read(fleetObjectKey);
@@ -58,7 +68,7 @@
         }
     }
     m_hasRead = reachable;
-    m_lastRead = m_context.clock.now();
+    m_objectVersion = read.version;
     if (reachable)
         restoreStore(read.version, storedVersion);
 }
@@ -98,6 +108,7 @@
         m_applied = config;
         m_context.backends.lock()->setRecoveryGrace(config->defaults.recoveryGrace);
         m_context.admission.lock()->setOptions(AdmissionOptions {.ranks = config->ranks});
+        m_context.ledger.configure(config->defaults.claimShards, config->defaults.claimRetention);
         m_context.retries.lock()->setRetriesPerSuccess(config->defaults.retryBudget);
         logEvent(LogLevel::Info, "fleet configuration in force",
                  {{"version", static_cast<std::int64_t>(version)}});
--- a/Source/Node/fleetwatcher.h
+++ b/Source/Node/fleetwatcher.h
@@ -28,6 +28,7 @@
     void tick();
 
 private:
+    bool hasUnseenVersion();
     void readStore();
     void restoreStore(std::uint64_t objectVersion, std::uint64_t documentVersion);
 
@@ -35,7 +36,8 @@
     PeerExchange &m_peers;
     std::uint64_t m_revision = 0;
     bool m_hasRead = false;
-    Timestamp m_lastRead;
+    Timestamp m_lastCheck; //!< Of the object's version in the store.
+    std::uint64_t m_objectVersion = 0; //!< Read last.
     std::shared_ptr<const FleetConfig> m_applied;
 };
 
--- a/Tests/wholepathprocesstest.cpp
+++ b/Tests/wholepathprocesstest.cpp
@@ -118,6 +118,32 @@
                   again.body.c_str());
 }
 
+// Guards against an engine that works on for a caller that is gone although the fleet file says
+// to cancel, and against a cancel when it does not say so.
+Test(wholepath, cancelsOnDisconnectOnlyIfConfigured)
+{
+    TestDeployment deployment({.nodes = 1, .engines = 1, .applications = 1});
+    const std::string chat = deployment.nodes()[0].callerUrl() + "/v1/chat/completions";
+    const std::string body = R"({"model":"loft-assessment","max_tokens":2000,"stream":true,)"
+                             R"("messages":[{"role":"user","content":"long note"}]})";
+    const auto countRunning = [&deployment] {
+        const TestReply load = callUrl("GET", deployment.engines()[0].url + "/v1/load");
+        return jsonInteger(parseJson(load.body).get(), "running", -1);
+    };
+    callUrl("POST", chat, body, callerHeaders(), 500);
+    sleepMillis(2500);
+    cr_expect_eq(countRunning(), 1);
+    const std::string changed = deployment.logFile("cancel") + ".toml";
+    std::string text = readFile(deployment.fleetFile());
+    const std::string off = "cancel_on_disconnect = false";
+    text.replace(text.find(off), off.size(), "cancel_on_disconnect = true");
+    writeFile(changed, text);
+    cr_assert_eq(deployment.apply(changed, {"--wait_seconds=10"}), 0);
+    callUrl("POST", chat, body, callerHeaders(), 500);
+    sleepMillis(2500);
+    cr_expect_eq(countRunning(), 1, "only the first request still runs");
+}
+
 // Guards against senders that occupy a node with endless headers or half a request.
 Test(wholepath, survivesHeaderFloodsAndSlowSenders)
 {
