--- a/Source/Node/enginecall.cpp
+++ b/Source/Node/enginecall.cpp
@@ -228,6 +228,7 @@
                                                                         lowest);
     stream.buffer().write(makeTokenEvent(context, stream, first ? "accepted" : "moved"));
     const HttpCall call = makeStartCall(context, stream, engine);
+    stream.noteAttempt();
     AttemptResult result = readStream(context, stream, call, attempt);
     if (result.end != AttemptEnd::Lost)
         return result;
--- a/Source/Node/entrynode.cpp
+++ b/Source/Node/entrynode.cpp
@@ -31,7 +31,8 @@
 constexpr std::chrono::milliseconds membershipInterval {50};
 constexpr std::chrono::milliseconds fleetInterval {200};
 constexpr std::chrono::milliseconds cloudInterval {250};
-constexpr std::chrono::milliseconds engineInterval {500};
+// Half of this would exceed the 28 KB/s for control at 20 engines.
+constexpr std::chrono::milliseconds engineInterval {1000};
 constexpr std::chrono::milliseconds capacityInterval {250};
 constexpr std::chrono::milliseconds dispatchInterval {50};
 constexpr std::chrono::milliseconds ledgerInterval {1000};
--- a/Source/Node/modelservice.cpp
+++ b/Source/Node/modelservice.cpp
@@ -28,6 +28,9 @@
 bool ModelService::submit(const PreparedChat &prepared, RequestResult *refusal)
 {
     const Timestamp now = m_context.clock.now();
+    // A caller that sends back what it received has lost the connection of the earlier request.
+    if (prepared.stream->hasStarted())
+        detachEarlier(prepared.stream->account(), prepared.stream->requestId());
     if (!m_context.streams.add(prepared.stream)) {
         *refusal = notRun({.code = ResultCode::DuplicateRequest,
                            .text = "a request with this id is being served"});
@@ -223,7 +226,9 @@
                 .code = ResultCode::CancelledBeforeStart,
                 .reason = "the caller is gone"};
     }
-    const bool neverRan = stream.isCancelled() && cancelAttempt(stream);
+    const bool cancelled = stream.isCancelled() && cancelAttempt(stream);
+    // An earlier attempt on another engine may have run, whatever this engine says.
+    const bool neverRan = cancelled && stream.hasSingleAttempt();
     return {.outcome = neverRan ? Outcome::NotRun : Outcome::Unknown,
             .code = neverRan ? ResultCode::CancelledBeforeStart : ResultCode::Cancelled,
             .reason = "the caller is gone"};
@@ -326,6 +331,9 @@
     if (result.outcome == Outcome::Complete) {
         m_context.suspects.lock()->recordCompletion(stream->fingerprint(), now);
         m_context.retries.lock()->recordSuccess();
+    } else {
+        // Without a verdict other nodes would wait for this one before they run the suspect.
+        m_context.suspects.lock()->release(stream->fingerprint(), now);
     }
     m_context.streams.remove(stream);
     recordService(*stream, result);
@@ -365,11 +373,8 @@
                                            m_context.clock.wallMillis());
     if (!token)
         return answerWith(notRun(lastReason()));
-    if (const ModelStreamPtr old = m_context.streams.find(account.name, token->requestId)) {
-        old->detach(false);
-        m_context.streams.remove(old);
-    }
-    const ModelStreamPtr stream = makeResumedStream(*token, *offset);
+    const ModelStreamPtr earlier = detachEarlier(account.name, token->requestId);
+    const ModelStreamPtr stream = makeResumedStream(*token, *offset, earlier);
     m_context.streams.add(stream);
     m_context.workers.submit([this, stream, token = *token] {
         reattach(stream, token);
@@ -377,7 +382,19 @@
     return respond(stream);
 }
 
-ModelStreamPtr ModelService::makeResumedStream(const ResumeToken &token, std::uint64_t offset)
+ModelStreamPtr ModelService::detachEarlier(const std::string &account, const std::string &requestId)
+{
+    ModelStreamPtr earlier = m_context.streams.find(account, requestId);
+    if (earlier) {
+        earlier->detach(false);
+        earlier->session().lock()->endAttempt();
+        m_context.streams.remove(earlier);
+    }
+    return earlier;
+}
+
+ModelStreamPtr ModelService::makeResumedStream(const ResumeToken &token, std::uint64_t offset,
+                                               const ModelStreamPtr &earlier)
 {
     ModelStreamOptions options {.account = token.account,
                                 .requestId = token.requestId,
@@ -396,6 +413,14 @@
         options.start.lastAttempt = std::max(token.attempt,
                                              static_cast<std::uint64_t>(handedOver->attempt));
     }
+    if (earlier && earlier->hasPrompt()) {
+        auto session = earlier->session().lock();
+        // The prompt is only of use together with exactly the text that the caller has.
+        if (session->nextOffset() == offset && session->knowsText()) {
+            options.request = earlier->request();
+            options.start.text = session->resumePrefix();
+        }
+    }
     options.request.model = token.model;
     options.request.stream = true;
     return std::make_shared<ModelStream>(std::move(options));
--- a/Source/Node/modelservice.h
+++ b/Source/Node/modelservice.h
@@ -75,7 +75,9 @@
     void pauseBeforeRetry(Backoff &backoff);
     void finish(const ModelStreamPtr &stream, const RequestResult &result);
     void recordService(ModelStream &stream, const RequestResult &result);
-    ModelStreamPtr makeResumedStream(const ResumeToken &token, std::uint64_t offset);
+    ModelStreamPtr detachEarlier(const std::string &account, const std::string &requestId);
+    ModelStreamPtr makeResumedStream(const ResumeToken &token, std::uint64_t offset,
+                                     const ModelStreamPtr &earlier);
     AttemptResult transferWithoutPrompt(ModelStream &stream);
     void reattach(const ModelStreamPtr &stream, const ResumeToken &token);
     HttpResponse respond(const ModelStreamPtr &stream);
--- a/Source/Node/modelstream.cpp
+++ b/Source/Node/modelstream.cpp
@@ -22,6 +22,11 @@
     return session->attempt() > 0 || session->nextOffset() > 0;
 }
 
+bool ModelStream::hasSingleAttempt() const
+{
+    return m_attempts <= 1 && m_options.start.lastAttempt == 0 && m_options.start.offset == 0;
+}
+
 Duration StreamTiming::meanGap() const
 {
     if (tokens < 2)
--- a/Source/Node/modelstream.h
+++ b/Source/Node/modelstream.h
@@ -77,6 +77,17 @@
     */
     bool hasStarted();
 
+    /*!
+        Counts an attempt that is about to be sent to an engine.
+    */
+    void noteAttempt() { ++m_attempts; }
+
+    /*!
+        Returns true if at most one attempt was sent, and by this node. Only then does a cancel
+        that the engine confirms mean that the request never ran.
+    */
+    bool hasSingleAttempt() const;
+
     /*!
         Ends the caller's side. With \a cancel the run on the engine is cancelled, too.
     */
@@ -132,6 +143,7 @@
     Guarded<std::string> m_handoverTarget;
     StreamBuffer m_buffer;
     std::atomic<bool> m_cancelled {false};
+    std::atomic<unsigned> m_attempts {0};
     std::atomic<bool> m_moveRequested {false};
     std::atomic<bool> m_handoverRequested {false};
     std::atomic<bool> m_handedOver {false};
