--- a/Tests/sessionprocesstest.cpp
+++ b/Tests/sessionprocesstest.cpp
@@ -23,7 +23,7 @@
     TestReply call(const std::string &method, const std::string &path, const std::string &body,
                    const std::vector<std::pair<std::string, std::string>> &headers)
     {
-        const TestReply reply = callUrl(method, m_url + path, body, headers);
+        TestReply reply = callUrl(method, m_url + path, body, headers);
         m_text += "> " + method + " " + normalize(path) + "\n";
         if (!body.empty())
             m_text += "> " + body + "\n";
