--- a/Source/Command/commands.h
+++ b/Source/Command/commands.h
@@ -6,6 +6,7 @@
 
 //! Each of these is defined in the file that is named after it, for example servecommand.cpp.
 Command serveCommand();
+Command servePlatformCommand();
 Command checkCommand();
 Command applyCommand();
 Command statusCommand();
--- /dev/null
+++ b/Source/Command/serveplatformcommand.cpp
@@ -0,0 +1,53 @@
+#include "Adapter/log.h"
+#include "Core/sesamecore.h"
+#include "Serving/sesameserving.h"
+#include "commands.h"
+#include "sesameplatform.h"
+#include "textfile.h"
+
+#include <cstdio>
+
+namespace sesame {
+
+namespace {
+
+int runServePlatformCommand(std::span<const std::string> /*arguments*/)
+{
+    const std::optional<std::string> path = platform::settingsPath();
+    if (!path) {
+        std::fputs("sesameproxy: the platform names no settings file in the environment\n", stderr);
+        return ExitUsage;
+    }
+    const std::optional<std::string> text = readTextFile(*path);
+    if (!text)
+        return ExitUsage;
+    std::vector<SettingsError> errors;
+    const std::optional<ServingSettings> settings = platform::readSettings(*text, *path, errors);
+    printErrors(errors);
+    if (!settings)
+        return ExitUsage;
+    initializeLog("info", settings->node);
+    asio::io_context context(1);
+    ServingNode node(context, *settings, platform::makeEnvironment(context, *settings));
+    if (const std::optional<std::string> reason = node.start()) {
+        logEvent(LogLevel::Error, "node.failed", {{"reason", *reason}});
+        return ExitFailure;
+    }
+    context.run();
+    return ExitSuccess;
+}
+
+} // namespace
+
+Command servePlatformCommand()
+{
+    return {.name = "serve-platform",
+            .synopsis = "",
+            .help = "Runs a node on the platform until it receives SIGTERM. The platform names the "
+                    "settings file in the environment.\n",
+            .argumentCount = 0,
+            .flags = {},
+            .run = runServePlatformCommand};
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Core/crashtable.cpp
@@ -0,0 +1,61 @@
+#include "Core/crashtable.h"
+
+namespace sesame {
+
+CrashTable::Entry *CrashTable::obtain(std::uint64_t fingerprint, Timestamp now)
+{
+    const auto found = m_entries.find(fingerprint);
+    if (found != m_entries.end())
+        return &found->second;
+    if (m_entries.size() >= m_options.entryLimit)
+        expire(now);
+    if (m_entries.size() >= m_options.entryLimit)
+        return nullptr;
+    Entry &entry = m_entries[fingerprint];
+    entry.lastChange = now;
+    return &entry;
+}
+
+void CrashTable::recordCrash(std::uint64_t fingerprint, Timestamp now)
+{
+    if (Entry *entry = obtain(fingerprint, now)) {
+        ++entry->own.crashes;
+        entry->lastChange = now;
+    }
+}
+
+void CrashTable::recordSuccess(std::uint64_t fingerprint)
+{
+    const auto found = m_entries.find(fingerprint);
+    if (found != m_entries.end())
+        ++found->second.own.successes;
+}
+
+void CrashTable::setPeerCount(std::uint64_t fingerprint, CrashCount count, Timestamp now)
+{
+    Entry *entry = obtain(fingerprint, now);
+    if (!entry)
+        return;
+    if (entry->peers.crashes != count.crashes)
+        entry->lastChange = now;
+    entry->peers = count;
+}
+
+bool CrashTable::isRefused(std::uint64_t fingerprint) const
+{
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end())
+        return false;
+    const Entry &entry = found->second;
+    return entry.own.crashes + entry.peers.crashes >= m_options.crashLimit
+            && entry.own.successes + entry.peers.successes == 0;
+}
+
+void CrashTable::expire(Timestamp now)
+{
+    std::erase_if(m_entries, [&](const auto &item) {
+        return now - item.second.lastChange >= m_options.memory;
+    });
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Core/peertable.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "Core/crashtable.h"
+#include "Core/enginedirectory.h"
+#include "Core/ports.h"
+
+#include <exchange_types.h>
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace sesame {
+
+struct PeerTableOptions
+{
+    Duration silence {std::chrono::milliseconds(700)}; //!< From here on a peer is out of touch.
+    //! A peer that has been silent this long no longer holds a share of quotas; the longest
+    //! partition that is served through is shorter.
+    Duration memory {std::chrono::seconds(15)};
+};
+
+struct PeerNode
+{
+    wire::NodeReport report;
+    Timestamp lastHeard {}; //!< Zero for a peer that is known from the store only.
+    Timestamp firstKnown {};
+};
+
+/*!
+    The other nodes, as they report themselves.
+*/
+class PeerTable
+{
+public:
+    explicit PeerTable(PeerTableOptions options = {}) : m_options(options) { }
+
+    /*!
+        Adds a node that the store lists, at \a entryAddress, if it is not known yet.
+    */
+    void addListed(const std::string &node, const std::string &entryAddress,
+                   const std::string &zone, Timestamp now);
+
+    /*!
+        Takes a report. Returns by how much each account's consumption has grown since the last
+        one; empty for a report that is older than the newest known.
+    */
+    std::map<std::string, double> observe(const wire::NodeReport &report, Timestamp now);
+
+    /*!
+        Drops peers that have been silent for the memory time; returns their names.
+    */
+    std::vector<std::string> expire(Timestamp now);
+
+    /*!
+        Returns how many nodes hold a share of quotas, this node included.
+    */
+    std::size_t sharers() const;
+
+    /*!
+        Returns the part of all shares, 0 to 1, that belongs to peers that are out of touch.
+    */
+    double silentShare(Timestamp now) const;
+
+    /*!
+        Returns where callers may connect: peers that are ready, or not heard yet.
+    */
+    std::vector<std::string> entryAddresses(Timestamp now) const;
+
+    std::unordered_map<std::string, EngineLoad> engineLoads(Timestamp now) const;
+    std::unordered_map<std::uint64_t, CrashCount> crashCounts() const;
+    bool isInTouch(const PeerNode &peer, Timestamp now) const;
+
+    const std::map<std::string, PeerNode> &peers() const { return m_peers; }
+
+private:
+    PeerTableOptions m_options;
+    std::map<std::string, PeerNode> m_peers;
+};
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Core/quotabucket.cpp
@@ -0,0 +1,65 @@
+#include "Core/quotabucket.h"
+
+#include <algorithm>
+
+namespace sesame {
+
+void QuotaBucket::setLimit(double ratePerSecond, double burst, Timestamp now)
+{
+    if (ratePerSecond == m_rate && burst == m_burst)
+        return;
+    const bool wasLimited = isLimited();
+    const double filled = wasLimited && m_burst > 0.0 ? m_level / m_burst : 1.0;
+    m_rate = ratePerSecond;
+    m_burst = burst;
+    // A debt in units of the old limit must not grow with the new one.
+    m_level = filled < 0.0 ? std::max(m_level, -burst) : filled * burst;
+    if (!wasLimited)
+        m_last = now;
+}
+
+void QuotaBucket::advance(Timestamp now, double silentShare)
+{
+    if (now <= m_last)
+        return;
+    const double seconds = std::chrono::duration<double>(now - m_last).count();
+    m_last = now;
+    const double share = std::clamp(1.0 - silentShare, 0.0, 1.0);
+    // Each side of a partition may spend its part of the burst, so the sum stays one burst.
+    m_level = std::min(m_level + seconds * m_rate * share, m_burst * share);
+}
+
+bool QuotaBucket::tryTake(double cost)
+{
+    if (!isLimited()) {
+        m_consumed += cost;
+        return true;
+    }
+    // A request larger than the burst could never be served; it may take a full bucket.
+    if (m_level < std::min(cost, m_burst))
+        return false;
+    m_level -= cost;
+    m_consumed += cost;
+    return true;
+}
+
+void QuotaBucket::refund(double cost)
+{
+    m_level = std::min(m_level + cost, m_burst);
+    m_consumed -= cost;
+}
+
+void QuotaBucket::limitLevel(double share)
+{
+    m_level = std::min(m_level, m_burst * share);
+}
+
+Duration QuotaBucket::timeUntil(double cost) const
+{
+    const double missing = std::min(cost, m_burst) - m_level;
+    if (missing <= 0.0 || m_rate <= 0.0)
+        return Duration::zero();
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(missing / m_rate));
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Core/servingconfig.cpp
@@ -0,0 +1,44 @@
+#include "Core/servingconfig.h"
+
+#include <algorithm>
+
+namespace sesame {
+
+void ServingConfig::indexRoutes()
+{
+    m_routesOfHost.clear();
+    for (std::size_t i = 0; i < routes.size(); ++i)
+        m_routesOfHost[routes[i].host].push_back(i);
+    // The longest prefix comes first, so that the first match decides.
+    for (auto &[host, indexes] : m_routesOfHost) {
+        std::sort(indexes.begin(), indexes.end(), [this](std::size_t a, std::size_t b) {
+            return routes[a].pathPrefix.size() > routes[b].pathPrefix.size();
+        });
+    }
+}
+
+const ServingRoute *ServingConfig::findRoute(std::string_view host, std::string_view path) const
+{
+    const auto found = m_routesOfHost.find(std::string(host));
+    if (found == m_routesOfHost.end())
+        return nullptr;
+    for (const std::size_t i : found->second) {
+        if (path.starts_with(routes[i].pathPrefix))
+            return &routes[i];
+    }
+    return nullptr;
+}
+
+const ClientAccount *ServingConfig::findAccount(const std::string &key) const
+{
+    const auto found = accountOfKey.find(key);
+    return found == accountOfKey.end() ? nullptr : &accounts[found->second];
+}
+
+const ServiceSpec *ServingConfig::findService(const std::string &name) const
+{
+    const auto found = services.find(name);
+    return found == services.end() ? nullptr : &found->second;
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Http/clientconnection.cpp
@@ -0,0 +1,274 @@
+#include "Http/clientconnection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <charconv>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace sesame {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t readChunkBytes = 16384;
+constexpr std::uint32_t answerHeaderLimit = 65536;
+//! A server that does not state its idle time-out is assumed to keep connections this long.
+constexpr auto unstatedIdleTimeout = 4000ms;
+//! A kept connection is not used in the last part of its idle time, because the server's close
+//! could cross the request, and the request would then count as possibly run.
+constexpr auto idleSafetyMargin = 800ms;
+//! Unacknowledged output for this long means that the path or the server is lost.
+constexpr int userTimeoutMs = 3000;
+constexpr int keepAliveIdleSeconds = 1;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 2;
+
+} // namespace
+
+ClientConnection::ClientConnection(asio::io_context &context)
+    : m_context(context), m_socket(context), m_timer(context),
+      m_serverIdleTimeout(unstatedIdleTimeout)
+{
+}
+
+void ClientConnection::connect(const Tcp::endpoint &address, std::chrono::milliseconds timeout,
+                               std::function<void(const boost::system::error_code &)> connected)
+{
+    boost::system::error_code ec;
+    m_socket.open(address.protocol(), ec);
+    if (ec) {
+        asio::post(m_context, [connected = std::move(connected), ec] {
+            connected(ec);
+        });
+        return;
+    }
+    applySocketOptions();
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &waitError) {
+        const auto self = weak.lock();
+        boost::system::error_code ignored; // The pending connect reports the end.
+        if (!waitError && self && !self->m_open)
+            self->m_socket.close(ignored);
+    });
+    m_socket.async_connect(address,
+                           [self = shared_from_this(), connected = std::move(connected)](
+                                   const boost::system::error_code &connectError) {
+                               self->m_timer.cancel();
+                               self->m_open = !connectError && self->m_socket.is_open();
+                               connected(self->m_open || connectError
+                                                 ? connectError
+                                                 : make_error_code(asio::error::timed_out));
+                           });
+}
+
+void ClientConnection::applySocketOptions()
+{
+    boost::system::error_code ignored; // Options only shorten the detection of a lost peer.
+    m_socket.set_option(Tcp::no_delay(true), ignored);
+    m_socket.set_option(Tcp::socket::keep_alive(true), ignored);
+    const auto set = [this](int name, int value) {
+        ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, name, &value, sizeof(value));
+    };
+    set(TCP_USER_TIMEOUT, userTimeoutMs);
+    set(TCP_KEEPIDLE, keepAliveIdleSeconds);
+    set(TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    set(TCP_KEEPCNT, keepAliveProbes);
+}
+
+void ClientConnection::send(std::string request, bool isHead, AnswerSink sink)
+{
+    m_sink = std::make_shared<AnswerSink>(std::move(sink));
+    m_output = std::move(request);
+    m_isHead = isHead;
+    m_exchanging = true;
+    m_written = false;
+    m_keptAlive = false;
+    m_parser.reset();
+    asio::async_write(
+            m_socket, asio::buffer(m_output),
+            [self = shared_from_this()](const boost::system::error_code &ec, std::size_t /*n*/) {
+                // A failed write is reported by the read that is always pending.
+                self->m_written = !ec;
+                self->m_output.clear();
+            });
+    readMore();
+}
+
+void ClientConnection::setPaused(bool paused)
+{
+    m_paused = paused;
+    if (!paused)
+        readMore();
+}
+
+void ClientConnection::readMore()
+{
+    if (m_reading || m_paused || !m_open)
+        return;
+    m_reading = true;
+    m_socket.async_read_some(
+            m_input.prepare(readChunkBytes),
+            [self = shared_from_this()](const boost::system::error_code &ec, std::size_t n) {
+                self->onRead(ec, n);
+            });
+}
+
+void ClientConnection::onRead(const boost::system::error_code &ec, std::size_t n)
+{
+    m_reading = false;
+    if (!m_open)
+        return;
+    if (ec) {
+        onPeerClosed(ec);
+        return;
+    }
+    m_input.commit(n);
+    if (!m_exchanging) {
+        // Bytes without a request belong to no request.
+        close();
+        if (m_idleClosed)
+            m_idleClosed();
+        return;
+    }
+    parseInput();
+    readMore();
+}
+
+void ClientConnection::parseInput()
+{
+    while (m_open && m_exchanging && m_input.size() > 0) {
+        if (!m_parser) {
+            m_parser.emplace();
+            m_parser->eager(true);
+            m_parser->header_limit(answerHeaderLimit);
+            m_parser->body_limit(boost::none);
+            m_parser->skip(m_isHead);
+            m_headAccepted = false;
+        }
+        boost::system::error_code ec;
+        const std::size_t n = m_parser->put(m_input.data(), ec);
+        m_input.consume(n);
+        if (ec && ec != beast::http::error::need_more) {
+            failExchange(ExchangeFailure::Malformed);
+            return;
+        }
+        if (m_parser->is_header_done() && !acceptHead())
+            return;
+        passBody();
+        if (!m_open || !m_exchanging)
+            return;
+        if (m_parser->is_done())
+            finishAnswer();
+        else if (ec == beast::http::error::need_more || n == 0)
+            return;
+    }
+}
+
+/*!
+    Asks the sink about the head once. Returns false if the exchange has ended.
+*/
+bool ClientConnection::acceptHead()
+{
+    if (m_headAccepted)
+        return true;
+    m_headAccepted = true;
+    constexpr unsigned informational = 1;
+    const std::shared_ptr<AnswerSink> sink = m_sink;
+    m_skipping = m_parser->get().result_int() / 100 == informational
+            || sink->head(m_parser->get()) == AnswerSink::Verdict::Skip;
+    return m_open && m_exchanging;
+}
+
+void ClientConnection::passBody()
+{
+    std::string &body = m_parser->get().body();
+    if (!m_parser->is_header_done() || body.empty())
+        return;
+    const std::string piece = std::exchange(body, {});
+    const std::shared_ptr<AnswerSink> sink = m_sink;
+    if (!m_skipping)
+        sink->body(piece);
+}
+
+void ClientConnection::finishAnswer()
+{
+    if (m_skipping) {
+        m_parser.reset();
+        return;
+    }
+    m_keptAlive = m_parser->keep_alive() && !m_parser->need_eof() && m_written
+            && m_input.size() == 0;
+    noteKeepAlive();
+    m_exchanging = false;
+    m_idleSince = Clock::now();
+    const std::shared_ptr<AnswerSink> sink = std::exchange(m_sink, {});
+    m_parser.reset();
+    sink->done();
+}
+
+void ClientConnection::noteKeepAlive()
+{
+    constexpr std::string_view key = "timeout=";
+    const std::string_view value = fieldValue(m_parser->get(), "Keep-Alive");
+    const std::size_t at = value.find(key);
+    if (at == std::string_view::npos)
+        return;
+    int seconds = 0;
+    const char *begin = value.data() + at + key.size();
+    if (std::from_chars(begin, value.data() + value.size(), seconds).ec == std::errc())
+        m_serverIdleTimeout = std::chrono::seconds(seconds);
+}
+
+void ClientConnection::onPeerClosed(const boost::system::error_code &ec)
+{
+    if (!m_exchanging) {
+        close();
+        if (m_idleClosed)
+            m_idleClosed();
+        return;
+    }
+    // An answer without a length ends with the connection; a reset is not such an end.
+    if (ec == asio::error::eof && m_parser && m_parser->is_header_done() && m_parser->need_eof()
+        && !m_skipping) {
+        boost::system::error_code putError;
+        m_parser->put_eof(putError);
+        if (!putError && m_parser->is_done()) {
+            finishAnswer();
+            close();
+            return;
+        }
+    }
+    failExchange(ExchangeFailure::Closed);
+}
+
+void ClientConnection::failExchange(ExchangeFailure failure)
+{
+    const std::shared_ptr<AnswerSink> sink = std::exchange(m_sink, {});
+    close();
+    if (sink)
+        sink->failed(failure);
+}
+
+void ClientConnection::close()
+{
+    m_open = false;
+    m_exchanging = false;
+    m_keptAlive = false;
+    m_sink.reset();
+    m_timer.cancel();
+    boost::system::error_code ignored; // Nothing is left to do with this socket.
+    m_socket.close(ignored);
+}
+
+bool ClientConnection::isReusable(Clock::time_point now) const
+{
+    return m_open && m_keptAlive && !m_exchanging
+            && now - m_idleSince + idleSafetyMargin < m_serverIdleTimeout;
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Http/httpcaller.cpp
@@ -0,0 +1,96 @@
+#include "Http/httpcaller.h"
+
+#include <sstream>
+
+namespace sesame {
+
+namespace {
+
+//! One call under way. Ends once, by the answer, a failure or the time limit.
+struct PendingCall : std::enable_shared_from_this<PendingCall>
+{
+    PendingCall(asio::io_context &context, HttpCaller::Completion done)
+        : timer(context), completion(std::move(done))
+    {
+    }
+
+    void finish(CallAnswer result)
+    {
+        if (!completion)
+            return;
+        timer.cancel();
+        const HttpCaller::Completion done = std::exchange(completion, nullptr);
+        done(std::move(result));
+    }
+
+    void send(const std::shared_ptr<std::shared_ptr<ClientConnection>> &idle)
+    {
+        auto self = shared_from_this();
+        AnswerSink sink;
+        sink.head = [self](const ResponseHead &head) {
+            self->answer.status = head.result_int();
+            return AnswerSink::Verdict::Take;
+        };
+        sink.body = [self](std::string_view piece) {
+            self->answer.body.append(piece);
+        };
+        sink.done = [self, idle] {
+            if (self->connection->isReusable(ClientConnection::Clock::now()))
+                *idle = self->connection;
+            else
+                self->connection->close();
+            self->finish(std::move(self->answer));
+        };
+        sink.failed = [self](ExchangeFailure) {
+            self->finish({});
+        };
+        connection->send(std::move(request), false, std::move(sink));
+    }
+
+    asio::steady_timer timer;
+    HttpCaller::Completion completion;
+    std::shared_ptr<ClientConnection> connection;
+    std::string request;
+    CallAnswer answer;
+};
+
+} // namespace
+
+void HttpCaller::call(std::string_view method, std::string_view target, const HttpFields &fields,
+                      std::string_view body, std::chrono::milliseconds timeout,
+                      Completion completion)
+{
+    const auto pending = std::make_shared<PendingCall>(m_context, std::move(completion));
+    HttpFields all = fields;
+    std::ostringstream host;
+    host << m_address;
+    all.set(beast::http::field::host, host.str());
+    pending->request = formatRequest(method, target, all, body);
+    pending->timer.expires_after(timeout);
+    pending->timer.async_wait([pending](const boost::system::error_code &ec) {
+        if (ec || !pending->completion)
+            return;
+        pending->connection->close();
+        pending->finish({});
+    });
+    const std::shared_ptr<ClientConnection> kept = std::exchange(*m_idle, nullptr);
+    if (kept && kept->isReusable(ClientConnection::Clock::now())) {
+        pending->connection = kept;
+        pending->send(m_idle);
+        return;
+    }
+    if (kept)
+        kept->close();
+    pending->connection = std::make_shared<ClientConnection>(m_context);
+    pending->connection->connect(m_address, timeout,
+                                 [pending, idle = m_idle](const boost::system::error_code &ec) {
+                                     if (!pending->completion)
+                                         pending->connection->close();
+                                     else if (ec)
+                                         pending->finish({.wasSent = false});
+                                     else
+                                         pending->send(idle);
+                                 });
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Http/httptypes.cpp
@@ -0,0 +1,83 @@
+#include "Http/httptypes.h"
+
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <array>
+#include <charconv>
+
+namespace sesame {
+
+std::string_view fieldValue(const HttpFields &fields, std::string_view name)
+{
+    const auto found = fields.find(beast::string_view(name.data(), name.size()));
+    return found == fields.end() ? std::string_view() : toStd(found->value());
+}
+
+bool isConnectionField(std::string_view name)
+{
+    using beast::http::field;
+    switch (beast::http::string_to_field(beast::string_view(name.data(), name.size()))) {
+    case field::connection:
+    case field::keep_alive:
+    case field::proxy_authenticate:
+    case field::proxy_authorization:
+    case field::proxy_connection:
+    case field::te:
+    case field::trailer:
+    case field::transfer_encoding:
+    case field::upgrade:
+    case field::content_length:
+    case field::expect:
+        return true;
+    default:
+        return false;
+    }
+}
+
+HttpFields copyEndToEndFields(const HttpFields &from)
+{
+    HttpFields copy;
+    beast::http::token_list named(from[beast::http::field::connection]);
+    for (const auto &field : from) {
+        if (isConnectionField(toStd(field.name_string())) || named.exists(field.name_string()))
+            continue;
+        copy.insert(field.name_string(), field.value());
+    }
+    return copy;
+}
+
+std::string formatRequest(std::string_view method, std::string_view target,
+                          const HttpFields &fields, std::string_view body)
+{
+    constexpr std::size_t typicalHeadBytes = 1024;
+    std::string text;
+    text.reserve(typicalHeadBytes + body.size());
+    text.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+    for (const auto &field : fields) {
+        text.append(toStd(field.name_string())).append(": ");
+        text.append(toStd(field.value())).append("\r\n");
+    }
+    if (!body.empty() || (method != "GET" && method != "HEAD" && method != "DELETE"))
+        text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+    return text.append("\r\n").append(body);
+}
+
+std::optional<Tcp::endpoint> parseTcpEndpoint(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view digits = text.substr(colon + 1);
+    std::uint16_t port = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    if (parsed.ec != std::errc() || parsed.ptr != digits.data() + digits.size() || port == 0)
+        return std::nullopt;
+    boost::system::error_code ec;
+    const auto address = asio::ip::make_address_v4(std::string(text.substr(0, colon)), ec);
+    if (ec)
+        return std::nullopt;
+    return Tcp::endpoint(address, port);
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Http/serverconnection.cpp
@@ -0,0 +1,318 @@
+#include "Http/serverconnection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace sesame {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t readChunkBytes = 16384;
+//! Input that may wait while a request is open; more is read only when it has been answered.
+constexpr std::size_t waitingInputBytes = 65536;
+//! How long a connection stays half open after its last answer. Closing at once would reset it
+//! and could discard the answer if input of the client is still unread.
+constexpr auto lingerTimeout = 1000ms;
+
+constexpr unsigned badRequest = 400;
+constexpr unsigned requestTimeout = 408;
+constexpr unsigned contentTooLarge = 413;
+constexpr unsigned headerTooLarge = 431;
+
+} // namespace
+
+ServerConnection::ServerConnection(Tcp::socket socket, std::shared_ptr<ListenerState> state)
+    : m_socket(std::move(socket)), m_state(std::move(state)), m_timer(m_socket.get_executor())
+{
+    ++m_state->connections;
+}
+
+ServerConnection::~ServerConnection()
+{
+    --m_state->connections;
+}
+
+void ServerConnection::start()
+{
+    boost::system::error_code ignored; // The option only affects latency.
+    m_socket.set_option(Tcp::no_delay(true), ignored);
+    enterPhase(Phase::Idle);
+    readMore();
+}
+
+void ServerConnection::readMore()
+{
+    if (m_reading || m_phase == Phase::Closed)
+        return;
+    if (isRequestOpen() && m_input.size() >= waitingInputBytes)
+        return;
+    m_reading = true;
+    m_socket.async_read_some(
+            m_input.prepare(readChunkBytes),
+            [self = shared_from_this()](const boost::system::error_code &ec, std::size_t n) {
+                self->onRead(ec, n);
+            });
+}
+
+void ServerConnection::onRead(const boost::system::error_code &ec, std::size_t n)
+{
+    m_reading = false;
+    if (m_phase == Phase::Closed)
+        return;
+    if (ec) {
+        onClientGone();
+        return;
+    }
+    m_input.commit(n);
+    if (m_phase == Phase::Lingering)
+        m_input.consume(m_input.size());
+    else if (!isRequestOpen())
+        parseInput();
+    readMore();
+}
+
+void ServerConnection::parseInput()
+{
+    while (m_input.size() > 0 && m_phase != Phase::Closed) {
+        if (!m_parser) {
+            m_parser.emplace();
+            m_parser->eager(true);
+            m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.headerBytes));
+            m_parser->body_limit(m_state->limits.bodyBytes);
+            enterPhase(Phase::Head);
+        }
+        boost::system::error_code ec;
+        const std::size_t n = m_parser->put(m_input.data(), ec);
+        m_input.consume(n);
+        if (ec == beast::http::error::need_more) {
+            if (m_parser->is_header_done() && m_phase == Phase::Head)
+                enterPhase(Phase::Body);
+            return;
+        }
+        if (ec) {
+            rejectInput(ec);
+            return;
+        }
+        if (m_parser->is_done()) {
+            dispatch();
+            return;
+        }
+        if (n == 0)
+            return;
+    }
+}
+
+void ServerConnection::rejectInput(const boost::system::error_code &ec)
+{
+    unsigned status = badRequest;
+    if (ec == beast::http::error::header_limit)
+        status = headerTooLarge;
+    else if (ec == beast::http::error::body_limit)
+        status = contentTooLarge;
+    m_parser.reset();
+    m_closeAfterAnswer = true;
+    m_isHead = false;
+    m_phase = Phase::Handling;
+    ++m_state->openRequests;
+    sendAnswer(status, {}, ec.message() + "\n");
+}
+
+void ServerConnection::dispatch()
+{
+    RequestMessage request = m_parser->release();
+    m_parser.reset();
+    m_closeAfterAnswer = !request.keep_alive();
+    m_isHead = request.method() == beast::http::verb::head;
+    m_answerDone = false;
+    enterPhase(Phase::Handling);
+    ++m_state->openRequests;
+    m_state->handler(shared_from_this(), std::move(request));
+}
+
+void ServerConnection::appendHead(unsigned status, const HttpFields &fields)
+{
+    const beast::string_view reason = beast::http::obsolete_reason(
+            static_cast<beast::http::status>(status));
+    m_queued.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
+    m_queued.append(toStd(reason)).append("\r\n");
+    for (const auto &field : fields) {
+        m_queued.append(toStd(field.name_string())).append(": ");
+        m_queued.append(toStd(field.value())).append("\r\n");
+    }
+    m_closeAfterAnswer = m_closeAfterAnswer || m_state->closing;
+    if (m_closeAfterAnswer)
+        m_queued.append("Connection: close\r\n");
+}
+
+void ServerConnection::sendAnswer(unsigned status, const HttpFields &fields, std::string_view body)
+{
+    if (!isRequestOpen() || m_answerDone)
+        return;
+    appendHead(status, fields);
+    m_queued.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
+    if (!m_isHead)
+        m_queued.append(body);
+    finishAnswer();
+}
+
+void ServerConnection::beginStream(unsigned status, const HttpFields &fields)
+{
+    if (!isRequestOpen() || m_answerDone)
+        return;
+    appendHead(status, fields);
+    m_queued.append("Transfer-Encoding: chunked\r\n\r\n");
+    flush();
+}
+
+void ServerConnection::sendPiece(std::string_view piece)
+{
+    if (!isRequestOpen() || m_answerDone || piece.empty())
+        return;
+    char size[24];
+    const int n = std::snprintf(size, sizeof(size), "%zx\r\n", piece.size());
+    m_queued.append(size, static_cast<std::size_t>(n)).append(piece).append("\r\n");
+    flush();
+}
+
+void ServerConnection::endStream()
+{
+    if (!isRequestOpen() || m_answerDone)
+        return;
+    m_queued.append("0\r\n\r\n");
+    finishAnswer();
+}
+
+void ServerConnection::finishAnswer()
+{
+    m_answerDone = true;
+    m_closedHandler = nullptr;
+    m_drainedHandler = nullptr;
+    flush();
+}
+
+void ServerConnection::flush()
+{
+    if (m_phase == Phase::Closed || !m_writing.empty() || m_queued.empty())
+        return;
+    m_writing.swap(m_queued);
+    asio::async_write(
+            m_socket, asio::buffer(m_writing),
+            [self = shared_from_this()](const boost::system::error_code &ec, std::size_t /*n*/) {
+                self->onWritten(ec);
+            });
+}
+
+void ServerConnection::onWritten(const boost::system::error_code &ec)
+{
+    m_writing.clear();
+    if (m_phase == Phase::Closed)
+        return;
+    if (ec) {
+        onClientGone();
+        return;
+    }
+    if (!m_queued.empty()) {
+        flush();
+        return;
+    }
+    if (!m_answerDone) {
+        // A copy, because the handler may close the connection.
+        const std::function<void()> handler = m_drainedHandler;
+        if (handler)
+            handler();
+        return;
+    }
+    if (!isRequestOpen())
+        return;
+    --m_state->openRequests;
+    m_answerDone = false;
+    if (m_closeAfterAnswer) {
+        boost::system::error_code ignored; // The peer may have closed already.
+        m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+        enterPhase(Phase::Lingering);
+    } else {
+        enterPhase(Phase::Idle);
+        parseInput();
+    }
+    readMore();
+}
+
+void ServerConnection::enterPhase(Phase phase)
+{
+    m_phase = phase;
+    std::optional<std::chrono::milliseconds> wait;
+    if (phase == Phase::Idle || phase == Phase::Body)
+        wait = m_state->limits.idleTimeout;
+    else if (phase == Phase::Head)
+        wait = m_state->limits.headerTimeout;
+    else if (phase == Phase::Lingering)
+        wait = lingerTimeout;
+    if (!wait) {
+        m_timer.cancel();
+        return;
+    }
+    m_timer.expires_after(*wait);
+    m_timer.async_wait([weak = weak_from_this(), phase](const boost::system::error_code &ec) {
+        const auto self = weak.lock();
+        if (!ec && self && self->m_phase == phase)
+            self->onTimeout();
+    });
+}
+
+void ServerConnection::onTimeout()
+{
+    if (m_phase != Phase::Head && m_phase != Phase::Body) {
+        closeNow();
+        return;
+    }
+    m_parser.reset();
+    m_closeAfterAnswer = true;
+    m_isHead = false;
+    m_phase = Phase::Handling;
+    ++m_state->openRequests;
+    sendAnswer(requestTimeout, {}, "the request did not arrive in time\n");
+}
+
+void ServerConnection::onClientGone()
+{
+    const std::function<void()> handler = std::move(m_closedHandler);
+    closeNow();
+    if (handler)
+        handler();
+}
+
+void ServerConnection::abort()
+{
+    closeNow();
+}
+
+void ServerConnection::closeWhenIdle()
+{
+    if (m_phase == Phase::Idle)
+        closeNow();
+    else
+        m_closeAfterAnswer = true;
+}
+
+void ServerConnection::closeNow()
+{
+    if (m_phase == Phase::Closed)
+        return;
+    if (isRequestOpen())
+        --m_state->openRequests;
+    m_phase = Phase::Closed;
+    m_closedHandler = nullptr;
+    m_drainedHandler = nullptr;
+    m_timer.cancel();
+    boost::system::error_code ignored; // Nothing is left to do with this socket.
+    m_socket.close(ignored);
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Source/Serving/servingnode.cpp
@@ -0,0 +1,350 @@
+#include "Serving/servingnode.h"
+
+#include "Adapter/log.h"
+#include "Serving/clocks.h"
+#include "Serving/requestrun.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace sesame {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto tickInterval = 100ms;
+constexpr Duration nodeListInterval = 3s;
+constexpr Duration firstNodeListInterval = 500ms;
+//! How long callers may keep an answer of the directory. A stopping node serves this long.
+constexpr double directoryTtlSeconds = 2.0;
+//! Callers may keep an answer for three times its time to live.
+constexpr Duration withdrawalTime = 6s;
+//! Part of the grace that remains for requests under way when the entry closes.
+constexpr Duration closingReserve = 2500ms;
+//! Part of the grace that is left when the process ends, for the end itself.
+constexpr Duration exitReserve = 400ms;
+constexpr std::size_t controlConnections = 256;
+//! Descriptors that the platform reserves and that connections to engines use.
+constexpr std::size_t reservedDescriptors = 1000;
+constexpr const char *nodeKind = "nodes";
+
+constexpr unsigned ok = 200;
+constexpr unsigned notFound = 404;
+constexpr unsigned unavailable = 503;
+
+std::size_t entryConnections(const ServingSettings &settings)
+{
+    return settings.descriptorLimit > 2 * reservedDescriptors
+            ? settings.descriptorLimit - reservedDescriptors
+            : settings.descriptorLimit / 2;
+}
+
+std::string_view pathOf(const RequestMessage &request)
+{
+    const std::string_view target = toStd(request.target());
+    return target.substr(0, target.find('?'));
+}
+
+} // namespace
+
+ServingNode::ServingNode(asio::io_context &context, const ServingSettings &settings,
+                         ServingEnvironment environment)
+    : m_context(context), m_environment(std::move(environment)),
+      m_state(context, settings, *m_environment.format), m_exchange(m_state, context),
+      m_entry(
+              context,
+              [this](const Call &call, RequestMessage &&request) {
+                  serveRequest(call, std::move(request));
+              },
+              entryConnections(settings)),
+      m_directory(
+              context,
+              [this](const Call &call, RequestMessage &&request) {
+                  serveDirectory(call, request);
+              },
+              controlConnections),
+      m_readiness(
+              context,
+              [this](const Call &call, RequestMessage &&request) {
+                  serveReadiness(call, request);
+              },
+              controlConnections),
+      m_nodeStore(m_environment.makeStore()),
+      m_duties(m_state, m_environment.makeStore(), *m_environment.dutyCalls),
+      m_signals(context, SIGTERM, SIGINT, SIGHUP), m_tickTimer(context), m_stopTimer(context)
+{
+}
+
+std::optional<std::string> ServingNode::start()
+{
+    const ServingSettings &settings = m_state.settings;
+    const auto open = [](Listener &listener, const Tcp::endpoint &address, std::string_view what) {
+        const boost::system::error_code ec = listener.open(address);
+        return ec ? std::optional(std::string(what) + ": " + ec.message()) : std::nullopt;
+    };
+    if (auto reason = open(m_readiness, settings.readinessAddress, "readiness address"))
+        return reason;
+    if (auto reason = open(m_directory, settings.directoryAddress, "directory address"))
+        return reason;
+    if (auto reason = open(m_entry, settings.entryAddress, "entry address"))
+        return reason;
+    if (const boost::system::error_code ec = m_exchange.open())
+        return "exchange port: " + ec.message();
+    logEvent(LogLevel::Info, "node.started",
+             {{"zone", settings.zone},
+              {"entry", settings.entryAddressText},
+              {"incarnation", m_state.incarnation},
+              {"first_start", settings.isFirstStart}});
+    m_configFollower = followConfig();
+    m_engineFollower = followEngines();
+    m_configFollower->start();
+    m_engineFollower->start();
+    m_duties.start();
+    waitForSignals();
+    tick();
+    return std::nullopt;
+}
+
+std::unique_ptr<StoreFollower> ServingNode::followConfig()
+{
+    FollowerEvents events;
+    events.listed = [this](const std::vector<StoredObject> &objects, bool) {
+        for (const StoredObject &object : objects)
+            takeConfig(object);
+    };
+    events.changed = [this](const StoredObject &object, bool) {
+        takeConfig(object);
+    };
+    return std::make_unique<StoreFollower>(m_context, m_environment.makeStore(),
+                                           m_environment.configKind, std::move(events));
+}
+
+std::unique_ptr<StoreFollower> ServingNode::followEngines()
+{
+    FollowerEvents events;
+    events.listed = [this](const std::vector<StoredObject> &objects, bool afterOutage) {
+        std::vector<EngineEntry> entries;
+        for (const StoredObject &object : objects) {
+            if (const auto entry = m_environment.readEngine(object.name, object.content.get()))
+                entries.push_back(*entry);
+        }
+        m_state.engines.replaceAll(entries, afterOutage, steadyNow());
+        m_state.enginesListed = true;
+        logEvent(LogLevel::Info, "engines.listed",
+                 {{"engines", static_cast<std::int64_t>(entries.size())},
+                  {"after_outage", afterOutage}});
+    };
+    events.changed = [this](const StoredObject &object, bool afterOutage) {
+        takeEngine(object, afterOutage);
+    };
+    return std::make_unique<StoreFollower>(m_context, m_environment.makeStore(),
+                                           m_environment.engineKind, std::move(events));
+}
+
+void ServingNode::takeConfig(const StoredObject &object)
+{
+    if (object.name != m_environment.configName || object.removed)
+        return;
+    const auto config = m_environment.readConfig(object.content.get());
+    if (!config) {
+        logEvent(LogLevel::Error, "config.unreadable",
+                 {{"revision", static_cast<std::int64_t>(object.revision)}});
+        return;
+    }
+    m_state.adoptConfig(config);
+    const RequestLimits &limits = m_state.config->limits;
+    m_entry.setLimits({.headerBytes = limits.headerBytes,
+                       .bodyBytes = limits.bodyBytes,
+                       .headerTimeout = limits.headerTimeout,
+                       .idleTimeout = limits.idleTimeout});
+}
+
+void ServingNode::takeEngine(const StoredObject &object, bool afterOutage)
+{
+    const auto entry = object.removed ? std::nullopt
+                                      : m_environment.readEngine(object.name, object.content.get());
+    const EngineState *known = m_state.engines.find(object.name);
+    const bool wasUsable = known && known->usable;
+    if (entry)
+        m_state.engines.apply(*entry);
+    else if (afterOutage)
+        m_state.engines.markMissing(object.name, steadyNow());
+    else
+        m_state.engines.remove(object.name);
+    const EngineState *now = m_state.engines.find(object.name);
+    const bool isUsable = now && now->usable;
+    if (wasUsable == isUsable)
+        return;
+    if (!isUsable)
+        m_state.pool.dropIdle(object.name);
+    logEvent(LogLevel::Info, isUsable ? "engine.joined" : "engine.left",
+             {{"engine", object.name},
+              {"removed", object.removed},
+              {"revision", static_cast<std::int64_t>(object.revision)}});
+}
+
+void ServingNode::serveRequest(const Call &call, RequestMessage &&request)
+{
+    std::make_shared<RequestRun>(m_state, call, std::move(request))->start();
+}
+
+void ServingNode::serveDirectory(const Call &call, const RequestMessage &request)
+{
+    if (pathOf(request) != m_environment.directoryPath) {
+        call->sendAnswer(notFound, {}, "no such call\n");
+        return;
+    }
+    std::vector<std::string> addresses = m_state.peers.entryAddresses(steadyNow());
+    if (isReady())
+        addresses.push_back(m_state.settings.entryAddressText);
+    if (addresses.empty()) {
+        call->sendAnswer(unavailable, {}, "no node is ready\n");
+        return;
+    }
+    // The largest answer that callers take.
+    constexpr std::size_t addressLimit = 64;
+    std::shuffle(addresses.begin(), addresses.end(), m_state.random);
+    addresses.resize(std::min(addresses.size(), addressLimit));
+    HttpFields fields;
+    fields.set("Content-Type", "application/json");
+    call->sendAnswer(ok, fields, m_environment.formatAddresses(addresses, directoryTtlSeconds));
+}
+
+void ServingNode::serveReadiness(const Call &call, const RequestMessage &request)
+{
+    if (pathOf(request) != m_environment.readyPath)
+        call->sendAnswer(notFound, {}, "no such call\n");
+    else if (isReady())
+        call->sendAnswer(ok, {}, "ready\n");
+    else
+        call->sendAnswer(unavailable, {}, "not ready\n");
+}
+
+bool ServingNode::isReady() const
+{
+    return !m_state.leaving && m_state.config && m_state.enginesListed;
+}
+
+/*!
+    Writes this node's address to the store, where nodes find each other.
+*/
+void ServingNode::announce()
+{
+    if (m_announced || m_announcing || m_state.leaving)
+        return;
+    m_announcing = true;
+    const JsonPtr content(json_object());
+    json_object_set_new(content.get(), "entry",
+                        json_string(m_state.settings.entryAddressText.c_str()));
+    json_object_set_new(content.get(), "zone", json_string(m_state.settings.zone.c_str()));
+    m_nodeStore->create(nodeKind, m_state.settings.node, content.get(),
+                        [this](const StoreWrite &written) {
+                            m_announcing = false;
+                            m_announced = written.status == StoreCallStatus::Ok
+                                    || written.status == StoreCallStatus::Conflict;
+                        });
+}
+
+void ServingNode::listNodes()
+{
+    m_nodeStore->list(nodeKind, true, [this](const StoreListing &listing) {
+        if (listing.status != StoreCallStatus::Ok)
+            return;
+        for (const StoredObject &object : listing.objects) {
+            if (object.name == m_state.settings.node || object.removed)
+                continue;
+            m_state.peers.addListed(object.name, jsonString(object.content.get(), "entry"),
+                                    jsonString(object.content.get(), "zone"), steadyNow());
+        }
+    });
+}
+
+void ServingNode::scheduleTick()
+{
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([this](const boost::system::error_code &ec) {
+        if (!ec)
+            tick();
+    });
+}
+
+void ServingNode::tick()
+{
+    const Timestamp now = steadyNow();
+    if (now >= m_nextNodeList) {
+        const bool alone = m_state.peers.peers().empty();
+        m_nextNodeList = now + (alone ? firstNodeListInterval : nodeListInterval);
+        announce();
+        listNodes();
+    }
+    for (const std::string &peer : m_state.peers.expire(now)) {
+        m_state.trueTime.forgetPeer(peer);
+        logEvent(LogLevel::Info, "peer.forgotten", {{"peer", peer}});
+    }
+    m_state.engines.expire(now);
+    m_state.engines.setPeerLoads(m_state.peers.engineLoads(now));
+    m_state.crashes.expire(now);
+    m_state.pool.trim();
+    m_exchange.setReady(isReady());
+    m_exchange.setEngineRevision(m_engineFollower->revision());
+    scheduleTick();
+}
+
+void ServingNode::waitForSignals()
+{
+    m_signals.async_wait([this](const boost::system::error_code &ec, int signal) {
+        if (ec)
+            return;
+        if (signal == SIGHUP)
+            logEvent(LogLevel::Info, "node.reload", {{"changed", false}});
+        else
+            beginStop();
+        waitForSignals();
+    });
+}
+
+/*!
+    Withdraws from the directory, serves on while callers may still hold an old answer of it, then
+    closes the entry and ends when the last request is answered.
+*/
+void ServingNode::beginStop()
+{
+    if (m_state.leaving)
+        return;
+    m_state.leaving = true;
+    m_stopStart = steadyNow();
+    m_duties.withdraw();
+    m_exchange.setReady(false);
+    m_exchange.sendReports();
+    m_entry.announceClose();
+    logEvent(LogLevel::Info, "node.stopping",
+             {{"open_requests", static_cast<std::int64_t>(m_entry.openRequests())}});
+    finishStop();
+}
+
+void ServingNode::finishStop()
+{
+    const Timestamp now = steadyNow();
+    const Duration grace = m_state.settings.stopGrace;
+    const Timestamp closing = m_stopStart + std::min(withdrawalTime, grace - closingReserve);
+    const bool isIdle = m_entry.openRequests() == 0;
+    if (!m_entryClosed && now >= closing) {
+        m_entryClosed = true;
+        m_entry.close();
+    }
+    if ((m_entryClosed && isIdle) || now >= m_stopStart + grace - exitReserve) {
+        m_exchange.sendReports();
+        logEvent(LogLevel::Info, "node.stopped",
+                 {{"open_requests", static_cast<std::int64_t>(m_entry.openRequests())}});
+        m_context.stop();
+        return;
+    }
+    m_stopTimer.expires_after(tickInterval);
+    m_stopTimer.async_wait([this](const boost::system::error_code &ec) {
+        if (!ec)
+            finishStop();
+    });
+}
+
+} // namespace sesame
