Order spot engines by demand, and name no node that is long gone

Change: unheard nodes are named only in a node's first second, and the holder of the duties removes records of nodes that nobody has heard for 20 s.

Change: EnginePlanner orders spot engines for recent demand and the loss of a zone, and engines of the normal price while spot engines are not to be had. Ruled out: planning from the list as it fills after a start (kept 4 engines), moving refused zones' engines to other zones (orders went back and forth).

--- /dev/null
+++ b/Source/Core/engineplanner.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "Core/enginedirectory.h"
+#include "Core/ports.h"
+#include "Core/servingconfig.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sesame {
+
+struct EngineOrder
+{
+    std::string service;
+    std::string zone;
+    int desired = 0;
+    bool spot = false;
+};
+
+struct EnginePlannerOptions
+{
+    //! Part of an engine's slots that is planned to be in use; the rest keeps first events early
+    //! while long prompts are read.
+    double plannedUse = 0.25;
+    double reserve = 1.34; //!< Factor that covers the loss of one of four availability zones.
+    double growth = 1.4; //!< Largest factor between the engines that are there and the plan.
+    //! Demand of the past that still counts. Longer than an engine takes to start, so that a
+    //! short pause does not stop engines that are needed again at once.
+    Duration memory {std::chrono::seconds(20)};
+    //! From the first engine seen to the first plan: engines register one by one after a start.
+    Duration settling {std::chrono::seconds(3)};
+    Duration averaging {std::chrono::milliseconds(1500)};
+    Duration refusalPause {std::chrono::seconds(3)}; //!< A zone that had no engines to give.
+    Duration repeatPause {
+            std::chrono::seconds(6)}; //!< Before an order that has no effect is repeated.
+};
+
+/*!
+    Decides how many engines of one service to order in each availability zone: enough for the
+    recent demand and the loss of a zone, on spot engines where they are offered.
+
+    Engines of the normal price that were there first stay until enough spot engines are ready.
+*/
+class EnginePlanner
+{
+public:
+    explicit EnginePlanner(EnginePlannerOptions options = {}) : m_options(options) { }
+
+    /*!
+        Returns the orders to send now for \a service, whose engines are \a engines.
+    */
+    std::vector<EngineOrder> plan(const ServiceSpec &service,
+                                  const std::vector<EngineState *> &engines, Timestamp now);
+
+    /*!
+        Takes that \a order was accepted or refused.
+    */
+    void recordResult(const EngineOrder &order, bool accepted, Timestamp now);
+
+    /*!
+        Returns the number of engines planned last.
+    */
+    int planned() const { return m_planned; }
+
+private:
+    struct Supply
+    {
+        int normal = 0;
+        int spot = 0;
+    };
+    struct Placed
+    {
+        int desired = -1;
+        Timestamp since; //!< Of the last order with this number.
+    };
+    using OrderKey = std::pair<std::string, bool>; //!< Zone, and whether it is for spot engines.
+
+    int estimateNeed(const std::vector<EngineState *> &engines, Timestamp now);
+    int planNormal(int spot, int normal, Timestamp now) const;
+    static std::map<std::string, int> distribute(const ScalingSpec &scaling, int total,
+                                                 int smallest);
+    void addOrder(std::vector<EngineOrder> &orders, const EngineOrder &order, int present,
+                  Timestamp now);
+
+    EnginePlannerOptions m_options;
+    std::deque<std::pair<Timestamp, int>> m_needs;
+    double m_averageLoad = 0.0;
+    int m_initial = 0; //!< Engines at the first plan.
+    bool m_loadSeen = false; //!< There has been a request since the plans began.
+    Timestamp m_firstEngine;
+    Timestamp m_lastPlan;
+    int m_planned = 0;
+    std::map<OrderKey, Placed> m_placed;
+    std::map<OrderKey, Timestamp> m_refusedUntil;
+};
+
+} // namespace sesame
--- a/Source/Core/peertable.cpp
+++ b/Source/Core/peertable.cpp
@@ -66,6 +66,12 @@
     return n;
 }
 
+const PeerNode *PeerTable::find(const std::string &name) const
+{
+    const auto found = m_peers.find(name);
+    return found == m_peers.end() ? nullptr : &found->second;
+}
+
 bool PeerTable::isInTouch(const PeerNode &peer, Timestamp now) const
 {
     return peer.lastHeard != Timestamp {} && now - peer.lastHeard < m_options.silence;
@@ -81,13 +87,13 @@
     return static_cast<double>(silent) / static_cast<double>(sharers());
 }
 
-std::vector<std::string> PeerTable::entryAddresses(Timestamp now) const
+std::vector<std::string> PeerTable::entryAddresses(Timestamp now, bool trustUnheard) const
 {
     std::vector<std::string> addresses;
     for (const auto &[name, peer] : m_peers) {
-        const bool isNew = peer.lastHeard == Timestamp {}
-                && now - peer.firstKnown < m_options.silence;
-        if (peer.report.ready && !peer.report.leaving && (isNew || isInTouch(peer, now)))
+        const bool isUnheard = peer.lastHeard == Timestamp {};
+        const bool isThere = isUnheard ? trustUnheard : isInTouch(peer, now);
+        if (isThere && peer.report.ready && !peer.report.leaving)
             addresses.push_back(peer.report.entryAddress);
     }
     return addresses;
--- a/Source/Core/peertable.h
+++ b/Source/Core/peertable.h
@@ -64,14 +64,20 @@
     double silentShare(Timestamp now) const;
 
     /*!
-        Returns where callers may connect: peers that are ready, or not heard yet.
+        Returns where callers may connect: peers that are ready and in touch. \a trustUnheard adds
+        those that the store lists and that have not been heard, for a node that has just started.
     */
-    std::vector<std::string> entryAddresses(Timestamp now) const;
+    std::vector<std::string> entryAddresses(Timestamp now, bool trustUnheard) const;
 
     std::unordered_map<std::string, EngineLoad> engineLoads(Timestamp now) const;
     std::unordered_map<std::uint64_t, CrashCount> crashCounts() const;
     bool isInTouch(const PeerNode &peer, Timestamp now) const;
 
+    /*!
+        Returns the peer \a name, or null.
+    */
+    const PeerNode *find(const std::string &name) const;
+
     const std::map<std::string, PeerNode> &peers() const { return m_peers; }
 
 private:
--- a/Source/Serving/dutycalls.h
+++ b/Source/Serving/dutycalls.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/engineplanner.h"
 #include "Core/usageledger.h"
 
 #include <functional>
@@ -13,14 +14,6 @@
     Unknown //!< No answer; the call may have been taken.
 };
 
-struct EngineOrder
-{
-    std::string service;
-    std::string zone;
-    int desired = 0;
-    bool spot = false;
-};
-
 /*!
     Calls that one node makes for the whole deployment, with its name and fencing token.
 */
--- a/Source/Serving/dutykeeper.h
+++ b/Source/Serving/dutykeeper.h
@@ -30,6 +30,9 @@
     */
     void withdraw();
 
+    bool isHeld() const { return mayAct() && !m_withdrawn; }
+    std::int64_t term() const { return m_term.term(); }
+
 private:
     void schedule();
     void tick();
--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -24,6 +24,11 @@
 constexpr Duration closingReserve = 2500ms;
 //! Part of the grace that is left when the process ends, for the end itself.
 constexpr Duration exitReserve = 400ms;
+//! A node that has just started knows its peers from the store only; after this time it has heard
+//! those that live.
+constexpr Duration acquaintanceTime = 1s;
+//! A node whose peers have not heard it for this long is taken out of the store's list.
+constexpr Duration staleRecordAge = 20s;
 constexpr std::size_t controlConnections = 256;
 //! Descriptors that the platform reserves and that connections to engines use.
 constexpr std::size_t reservedDescriptors = 1000;
@@ -72,7 +77,8 @@
               controlConnections),
       m_nodeStore(m_environment.makeStore()),
       m_duties(m_state, m_environment.makeStore(), *m_environment.dutyCalls),
-      m_signals(context, SIGTERM, SIGINT, SIGHUP), m_tickTimer(context), m_stopTimer(context)
+      m_scaling(m_state, *m_environment.dutyCalls), m_signals(context, SIGTERM, SIGINT, SIGHUP),
+      m_tickTimer(context), m_stopTimer(context)
 {
 }
 
@@ -96,6 +102,7 @@
               {"entry", settings.entryAddressText},
               {"incarnation", m_state.incarnation},
               {"first_start", settings.isFirstStart}});
+    m_start = steadyNow();
     m_configFollower = followConfig();
     m_engineFollower = followEngines();
     m_configFollower->start();
@@ -195,7 +202,9 @@
         call->sendAnswer(notFound, {}, "no such call\n");
         return;
     }
-    std::vector<std::string> addresses = m_state.peers.entryAddresses(steadyNow());
+    const Timestamp now = steadyNow();
+    std::vector<std::string> addresses = m_state.peers.entryAddresses(
+            now, now - m_start < acquaintanceTime);
     if (isReady())
         addresses.push_back(m_state.settings.entryAddressText);
     if (addresses.empty()) {
@@ -246,11 +255,43 @@
                         });
 }
 
+/*!
+    Removes the records of nodes that nobody has heard for long, so that a node that starts later
+    does not name them to callers. A node that lives after all writes its record again.
+*/
+void ServingNode::removeStaleRecords(const std::vector<StoredObject> &listed)
+{
+    const Timestamp now = steadyNow();
+    std::erase_if(m_unheardSince, [&](const auto &item) {
+        const PeerNode *peer = m_state.peers.find(item.first);
+        return peer && m_state.peers.isInTouch(*peer, now);
+    });
+    // A node without any peer cannot tell whose fault the silence is.
+    const bool hasPeers = !m_state.peers.entryAddresses(now, false).empty();
+    for (const StoredObject &object : listed) {
+        const PeerNode *peer = m_state.peers.find(object.name);
+        if (object.removed || object.name == m_state.settings.node
+            || (peer && m_state.peers.isInTouch(*peer, now)))
+            continue;
+        const Timestamp since = m_unheardSince.try_emplace(object.name, now).first->second;
+        if (!hasPeers || !m_duties.isHeld() || now - since < staleRecordAge)
+            continue;
+        logEvent(LogLevel::Info, "peer.record_removed", {{"peer", object.name}});
+        m_unheardSince.erase(object.name);
+        m_nodeStore->remove(nodeKind, object.name, [](const StoreWrite &) {});
+    }
+}
+
 void ServingNode::listNodes()
 {
     m_nodeStore->list(nodeKind, true, [this](const StoreListing &listing) {
         if (listing.status != StoreCallStatus::Ok)
             return;
+        const auto isOwn = [this](const StoredObject &object) {
+            return object.name == m_state.settings.node && !object.removed;
+        };
+        m_announced = std::any_of(listing.objects.begin(), listing.objects.end(), isOwn);
+        removeStaleRecords(listing.objects);
         for (const StoredObject &object : listing.objects) {
             if (object.name == m_state.settings.node || object.removed)
                 continue;
@@ -275,8 +316,8 @@
     if (now >= m_nextNodeList) {
         const bool alone = m_state.peers.peers().empty();
         m_nextNodeList = now + (alone ? firstNodeListInterval : nodeListInterval);
-        announce();
         listNodes();
+        announce();
     }
     for (const std::string &peer : m_state.peers.expire(now)) {
         m_state.trueTime.forgetPeer(peer);
@@ -286,6 +327,12 @@
     m_state.engines.setPeerLoads(m_state.peers.engineLoads(now));
     m_state.crashes.expire(now);
     m_state.pool.trim();
+    if (m_duties.isHeld()) {
+        if (m_scalingTerm != m_duties.term())
+            m_scaling.reset();
+        m_scalingTerm = m_duties.term();
+        m_scaling.tick(m_scalingTerm);
+    }
     m_exchange.setReady(isReady());
     m_exchange.setEngineRevision(m_engineFollower->revision());
     scheduleTick();
--- a/Source/Serving/servingnode.h
+++ b/Source/Serving/servingnode.h
@@ -3,6 +3,7 @@
 #include "Http/listener.h"
 #include "Serving/dutykeeper.h"
 #include "Serving/nodeexchange.h"
+#include "Serving/scalingduty.h"
 #include "Serving/servingstate.h"
 #include "Serving/storefollower.h"
 
@@ -61,6 +62,7 @@
     void takeEngine(const StoredObject &object, bool afterOutage);
     void announce();
     void listNodes();
+    void removeStaleRecords(const std::vector<StoredObject> &listed);
     void scheduleTick();
     void tick();
     void waitForSignals();
@@ -78,11 +80,15 @@
     std::unique_ptr<StoreFollower> m_configFollower;
     std::unique_ptr<StoreFollower> m_engineFollower;
     DutyKeeper m_duties;
+    ScalingDuty m_scaling;
+    std::int64_t m_scalingTerm = 0; //!< Term for which the present plans were made.
     asio::signal_set m_signals;
     asio::steady_timer m_tickTimer;
     asio::steady_timer m_stopTimer;
     Timestamp m_nextNodeList;
+    Timestamp m_start;
     Timestamp m_stopStart;
+    std::map<std::string, Timestamp> m_unheardSince; //!< Listed nodes that are out of touch.
     bool m_announced = false;
     bool m_announcing = false;
     bool m_entryClosed = false;
