Emulate the platform for tests, and test nodes on it as processes

It covers the store (conditions, watches, lost history, refusals, silence, lost answers), engines (refusals, resets, cut streams, silence, unsigned and encoded answers) and the duties, and collects what breaks the duties' rules.

--- /dev/null
+++ b/Emulator/emulatedplatform.cpp
@@ -0,0 +1,101 @@
+#include "emulatedplatform.h"
+
+namespace sesame {
+
+namespace {
+
+constexpr int firstEnginePort = 2;
+constexpr int firstNodePort = 20;
+
+} // namespace
+
+EmulatedPlatform::EmulatedPlatform(asio::io_context &context, std::uint16_t firstPort)
+    : store(context, endpoint(firstPort)), duties(context, endpoint(firstPort + 1)),
+      m_firstPort(firstPort)
+{
+    for (int i = 0; i < modelEngines + plainEngines; ++i) {
+        engines.push_back(std::make_unique<EmulatedEngine>(
+                context, "i-" + std::to_string(i), endpoint(firstPort + firstEnginePort + i)));
+        putEngine(*engines.back(), "ready");
+    }
+    putConfig(1);
+}
+
+Tcp::endpoint EmulatedPlatform::endpoint(int port)
+{
+    return {asio::ip::make_address_v4("127.0.0.1"), static_cast<std::uint16_t>(port)};
+}
+
+Tcp::endpoint EmulatedPlatform::nodeEndpoint(int index, int offset) const
+{
+    return {asio::ip::make_address_v4("127.0.1." + std::to_string(index)),
+            static_cast<std::uint16_t>(m_firstPort + firstNodePort + offset)};
+}
+
+std::string EmulatedPlatform::engineAddress(std::size_t index) const
+{
+    return "127.0.0.1:" + std::to_string(m_firstPort + firstEnginePort + static_cast<int>(index));
+}
+
+void EmulatedPlatform::putEngine(const EmulatedEngine &engine, const std::string &state)
+{
+    std::size_t index = 0;
+    while (engines[index].get() != &engine)
+        ++index;
+    const bool isModel = index < static_cast<std::size_t>(modelEngines);
+    store.put("servers", engine.id(),
+              std::string("{\"service\":\"") + (isModel ? "model" : "plain") + "\",\"address\":\""
+                      + engineAddress(index) + "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":4,"
+                      + "\"state\":\"" + state
+                      + "\",\"warmupLeftMs\":0,\"sequence\":1,\"born\":1}");
+}
+
+void EmulatedPlatform::putConfig(std::int64_t version, bool extraRoute)
+{
+    const auto route = [](const std::string &prefix, const std::string &kind,
+                          const std::string &service, const std::string &more) {
+        return "{\"name\":\"r" + prefix + "\",\"hostname\":\"app.example\",\"pathPrefix\":\""
+                + prefix + "\",\"routeType\":\"" + kind + "\",\"timeoutMs\":3000,"
+                + "\"targetLatencyMs\":200,\"priority\":1,\"service\":\"" + service + "\"," + more
+                + "}";
+    };
+    std::string routes = route("/stream/", "streaming", "model",
+                               "\"maxAttempts\":1,\"streamResume\":false")
+            + ","
+            + route("/stream/again/", "streaming", "model",
+                    "\"maxAttempts\":2,\"streamResume\":true,\"targetGapMs\":100")
+            + "," + route("/book/", "unsafe", "plain", "\"maxAttempts\":2") + ","
+            + route("/read/", "safe", "plain", "\"maxAttempts\":2") + ","
+            + route("/open/", "safe", "plain", "\"maxAttempts\":2,\"anonymous\":true");
+    if (extraRoute)
+        routes += "," + route("/extra/", "safe", "plain", "\"maxAttempts\":2");
+    store.put(
+            "config", "main",
+            "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes
+                    + "],\"services\":[{\"name\":\"model\",\"maxConnections\":50,\"engine\":"
+                      "{\"slots\":4,\"kvCapacity\":100000}},{\"name\":\"plain\","
+                      "\"maxConnections\":50}],\"limits\":{\"maxHeaderBytes\":16384,"
+                      "\"maxBodyBytes\":1000000,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
+                      "\"tenants\":[{\"name\":\"large\",\"apiKeys\":[\"key-large\"]},"
+                      "{\"name\":\"small\",\"apiKeys\":[\"key-small\"],\"ratePerS\":2,"
+                      "\"burst\":5}]}");
+}
+
+std::string EmulatedPlatform::formatSettings(int index, bool isFirstStart) const
+{
+    const auto format = [](const Tcp::endpoint &address) {
+        return "\"" + address.address().to_string() + ":" + std::to_string(address.port()) + "\"\n";
+    };
+    const int exchange = m_firstPort + firstNodePort + 3;
+    return "nodeName: \"node-" + std::to_string(index) + "\"\nzone: \"z\"\nlisten:\n  frontend: "
+            + format(entryAddress(index)) + "  readiness: " + format(readinessAddress(index))
+            + "  directory: " + format(directoryAddress(index)) + "internalPorts: ["
+            + std::to_string(exchange) + ", " + std::to_string(exchange + 1)
+            + "]\nbootstrap: " + (isFirstStart ? "true" : "false")
+            + "\nlimits:\n  fileDescriptors: 1000\nbounds:\n  leaseMs: 1500\n  graceS: 3\n"
+              "  reportWindowS: 1\n  retrySlack: 54\nplatform:\n  address: "
+            + format(endpoint(m_firstPort)) + "cloud:\n  address: "
+            + format(endpoint(m_firstPort + 1)) + "  duties: [\"metering\", \"autoscale\"]\n";
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Emulator/emulatedstore.cpp
@@ -0,0 +1,231 @@
+#include "emulatedstore.h"
+
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <stdexcept>
+
+namespace sesame {
+
+namespace {
+
+constexpr std::string_view objectsPath = "/api/objects/";
+constexpr std::size_t connectionLimit = 512;
+
+void answer(const std::shared_ptr<ServerConnection> &call, unsigned status, const std::string &body)
+{
+    HttpFields fields;
+    fields.set("Content-Type", "application/json");
+    call->sendAnswer(status, fields, body);
+}
+
+std::map<std::string, std::string> readQuery(std::string_view target)
+{
+    const std::size_t mark = target.find('?');
+    if (mark == std::string_view::npos)
+        return {};
+    std::map<std::string, std::string> query;
+    const std::string text(target.substr(mark + 1));
+    for (const absl::string_view item : absl::StrSplit(text, '&')) {
+        const std::pair<std::string, std::string> pair = absl::StrSplit(item,
+                                                                        absl::MaxSplits('=', 1));
+        query[pair.first] = pair.second;
+    }
+    return query;
+}
+
+} // namespace
+
+EmulatedStore::EmulatedStore(asio::io_context &context, const Tcp::endpoint &address)
+    : m_context(context), m_listener(
+                                  context,
+                                  [this](const Call &call, RequestMessage &&request) {
+                                      serve(call, request);
+                                  },
+                                  connectionLimit)
+{
+    if (const auto ec = m_listener.open(address))
+        throw std::runtime_error("store address: " + ec.message());
+}
+
+void EmulatedStore::put(const std::string &kind, const std::string &name, const std::string &spec)
+{
+    m_objects[kind][name].spec = spec;
+    record(kind, name, false);
+}
+
+void EmulatedStore::erase(const std::string &kind, const std::string &name)
+{
+    if (m_objects[kind].erase(name) > 0)
+        record(kind, name, true);
+}
+
+std::size_t EmulatedStore::count(const std::string &kind) const
+{
+    const auto found = m_objects.find(kind);
+    return found == m_objects.end() ? 0 : found->second.size();
+}
+
+void EmulatedStore::record(const std::string &kind, const std::string &name, bool deleted)
+{
+    ++m_revision;
+    std::string spec;
+    if (!deleted) {
+        Object &object = m_objects[kind][name];
+        object.revision = m_revision;
+        spec = object.spec;
+    }
+    m_history.push_back({m_revision, kind, name, deleted, spec});
+    if (m_trouble != Trouble::None)
+        return;
+    std::erase_if(m_watches, [this](const auto &watch) {
+        return answerWatch(*watch, false);
+    });
+}
+
+void EmulatedStore::serve(const Call &call, const RequestMessage &request)
+{
+    ++m_calls;
+    if (m_trouble == Trouble::Silent) {
+        m_silenced.push_back(call);
+        return;
+    }
+    const std::string_view target = toStd(request.target());
+    const std::string_view path = target.substr(0, target.find('?'));
+    if (m_trouble == Trouble::Busy || !path.starts_with(objectsPath)) {
+        answer(call, m_trouble == Trouble::Busy ? 503 : 404, "{}");
+        return;
+    }
+    const std::string rest(path.substr(objectsPath.size()));
+    const std::pair<std::string, std::string> key = absl::StrSplit(rest, absl::MaxSplits('/', 1));
+    if (request.method() == beast::http::verb::get)
+        serveRead(call, key.first, key.second, readQuery(target));
+    else
+        serveWrite(call, request, key.first, key.second);
+}
+
+void EmulatedStore::serveRead(const Call &call, const std::string &kind, const std::string &name,
+                              const std::map<std::string, std::string> &query)
+{
+    const auto watch = query.find("watch");
+    if (watch != query.end()) {
+        const auto wait = query.find("waitMs");
+        serveWatch(call, kind, std::strtoull(watch->second.c_str(), nullptr, 10),
+                   wait == query.end() ? 0 : std::atoi(wait->second.c_str()));
+        return;
+    }
+    const std::map<std::string, Object> &objects = m_objects[kind];
+    if (!name.empty()) {
+        const auto found = objects.find(name);
+        if (found == objects.end())
+            answer(call, 404, "{}");
+        else
+            answer(call, 200, formatObject(name, found->second.revision, found->second.spec));
+        return;
+    }
+    // Small pages, so that readers have to continue.
+    constexpr std::size_t pageSize = 3;
+    const auto since = query.find("sinceRevision");
+    auto next = since == query.end() ? objects.begin() : objects.upper_bound(since->second);
+    std::string entries;
+    for (std::size_t i = 0; i < pageSize && next != objects.end(); ++i, ++next)
+        entries += (entries.empty() ? "" : ",")
+                + formatObject(next->first, next->second.revision, next->second.spec);
+    answer(call, 200,
+           "{\"entries\":[" + entries
+                   + "],\"hasMore\":" + (next == objects.end() ? "false" : "true")
+                   + ",\"asOf\":" + std::to_string(m_revision) + "}");
+}
+
+void EmulatedStore::serveWatch(const Call &call, const std::string &kind, std::uint64_t revision,
+                               int waitMs)
+{
+    if (revision < m_oldestRevision) {
+        answer(call, 410, "{}");
+        return;
+    }
+    const auto watch = std::make_shared<Watch>();
+    watch->kind = kind;
+    watch->revision = revision;
+    watch->call = call;
+    if (answerWatch(*watch, false))
+        return;
+    watch->timer = std::make_unique<asio::steady_timer>(m_context,
+                                                        std::chrono::milliseconds(waitMs));
+    watch->timer->async_wait([this, watch](const boost::system::error_code &ec) {
+        if (ec)
+            return;
+        std::erase(m_watches, watch);
+        if (m_trouble == Trouble::None)
+            answerWatch(*watch, true);
+    });
+    m_watches.push_back(watch);
+}
+
+/*!
+    Answers with the changes of the watched kind. Returns false if there are none.
+*/
+bool EmulatedStore::answerWatch(Watch &watch, bool evenIfEmpty)
+{
+    std::string events;
+    for (const Change &change : m_history) {
+        if (change.kind != watch.kind || change.revision <= watch.revision)
+            continue;
+        events += (events.empty() ? "" : ",") + std::string("{\"deleted\":")
+                + (change.deleted ? "true" : "false")
+                + ",\"object\":" + formatObject(change.name, change.revision, change.spec) + "}";
+    }
+    if (events.empty() && !evenIfEmpty)
+        return false;
+    if (const auto call = watch.call.lock())
+        answer(call, 200,
+               "{\"events\":[" + events + "],\"asOf\":" + std::to_string(m_revision) + "}");
+    return true;
+}
+
+void EmulatedStore::serveWrite(const Call &call, const RequestMessage &request,
+                               const std::string &kind, const std::string &name)
+{
+    const JsonPtr body = parseJson(request.body());
+    const json_t *metadata = json_object_get(body.get(), "metadata");
+    const bool creates = request.method() == beast::http::verb::post;
+    const std::string target = creates ? jsonString(metadata, "name") : name;
+    std::map<std::string, Object> &objects = m_objects[kind];
+    const auto found = objects.find(target);
+    const bool exists = found != objects.end();
+    const auto expected = static_cast<std::uint64_t>(jsonInteger(metadata, "revision"));
+    if (!creates && !exists) {
+        answer(call, 404, "{}");
+        return;
+    }
+    if (exists && (creates || (expected != 0 && expected != found->second.revision))) {
+        answer(call, 409, formatObject(target, found->second.revision, found->second.spec));
+        return;
+    }
+    if (request.method() == beast::http::verb::delete_) {
+        erase(kind, target);
+    } else {
+        const std::string spec = dumpJson(json_object_get(body.get(), "spec"));
+        // A write that changes nothing keeps the revision.
+        if (!exists || found->second.spec != spec)
+            put(kind, target, spec);
+    }
+    if (m_lostAnswers > 0) {
+        --m_lostAnswers;
+        m_silenced.push_back(call);
+        return;
+    }
+    const Object &written = objects[target];
+    answer(call, 200, formatObject(target, written.revision, written.spec));
+}
+
+std::string EmulatedStore::formatObject(const std::string &name, std::uint64_t revision,
+                                        const std::string &spec)
+{
+    return "{\"metadata\":{\"name\":\"" + name + "\",\"revision\":" + std::to_string(revision)
+            + ",\"created\":1,\"finalizers\":[],\"deletionPending\":false},\"spec\":"
+            + (spec.empty() ? "null" : spec) + ",\"status\":null}";
+}
+
+} // namespace sesame
--- /dev/null
+++ b/Emulator/emulatedstore.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "Adapter/json.h"
+#include "Http/listener.h"
+
+#include <deque>
+#include <map>
+#include <string>
+
+namespace sesame {
+
+/*!
+    The platform's store: objects by kind and name, one revision counter, watches and conditions.
+*/
+class EmulatedStore
+{
+public:
+    enum class Trouble {
+        None,
+        Busy, //!< Each call is answered with 503.
+        Silent //!< No call is answered.
+    };
+
+    EmulatedStore(asio::io_context &context, const Tcp::endpoint &address);
+
+    void setTrouble(Trouble trouble) { m_trouble = trouble; }
+
+    /*!
+        Executes this many of the next writes without an answer.
+    */
+    void loseAnswers(int writes) { m_lostAnswers = writes; }
+
+    /*!
+        Drops the history, so that watches from before are refused.
+    */
+    void compact() { m_oldestRevision = m_revision; }
+
+    /*!
+        Writes \a spec, JSON text, as the platform's own writers do.
+    */
+    void put(const std::string &kind, const std::string &name, const std::string &spec);
+    void erase(const std::string &kind, const std::string &name);
+
+    std::size_t count(const std::string &kind) const;
+    std::int64_t calls() const { return m_calls; }
+
+private:
+    struct Object
+    {
+        std::uint64_t revision = 0;
+        std::string spec;
+    };
+    struct Change
+    {
+        std::uint64_t revision = 0;
+        std::string kind;
+        std::string name;
+        bool deleted = false;
+        std::string spec;
+    };
+    struct Watch
+    {
+        std::string kind;
+        std::uint64_t revision = 0;
+        std::weak_ptr<ServerConnection> call;
+        std::unique_ptr<asio::steady_timer> timer;
+    };
+    using Call = std::shared_ptr<ServerConnection>;
+
+    void serve(const Call &call, const RequestMessage &request);
+    void serveRead(const Call &call, const std::string &kind, const std::string &name,
+                   const std::map<std::string, std::string> &query);
+    void serveWatch(const Call &call, const std::string &kind, std::uint64_t revision, int waitMs);
+    void serveWrite(const Call &call, const RequestMessage &request, const std::string &kind,
+                    const std::string &name);
+    void record(const std::string &kind, const std::string &name, bool deleted);
+    bool answerWatch(Watch &watch, bool evenIfEmpty);
+    static std::string formatObject(const std::string &name, std::uint64_t revision,
+                                    const std::string &spec);
+
+    asio::io_context &m_context;
+    Listener m_listener;
+    Trouble m_trouble = Trouble::None;
+    int m_lostAnswers = 0;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_oldestRevision = 1;
+    std::map<std::string, std::map<std::string, Object>> m_objects;
+    std::deque<Change> m_history;
+    std::vector<std::shared_ptr<Watch>> m_watches;
+    std::vector<Call> m_silenced; //!< Calls that are never answered.
+    std::int64_t m_calls = 0;
+};
+
+} // namespace sesame
--- a/Source/Http/httpcaller.cpp
+++ b/Source/Http/httpcaller.cpp
@@ -64,7 +64,8 @@
     HttpFields all = fields;
     std::ostringstream host;
     host << m_address;
-    all.set(beast::http::field::host, host.str());
+    if (all.count(beast::http::field::host) == 0)
+        all.set(beast::http::field::host, host.str());
     pending->request = formatRequest(method, target, all, body);
     pending->timer.expires_after(timeout);
     pending->timer.async_wait([pending](const boost::system::error_code &ec) {
--- /dev/null
+++ b/Tests/httpconnectiontest.cpp
@@ -0,0 +1,309 @@
+#include "Http/clientconnection.h"
+#include "Http/httpcaller.h"
+#include "Http/listener.h"
+
+#include <criterion/criterion.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+using namespace sesame;
+using namespace std::chrono_literals;
+
+namespace {
+
+/*!
+    A server that answers each connection with fixed bytes and then keeps, ends or resets it.
+*/
+class ScriptedServer
+{
+public:
+    enum class End { Keep, Close, Reset };
+
+    ScriptedServer(asio::io_context &context, std::string answer, End end)
+        : m_acceptor(context, Tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 0)),
+          m_answer(std::move(answer)), m_end(end)
+    {
+        accept();
+    }
+
+    Tcp::endpoint address() const { return m_acceptor.local_endpoint(); }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code &ec, Tcp::socket socket) {
+            if (ec)
+                return;
+            m_sockets.push_back(std::make_shared<Tcp::socket>(std::move(socket)));
+            serve(m_sockets.back());
+            accept();
+        });
+    }
+
+    void serve(const std::shared_ptr<Tcp::socket> &socket)
+    {
+        const auto buf = std::make_shared<std::string>(4096, '\0');
+        socket->async_read_some(asio::buffer(*buf), [this, socket, buf](const auto &ec, auto) {
+            if (ec)
+                return;
+            asio::async_write(*socket, asio::buffer(m_answer), [this, socket](const auto &, auto) {
+                if (m_end == End::Reset)
+                    socket->set_option(asio::socket_base::linger(true, 0));
+                if (m_end != End::Keep)
+                    socket->close();
+                else
+                    serve(socket);
+            });
+        });
+    }
+
+    Tcp::acceptor m_acceptor;
+    std::string m_answer;
+    End m_end;
+    std::vector<std::shared_ptr<Tcp::socket>> m_sockets;
+};
+
+struct Outcome
+{
+    std::vector<unsigned> heads;
+    std::string body;
+    bool done = false;
+    std::optional<ExchangeFailure> failure;
+    bool reusable = false;
+};
+
+/*!
+    Sends one request to a server that answers with \a answer. Answers whose X-Id is not "mine"
+    are skipped.
+*/
+Outcome exchange(const std::string &answer, ScriptedServer::End end)
+{
+    asio::io_context context;
+    ScriptedServer server(context, answer, end);
+    const auto connection = std::make_shared<ClientConnection>(context);
+    Outcome outcome;
+    connection->connect(server.address(), 1s, [&](const boost::system::error_code &ec) {
+        cr_assert_not(ec);
+        AnswerSink sink;
+        sink.head = [&](const ResponseHead &head) {
+            outcome.heads.push_back(head.result_int());
+            return fieldValue(head, "X-Id") == "mine" ? AnswerSink::Verdict::Take
+                                                      : AnswerSink::Verdict::Skip;
+        };
+        sink.body = [&](std::string_view piece) {
+            outcome.body.append(piece);
+        };
+        sink.done = [&] {
+            outcome.done = true;
+            outcome.reusable = connection->isReusable(ClientConnection::Clock::now());
+        };
+        sink.failed = [&](ExchangeFailure failure) {
+            outcome.failure = failure;
+        };
+        connection->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", false, std::move(sink));
+    });
+    context.run_for(300ms);
+    connection->close();
+    return outcome;
+}
+
+/*!
+    A listener whose handler is given, and a raw connection to it.
+*/
+struct ServedConnection
+{
+    explicit ServedConnection(RequestHandler handler)
+        : listener(context, std::move(handler), 16), socket(context)
+    {
+        // A free port is found by a socket that is closed again.
+        Tcp::acceptor probe(context, Tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 0));
+        const Tcp::endpoint address = probe.local_endpoint();
+        probe.close();
+        cr_assert_not(listener.open(address));
+        socket.connect(address);
+    }
+
+    void write(const std::string &text) { asio::write(socket, asio::buffer(text)); }
+
+    std::string readAll(std::chrono::milliseconds time)
+    {
+        std::string text;
+        std::string buf(65536, '\0');
+        std::function<void()> readMore = [&] {
+            socket.async_read_some(asio::buffer(buf), [&](const auto &ec, std::size_t n) {
+                text.append(buf, 0, n);
+                if (!ec)
+                    readMore();
+            });
+        };
+        readMore();
+        context.run_for(time);
+        socket.cancel();
+        context.restart();
+        context.run_for(10ms);
+        return text;
+    }
+
+    asio::io_context context;
+    Listener listener;
+    Tcp::socket socket;
+};
+
+} // namespace
+
+// Guards against a truncated answer that is taken for a whole one.
+Test(clientconnection, cutOffAnswersAreNotComplete)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: mine\r\n";
+    Outcome outcome = exchange(head + "Content-Length: 10\r\n\r\nhalf", ScriptedServer::End::Close);
+    cr_expect_not(outcome.done);
+    cr_expect(outcome.failure == ExchangeFailure::Closed);
+    outcome = exchange(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+                       ScriptedServer::End::Close);
+    cr_expect_not(outcome.done);
+    outcome = exchange(head + "\r\nwhole", ScriptedServer::End::Close);
+    cr_expect(outcome.done, "an answer without a length ends with its connection");
+    cr_expect_str_eq(outcome.body.c_str(), "whole");
+    cr_expect_not(outcome.reusable);
+    outcome = exchange(head + "\r\npart", ScriptedServer::End::Reset);
+    cr_expect_not(outcome.done, "a reset is no end of an answer");
+}
+
+// Guards against a late answer to an earlier request that is given to another caller.
+Test(clientconnection, strayAnswerIsSkipped)
+{
+    const Outcome outcome = exchange(
+            "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 3\r\n\r\nold"
+            "HTTP/1.1 201 Created\r\nX-Id: mine\r\nContent-Length: 3\r\n\r\n"
+            "new",
+            ScriptedServer::End::Keep);
+    cr_expect(outcome.done);
+    cr_expect_str_eq(outcome.body.c_str(), "new");
+    cr_expect_eq(outcome.heads.size(), 2U);
+}
+
+// Guards against a connection with unexpected bytes that carries another request.
+Test(clientconnection, extraBytesEndTheConnection)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok";
+    Outcome outcome = exchange(whole, ScriptedServer::End::Keep);
+    cr_expect(outcome.done);
+    cr_expect(outcome.reusable);
+    outcome = exchange(whole + "junk", ScriptedServer::End::Keep);
+    cr_expect(outcome.done);
+    cr_expect_not(outcome.reusable);
+    outcome = exchange("no answer at all\r\n\r\n", ScriptedServer::End::Keep);
+    cr_expect(outcome.failure == ExchangeFailure::Malformed);
+}
+
+// Guards against a call to a silent server that never ends.
+Test(httpcaller, silentServerEndsAtTheTimeLimit)
+{
+    asio::io_context context;
+    ScriptedServer server(context, "", ScriptedServer::End::Keep);
+    HttpCaller caller(context, server.address());
+    std::optional<CallAnswer> answer;
+    caller.call("GET", "/", {}, {}, 100ms, [&](const CallAnswer &result) {
+        answer = result;
+    });
+    context.run_for(300ms);
+    cr_assert(answer.has_value());
+    cr_expect_eq(answer->status, 0U);
+    cr_expect(answer->wasSent);
+}
+
+// Guards against a caller that leaves while its request waits and is not noticed.
+Test(serverconnection, closeOfTheCallerIsNoticed)
+{
+    bool closed = false;
+    std::shared_ptr<ServerConnection> open;
+    ServedConnection served([&](const std::shared_ptr<ServerConnection> &call, RequestMessage &&) {
+        open = call;
+        call->setClosedHandler([&] {
+            closed = true;
+        });
+    });
+    served.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    served.context.run_for(50ms);
+    cr_assert_not_null(open.get());
+    cr_expect_not(closed);
+    served.socket.close();
+    served.context.restart();
+    served.context.run_for(50ms);
+    cr_expect(closed);
+    open.reset();
+}
+
+// Guards against a request inside a body that is taken for a request, and against pipelined
+// requests that are answered out of order.
+Test(serverconnection, bodiesAreNotRequests)
+{
+    std::vector<std::string> targets;
+    ServedConnection served(
+            [&](const std::shared_ptr<ServerConnection> &call, RequestMessage &&request) {
+                targets.emplace_back(toStd(request.target()));
+                call->sendAnswer(200, {}, request.body());
+            });
+    const std::string inner = "GET /inner HTTP/1.1\r\nHost: a\r\n\r\n";
+    served.write(
+            "POST /one HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(inner.size())
+            + "\r\n\r\n" + inner
+            + "POST /two HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0"
+              "\r\n\r\n");
+    const std::string text = served.readAll(100ms);
+    cr_assert_eq(targets.size(), 2U);
+    cr_expect_str_eq(targets[0].c_str(), "/one");
+    cr_expect_str_eq(targets[1].c_str(), "/two");
+    cr_expect(text.ends_with("abc"));
+}
+
+// Guards against requests beyond the limits, and against two lengths that frame one body.
+Test(serverconnection, improperRequestsAreRejected)
+{
+    const auto statusOf = [](const std::string &request) {
+        bool handled = false;
+        ServedConnection served(
+                [&](const std::shared_ptr<ServerConnection> &call, RequestMessage &&) {
+                    handled = true;
+                    call->sendAnswer(200, {}, "");
+                });
+        served.listener.setLimits({.headerBytes = 1024, .bodyBytes = 100, .headerTimeout = 50ms});
+        served.write(request);
+        const std::string text = served.readAll(150ms);
+        return text.size() > 12 ? text.substr(9, 3) : std::string("none");
+    };
+    cr_expect_str_eq(
+            statusOf("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(2000, 'x') + "\r\n\r\n")
+                    .c_str(),
+            "431");
+    cr_expect_str_eq(statusOf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200\r\n\r\n").c_str(),
+                     "413");
+    cr_expect_str_eq(statusOf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+                             .c_str(),
+                     "400");
+    cr_expect_str_eq(statusOf("nonsense\r\n\r\n").c_str(), "400");
+    cr_expect_str_eq(statusOf("GET / HTTP/1.1\r\nHos").c_str(), "408");
+}
+
+// Guards against a stream that is broken off and looks complete.
+Test(serverconnection, abortedStreamHasNoEnd)
+{
+    ServedConnection served([](const std::shared_ptr<ServerConnection> &call, RequestMessage &&) {
+        call->beginStream(200, {});
+        call->sendPiece("event");
+        call->setDrainedHandler([weak = std::weak_ptr(call)] {
+            if (const auto open = weak.lock())
+                open->abort();
+        });
+    });
+    served.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    const std::string text = served.readAll(100ms);
+    cr_expect(text.find("5\r\nevent\r\n") != std::string::npos);
+    cr_expect(text.find("0\r\n\r\n") == std::string::npos);
+}
