Log to standard output through a bounded queue, and serve metrics

Lines that find the queue full are dropped and counted in a metric; a slow reader no longer delays the loop. Ruled out: prometheus-cpp, whose package replaces the curl variant that libulfius-dev needs on Debian 12.

--- a/Source/Adapter/log.cpp
+++ b/Source/Adapter/log.cpp
@@ -2,14 +2,20 @@
 
 #include "Adapter/json.h"
 
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <iostream>
 
@@ -23,6 +29,30 @@
 
 std::string nodeName;
 
+std::atomic<std::uint64_t> droppedLines {0};
+
+/*!
+    Drops a line that finds the queue full, and counts it.
+*/
+struct CountingDrop
+{
+    template <typename Lock>
+    static bool on_overflow(const logging::record_view & /*record*/, Lock & /*lock*/)
+    {
+        droppedLines.fetch_add(1, std::memory_order_relaxed);
+        return false;
+    }
+    static void on_queue_space_available() { }
+    static void interrupt() { }
+};
+
+//! About 1 MB of lines.
+constexpr std::size_t queuedLines = 4096;
+using QueuedSink = logging::sinks::asynchronous_sink<
+        logging::sinks::text_ostream_backend,
+        logging::sinks::bounded_fifo_queue<queuedLines, CountingDrop>>;
+boost::shared_ptr<QueuedSink> queuedSink;
+
 BOOST_LOG_ATTRIBUTE_KEYWORD(severity, "Severity", LogLevel)
 
 std::int64_t wallMillis()
@@ -44,17 +74,54 @@
 
 } // namespace
 
+bool setLevel(std::string_view level, std::string_view node);
+
 bool initializeLog(std::string_view level, std::string_view node)
+{
+    namespace expressions = logging::expressions;
+    namespace keywords = logging::keywords;
+    if (!setLevel(level, node))
+        return false;
+    logging::add_console_log(std::clog,
+                             keywords::format = expressions::stream << expressions::smessage,
+                             keywords::auto_flush = true);
+    return true;
+}
+
+bool initializeQueuedLog(std::string_view level, std::string_view node)
+{
+    if (!setLevel(level, node))
+        return false;
+    const auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+    backend->auto_flush(true);
+    queuedSink = boost::make_shared<QueuedSink>(backend);
+    queuedSink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
+    logging::core::get()->add_sink(queuedSink);
+    return true;
+}
+
+std::uint64_t droppedLogLines()
+{
+    return droppedLines.load(std::memory_order_relaxed);
+}
+
+void finishQueuedLog()
+{
+    if (!queuedSink)
+        return;
+    logging::core::get()->remove_sink(queuedSink);
+    queuedSink->stop();
+    queuedSink->flush();
+    queuedSink.reset();
+}
+
+bool setLevel(std::string_view level, std::string_view node)
 {
     for (std::size_t n = 0; n < levelNames.size(); ++n) {
         if (levelNames[n] != level)
             continue;
         nodeName = node;
-        namespace expressions = logging::expressions;
-        namespace keywords = logging::keywords;
-        logging::add_console_log(std::clog,
-                                 keywords::format = expressions::stream << expressions::smessage,
-                                 keywords::auto_flush = true);
         const auto threshold = static_cast<LogLevel>(n);
         logging::core::get()->set_filter(severity >= threshold);
         return true;
--- a/Source/Adapter/log.h
+++ b/Source/Adapter/log.h
@@ -25,6 +25,23 @@
 */
 bool initializeLog(std::string_view level, std::string_view node);
 
+/*!
+    Like initializeLog(), but writes to standard output through a bounded queue and a thread of its
+    own, so that a slow reader never delays the caller. Lines that find the queue full are dropped
+    and counted.
+*/
+bool initializeQueuedLog(std::string_view level, std::string_view node);
+
+/*!
+    Returns how many lines have been dropped.
+*/
+std::uint64_t droppedLogLines();
+
+/*!
+    Writes the queued lines and ends the queue.
+*/
+void finishQueuedLog();
+
 /*!
     Writes one line with time, level, node, \a event and \a fields.
 */
--- a/Source/Command/serveplatformcommand.cpp
+++ b/Source/Command/serveplatformcommand.cpp
@@ -26,14 +26,16 @@
     printErrors(errors);
     if (!settings)
         return ExitUsage;
-    initializeLog("info", settings->node);
+    initializeQueuedLog("info", settings->node);
     asio::io_context context(1);
     ServingNode node(context, *settings, platform::makeEnvironment(context, *settings));
     if (const std::optional<std::string> reason = node.start()) {
         logEvent(LogLevel::Error, "node.failed", {{"reason", *reason}});
+        finishQueuedLog();
         return ExitFailure;
     }
     context.run();
+    finishQueuedLog();
     return ExitSuccess;
 }
 
--- a/Source/Serving/requestrun.cpp
+++ b/Source/Serving/requestrun.cpp
@@ -326,6 +326,7 @@
     m_answerFacts = facts;
     m_answerHead = head;
     m_answerStatus = head.result_int();
+    m_state.metrics.recordFirstByte(pickService(), steadyNow() - m_sendStart);
     const bool isBroken = isSuccess(m_answerStatus)
             && (facts.id.empty() || !facts.isSigned || facts.isEncoded);
     if (isBroken || (m_relaying && !isSuccess(m_answerStatus) && !facts.notExecuted)) {
@@ -385,6 +386,7 @@
         return;
     }
     noteBegun();
+    m_state.metrics.recordSend(pickService(), "complete");
     m_state.crashes.recordSuccess(m_fingerprint);
     m_state.engines.recordAnswer(m_engine, true, steadyNow() - m_sendStart);
     releaseEngine(true);
@@ -424,12 +426,20 @@
     settleSend(SendResult::Lost);
 }
 
+std::string_view RequestRun::sendResultName(SendResult result)
+{
+    if (result == SendResult::NotRun)
+        return "not_run";
+    return result == SendResult::Failed ? "failed" : "lost";
+}
+
 /*!
     Records how the engine ended the request and goes on.
 */
 void RequestRun::settleSend(SendResult result)
 {
     m_stallTimer.cancel();
+    m_state.metrics.recordSend(pickService(), sendResultName(result));
     if (result == SendResult::NotRun) {
         if (m_answerStatus == misdirected)
             m_state.engines.recordConnectFailure(m_engine, steadyNow());
@@ -596,7 +606,9 @@
     m_stallTimer.cancel();
     if (m_account && m_quotaCost > 0.0 && !m_mayHaveRun)
         m_state.quotaOf(*m_account).refund(m_quotaCost);
-    const auto elapsed = std::chrono::duration<double, std::milli>(steadyNow() - m_arrival);
+    const Duration time = steadyNow() - m_arrival;
+    m_state.metrics.recordRequest(m_route ? routeKindName(m_route->kind) : "none", status, time);
+    const auto elapsed = std::chrono::duration<double, std::milli>(time);
     logEvent(LogLevel::Info, "request.finished",
              {{"request", m_facts.id},
               {"route", m_route ? std::string_view(m_route->name) : std::string_view()},
--- a/Source/Serving/requestrun.h
+++ b/Source/Serving/requestrun.h
@@ -54,6 +54,7 @@
     void relayEvents(const std::string &events);
     void beginRelay();
     void relayWhole();
+    static std::string_view sendResultName(SendResult result);
     void settleSend(SendResult result);
     void sendAgainOrFinish(SendResult result);
     bool maySendAgain(SendResult result);
--- /dev/null
+++ b/Source/Serving/servingmetrics.cpp
@@ -0,0 +1,93 @@
+#include "Serving/servingmetrics.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <array>
+
+namespace sesame {
+
+namespace {
+
+//! Bounds of the buckets in seconds. They include the latency objectives that are usual for plain
+//! requests and for first events, and the callers' deadlines.
+constexpr std::array latencyBounds {0.0,  0.005, 0.01, 0.025, 0.05, 0.1, 0.15,
+                                    0.25, 0.5,   1.0,  1.5,   2.5,  5.0, 10.0};
+
+} // namespace
+
+std::string_view routeKindName(RouteKind kind)
+{
+    switch (kind) {
+    case RouteKind::Safe:
+        return "safe";
+    case RouteKind::Unsafe:
+        return "unsafe";
+    case RouteKind::Streaming:
+        return "streaming";
+    }
+    return "none";
+}
+
+ServingMetrics::Latency::Latency()
+    : buckets(boost::histogram::make_histogram(Axis(latencyBounds.begin(), latencyBounds.end())))
+{
+}
+
+void ServingMetrics::recordRequest(std::string_view kind, unsigned status, Duration time)
+{
+    const std::string label = "kind=\"" + std::string(kind) + "\"";
+    ++m_counters["sesame_requests_total{" + label + ",status=\"" + std::to_string(status) + "\"}"];
+    observe(m_requestSeconds, label, time);
+}
+
+void ServingMetrics::recordSend(std::string_view service, std::string_view result)
+{
+    ++m_counters["sesame_engine_sends_total{service=\"" + std::string(service) + "\",result=\""
+                 + std::string(result) + "\"}"];
+}
+
+void ServingMetrics::recordFirstByte(std::string_view service, Duration time)
+{
+    observe(m_firstByteSeconds, "service=\"" + std::string(service) + "\"", time);
+}
+
+void ServingMetrics::observe(Latencies &latencies, const std::string &label, Duration time)
+{
+    Latency &latency = latencies[label];
+    const double seconds = std::chrono::duration<double>(time).count();
+    latency.buckets(seconds);
+    latency.sum += seconds;
+}
+
+void ServingMetrics::renderLatencies(std::string &text, const std::string &name,
+                                     const Latencies &latencies)
+{
+    absl::StrAppend(&text, "# TYPE ", name, " histogram\n");
+    for (const auto &[label, latency] : latencies) {
+        double count = 0.0;
+        for (int i = 0; i < latency.buckets.axis().size(); ++i) {
+            count += latency.buckets.at(i);
+            absl::StrAppend(&text, name, "_bucket{", label, ",le=\"",
+                            latency.buckets.axis().bin(i).upper(), "\"} ", count, "\n");
+        }
+        // Times above the last bound stand in the overflow bin.
+        count += latency.buckets.at(latency.buckets.axis().size());
+        absl::StrAppend(&text, name, "_bucket{", label, ",le=\"+Inf\"} ", count, "\n");
+        absl::StrAppend(&text, name, "_sum{", label, "} ", latency.sum, "\n");
+        absl::StrAppend(&text, name, "_count{", label, "} ", count, "\n");
+    }
+}
+
+std::string ServingMetrics::render() const
+{
+    std::string text;
+    for (const auto &[series, value] : m_counters)
+        absl::StrAppend(&text, series, " ", value, "\n");
+    for (const auto &[series, value] : m_gauges)
+        absl::StrAppend(&text, "sesame_", series, " ", value, "\n");
+    renderLatencies(text, "sesame_request_seconds", m_requestSeconds);
+    renderLatencies(text, "sesame_engine_first_byte_seconds", m_firstByteSeconds);
+    return text;
+}
+
+} // namespace sesame
--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -33,6 +33,7 @@
 //! Descriptors that the platform reserves and that connections to engines use.
 constexpr std::size_t reservedDescriptors = 1000;
 constexpr const char *nodeKind = "nodes";
+constexpr std::string_view metricsPath = "/metrics";
 
 constexpr unsigned ok = 200;
 constexpr unsigned notFound = 404;
@@ -45,6 +46,12 @@
             : settings.descriptorLimit / 2;
 }
 
+std::string formatSeries(const std::string &name, const std::string &label,
+                         const std::string &value)
+{
+    return name + "{" + label + "=\"" + value + "\"}";
+}
+
 std::string_view pathOf(const RequestMessage &request)
 {
     const std::string_view target = toStd(request.target());
@@ -75,6 +82,12 @@
                   serveReadiness(call, request);
               },
               controlConnections),
+      m_metrics(
+              context,
+              [this](const Call &call, RequestMessage &&request) {
+                  serveMetrics(call, request);
+              },
+              controlConnections),
       m_nodeStore(m_environment.makeStore()),
       m_duties(m_state, m_environment.makeStore(), *m_environment.dutyCalls),
       m_scaling(m_state, *m_environment.dutyCalls), m_signals(context, SIGTERM, SIGINT, SIGHUP),
@@ -95,6 +108,8 @@
         return reason;
     if (auto reason = open(m_entry, settings.entryAddress, "entry address"))
         return reason;
+    if (auto reason = open(m_metrics, settings.metricsAddress, "metrics address"))
+        return reason;
     if (const boost::system::error_code ec = m_exchange.open())
         return "exchange port: " + ec.message();
     logEvent(LogLevel::Info, "node.started",
@@ -231,6 +246,38 @@
         call->sendAnswer(unavailable, {}, "not ready\n");
 }
 
+void ServingNode::serveMetrics(const Call &call, const RequestMessage &request)
+{
+    if (pathOf(request) != metricsPath) {
+        call->sendAnswer(notFound, {}, "no such call\n");
+        return;
+    }
+    ServingMetrics &metrics = m_state.metrics;
+    metrics.setGauge("ready", isReady() ? 1.0 : 0.0);
+    metrics.setGauge("config_version",
+                     m_state.config ? static_cast<double>(m_state.config->version) : 0.0);
+    metrics.setGauge("duties_held", m_duties.isHeld() ? 1.0 : 0.0);
+    metrics.setGauge("peers_known", static_cast<double>(m_state.peers.peers().size()));
+    metrics.setGauge("quota_silent_share", m_state.peers.silentShare(steadyNow()));
+    metrics.setGauge("open_requests", static_cast<double>(m_entry.openRequests()));
+    metrics.setGauge("caller_connections", static_cast<double>(m_entry.connections()));
+    metrics.setGauge("log_lines_dropped", static_cast<double>(droppedLogLines()));
+    metrics.setGauge(formatSeries("store_reachable", "kind", "configuration"),
+                     m_configFollower->isReachable() ? 1.0 : 0.0);
+    metrics.setGauge(formatSeries("store_reachable", "kind", "engines"),
+                     m_engineFollower->isReachable() ? 1.0 : 0.0);
+    std::map<std::string, int> usable;
+    for (const auto &[id, engine] : m_state.engines.engines())
+        usable[engine.entry.service] += engine.usable ? 1 : 0;
+    for (const auto &[service, n] : usable)
+        metrics.setGauge(formatSeries("engines_usable", "service", service), n);
+    for (const auto &[account, quota] : m_state.quotas)
+        metrics.setGauge(formatSeries("quota_level", "account", account), quota.level());
+    HttpFields fields;
+    fields.set("Content-Type", "text/plain; version=0.0.4");
+    call->sendAnswer(ok, fields, metrics.render());
+}
+
 bool ServingNode::isReady() const
 {
     return !m_state.leaving && m_state.config && m_state.enginesListed;
--- a/Source/Serving/servingnode.h
+++ b/Source/Serving/servingnode.h
@@ -55,6 +55,7 @@
     void serveRequest(const Call &call, RequestMessage &&request);
     void serveDirectory(const Call &call, const RequestMessage &request);
     void serveReadiness(const Call &call, const RequestMessage &request);
+    void serveMetrics(const Call &call, const RequestMessage &request);
     bool isReady() const;
     std::unique_ptr<StoreFollower> followConfig();
     std::unique_ptr<StoreFollower> followEngines();
@@ -76,6 +77,7 @@
     Listener m_entry;
     Listener m_directory;
     Listener m_readiness;
+    Listener m_metrics;
     std::unique_ptr<ObjectStoreCalls> m_nodeStore;
     std::unique_ptr<StoreFollower> m_configFollower;
     std::unique_ptr<StoreFollower> m_engineFollower;
--- a/Source/Serving/servingsettings.h
+++ b/Source/Serving/servingsettings.h
@@ -21,6 +21,7 @@
     Tcp::endpoint readinessAddress;
     Tcp::endpoint directoryAddress; //!< Answers where callers may connect.
     std::uint16_t exchangePort = 0; //!< UDP, the same on all nodes.
+    Tcp::endpoint metricsAddress;
     Tcp::endpoint storeAddress;
     Tcp::endpoint dutyAddress;
     bool isFirstStart = false; //!< The whole deployment starts for the first time.
--- a/Source/Serving/servingstate.h
+++ b/Source/Serving/servingstate.h
@@ -12,6 +12,7 @@
 #include "Core/usageledger.h"
 #include "Serving/engineconnections.h"
 #include "Serving/requestformat.h"
+#include "Serving/servingmetrics.h"
 #include "Serving/servingsettings.h"
 
 #include <memory>
@@ -62,6 +63,7 @@
     TrueTime trueTime;
     PeerTable peers;
     RefusalMeter refusals;
+    ServingMetrics metrics;
     bool leaving = false;
     bool enginesListed = false; //!< The list of engines has been read once.
     std::minstd_rand random {std::random_device {}()};
