--- a/Source/Serving/requestrun.cpp
+++ b/Source/Serving/requestrun.cpp
@@ -30,8 +30,6 @@
 constexpr Milliseconds shortestRetry = 100ms;
 constexpr Milliseconds longestRetry = 400ms;
 
-constexpr unsigned unauthorized = 401;
-constexpr unsigned notFound = 404;
 constexpr unsigned requestTimeout = 408;
 constexpr unsigned misdirected = 421;
 constexpr unsigned tooManyRequests = 429;
@@ -71,8 +69,11 @@
 
 void RequestRun::start()
 {
-    if (!admit())
+    RequestAdmission admission(m_state, m_config.get());
+    if (!admission.admit(m_facts, m_request.body(), m_admitted)) {
+        answer(admission.refusal());
         return;
+    }
     m_caller->setClosedHandler([self = shared_from_this()] {
         self->onCallerGone();
     });
@@ -80,60 +81,11 @@
     sendToEngine();
 }
 
-/*!
-    Finds route and account and takes the request's quota. Returns false if it has been answered.
-*/
-bool RequestRun::admit()
-{
-    if (!m_config) {
-        answer({unavailable, "no configuration is known yet", longestRetry});
-        return false;
-    }
-    m_route = m_config->findRoute(m_facts.host, m_facts.path);
-    if (!m_route) {
-        answer({notFound, "no route for this host and path"});
-        return false;
-    }
-    if (!authenticate())
-        return false;
-    const std::string &account = m_account ? m_account->name : m_facts.host;
-    m_fingerprint = XXH3_64bits_withSeed(m_request.body().data(), m_request.body().size(),
-                                         XXH3_64bits(m_facts.path.data(), m_facts.path.size())
-                                                 ^ XXH3_64bits(account.data(), account.size()));
-    if (m_state.crashes.isRefused(m_fingerprint)) {
-        answer({unavailable, "this request has brought engines down", longestRetry});
-        return false;
-    }
-    if (!m_account || m_account->ratePerSecond <= 0.0)
-        return true;
-    const double tokens = m_facts.statesTokens ? static_cast<double>(m_facts.work.tokens())
-                                               : m_account->plainTokens;
-    const double cost = m_account->countsTokens ? tokens : 1.0;
-    QuotaBucket &quota = m_state.quotaOf(*m_account);
-    if (!quota.tryTake(cost)) {
-        const auto wait = std::chrono::duration_cast<Milliseconds>(quota.timeUntil(cost));
-        answer({tooManyRequests, "the account's quota is used up", std::max(wait, shortestRetry)});
-        return false;
-    }
-    m_quotaCost = cost;
-    return true;
-}
-
-bool RequestRun::authenticate()
-{
-    if (m_config->accounts.empty() || m_route->anonymous)
-        return true;
-    m_account = m_config->findAccount(m_facts.key);
-    if (!m_account)
-        answer({unauthorized, "unknown account key"});
-    return m_account != nullptr;
-}
-
 void RequestRun::armTimers()
 {
     Milliseconds limit = m_facts.deadline.value_or(defaultDeadline);
-    if (m_route->timeout > Milliseconds::zero())
-        limit = std::min(limit, m_route->timeout);
+    if (route().timeout > Milliseconds::zero())
+        limit = std::min(limit, route().timeout);
     m_end = m_arrival + limit;
     m_endTimer.expires_at(m_end);
     m_endTimer.async_wait([self = shared_from_this()](const boost::system::error_code &ec) {
@@ -159,18 +111,18 @@
 const std::string &RequestRun::pickService()
 {
     double sum = 0.0;
-    for (const WeightedService &part : m_route->services)
+    for (const WeightedService &part : route().services)
         sum += part.weight;
     // The attempt's id decides, so that all sends of one request go to the same service.
     const std::uint64_t hash = XXH3_64bits(m_facts.id.data(), m_facts.id.size());
     constexpr std::uint64_t steps = 1U << 20U;
     double left = sum * static_cast<double>(hash % steps) / static_cast<double>(steps);
-    for (const WeightedService &part : m_route->services) {
+    for (const WeightedService &part : route().services) {
         left -= part.weight;
         if (left < 0.0)
             return part.service;
     }
-    return m_route->services.back().service;
+    return route().services.back().service;
 }
 
 void RequestRun::sendToEngine()
@@ -221,7 +173,7 @@
     const auto nodes = static_cast<int>(m_state.peers.sharers());
     const int limit = service.maxConnections > 0 ? std::max(1, service.maxConnections / nodes) : 0;
     const bool started = m_state.pool.acquire(
-            m_engine, *address, limit, !m_route->isRepeatable(),
+            m_engine, *address, limit, !route().isRepeatable(),
             [self = shared_from_this(),
              id = m_engine](const boost::system::error_code &ec,
                             const EngineConnections::Connection &connection) {
@@ -265,9 +217,9 @@
 {
     EngineSend send;
     send.engineId = m_engine;
-    send.account = m_account ? m_account->name : std::string();
+    send.account = account() ? account()->name : std::string();
     send.remaining = remaining();
-    send.urgency = m_account && m_account->priority ? *m_account->priority : m_route->priority;
+    send.urgency = account() && account()->priority ? *account()->priority : route().priority;
     send.isModelWork = m_facts.statesTokens;
     send.lastEventId = m_facts.lastEventId;
     if (!m_events.lastId().empty())
@@ -387,7 +339,7 @@
     }
     noteBegun();
     m_state.metrics.recordSend(pickService(), "complete");
-    m_state.crashes.recordSuccess(m_fingerprint);
+    m_state.crashes.recordSuccess(m_admitted.fingerprint);
     m_state.engines.recordAnswer(m_engine, true, steadyNow() - m_sendStart);
     releaseEngine(true);
     if (!streamed) {
@@ -449,7 +401,7 @@
     } else {
         m_state.engines.recordAnswer(m_engine, false, {});
         // A stream begins with its first event; any other request was probably begun.
-        if (result == SendResult::Failed || m_route->kind != RouteKind::Streaming)
+        if (result == SendResult::Failed || route().kind != RouteKind::Streaming)
             noteBegun();
     }
     releaseEngine(result != SendResult::Lost);
@@ -480,8 +432,8 @@
 
 bool RequestRun::maySendAgain(SendResult result)
 {
-    const bool allowed = result == SendResult::NotRun || m_route->isRepeatable();
-    if (!allowed || m_sends >= m_route->maxAttempts || remaining() < smallestUsefulTime)
+    const bool allowed = result == SendResult::NotRun || route().isRepeatable();
+    if (!allowed || m_sends >= route().maxAttempts || remaining() < smallestUsefulTime)
         return false;
     return m_state.resends.tryResend(pickService(), m_state.peers.sharers(), steadyNow());
 }
@@ -491,8 +443,8 @@
     if (m_begun)
         return;
     m_begun = true;
-    if (m_account)
-        m_state.countUsage(m_account->name);
+    if (account())
+        m_state.countUsage(account()->name);
 }
 
 /*!
@@ -507,7 +459,7 @@
     m_state.pool.dropIdle(m_engine);
     ServingState &state = m_state;
     m_state.pool.acquire(m_engine, *address, 0, false,
-                         [&state, id = m_engine, fingerprint = m_fingerprint](
+                         [&state, id = m_engine, fingerprint = m_admitted.fingerprint](
                                  const boost::system::error_code &ec,
                                  const EngineConnections::Connection &connection) {
                              if (!ec) {
@@ -547,7 +499,7 @@
         breakOff("the time for the request is over");
         return;
     }
-    if (m_mayHaveRun && m_route->kind != RouteKind::Streaming)
+    if (m_mayHaveRun && route().kind != RouteKind::Streaming)
         noteBegun();
     if (m_mayHaveRun)
         answer({gatewayTimeout, "the engine did not answer in time"});
@@ -557,9 +509,9 @@
 
 void RequestRun::restartStallTimer()
 {
-    if (!m_route->isRepeatable())
+    if (!route().isRepeatable())
         return;
-    const Milliseconds target = std::max(m_route->targetLatency, m_route->targetGap);
+    const Milliseconds target = std::max(route().targetLatency, route().targetGap);
     m_stallTimer.expires_after(std::max(smallestStall, target * stallFactor));
     m_stallTimer.async_wait([self = shared_from_this()](const boost::system::error_code &ec) {
         if (!ec && !self->m_finished && self->m_connection)
@@ -572,7 +524,7 @@
 */
 void RequestRun::onStalled()
 {
-    if (m_caller->pendingBytes() > 0 || m_sends >= m_route->maxAttempts)
+    if (m_caller->pendingBytes() > 0 || m_sends >= route().maxAttempts)
         return;
     logEvent(LogLevel::Warning, "engine.stalled", {{"request", m_facts.id}, {"engine", m_engine}});
     m_connection->close();
@@ -604,16 +556,17 @@
     m_finished = true;
     m_endTimer.cancel();
     m_stallTimer.cancel();
-    if (m_account && m_quotaCost > 0.0 && !m_mayHaveRun)
-        m_state.quotaOf(*m_account).refund(m_quotaCost);
+    if (account() && m_admitted.quotaCost > 0.0 && !m_mayHaveRun)
+        m_state.quotaOf(*account()).refund(m_admitted.quotaCost);
     const Duration time = steadyNow() - m_arrival;
-    m_state.metrics.recordRequest(m_route ? routeKindName(m_route->kind) : "none", status, time);
+    m_state.metrics.recordRequest(m_admitted.route ? routeKindName(route().kind) : "none", status,
+                                  time);
     const auto elapsed = std::chrono::duration<double, std::milli>(time);
     logEvent(LogLevel::Info, "request.finished",
              {{"request", m_facts.id},
-              {"route", m_route ? std::string_view(m_route->name) : std::string_view()},
+              {"route", m_admitted.route ? std::string_view(route().name) : std::string_view()},
               {"config", m_config ? m_config->version : 0},
-              {"account", m_account ? std::string_view(m_account->name) : std::string_view()},
+              {"account", account() ? std::string_view(account()->name) : std::string_view()},
               {"engine", m_tried.empty() ? std::string_view() : std::string_view(m_tried.back())},
               {"sends", static_cast<std::int64_t>(m_sends)},
               {"status", static_cast<std::int64_t>(status)},
--- a/Source/Serving/requestrun.h
+++ b/Source/Serving/requestrun.h
@@ -2,7 +2,7 @@
 
 #include "Core/eventsplitter.h"
 #include "Http/serverconnection.h"
-#include "Serving/servingstate.h"
+#include "Serving/requestadmission.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -30,15 +30,8 @@
         Lost //!< No usable answer; the request may have run.
     };
 
-    struct OwnAnswer
-    {
-        unsigned status = 0;
-        std::string_view reason;
-        std::optional<Milliseconds> retryAfter {};
-    };
-
-    bool admit();
-    bool authenticate();
+    const ServingRoute &route() const { return *m_admitted.route; }
+    const ClientAccount *account() const { return m_admitted.account; }
     void armTimers();
     const std::string &pickService();
     void sendToEngine();
@@ -76,14 +69,11 @@
     RequestMessage m_request;
     RequestFacts m_facts;
     std::shared_ptr<const ServingConfig> m_config;
-    const ServingRoute *m_route = nullptr;
-    const ClientAccount *m_account = nullptr;
+    AdmittedRequest m_admitted;
     Timestamp m_arrival;
     Timestamp m_end; //!< The caller's deadline or the route's time-out.
     asio::steady_timer m_endTimer;
     asio::steady_timer m_stallTimer;
-    std::uint64_t m_fingerprint = 0;
-    double m_quotaCost = 0.0;
 
     // The engine that has the request now.
     std::string m_engine;
