--- a/Source/Core/engineplanner.h
+++ b/Source/Core/engineplanner.h
@@ -23,7 +23,7 @@
 {
     //! Part of an engine's slots that is planned to be in use; the rest keeps first events early
     //! while long prompts are read.
-    double plannedUse = 0.25;
+    double plannedUse = 0.18;
     double reserve = 1.34; //!< Factor that covers the loss of one of four availability zones.
     double growth = 2.0; //!< Largest factor between the engines that are there and the plan.
     int growthFloorPerZone = 2; //!< The plan may reach this with any number of engines.
