--- a/Tests/engineplannertest.cpp
+++ b/Tests/engineplannertest.cpp
@@ -129,7 +129,9 @@
     service.load = 60;
     service.run(30s, true);
     service.supply.clear();
+    service.load = 0;
     service.refusedPerSecond = 60.0;
-    service.run(40s, true);
+    // Longer than past demand counts, so that only the refusals are left.
+    service.run(60s, true);
     cr_expect_geq(service.count(true), 6);
 }
