--- a/Source/Adapter/log.cpp
+++ b/Source/Adapter/log.cpp
@@ -32,10 +32,11 @@
 std::atomic<std::uint64_t> droppedLines {0};
 
 /*!
-    Drops a line that finds the queue full, and counts it.
+    Drops a line that finds the queue full, and counts it. The functions have Boost.Log's names.
 */
 struct CountingDrop
 {
+    // NOLINTBEGIN(readability-identifier-naming)
     template <typename Lock>
     static bool on_overflow(const logging::record_view & /*record*/, Lock & /*lock*/)
     {
@@ -44,6 +45,7 @@
     }
     static void on_queue_space_available() { }
     static void interrupt() { }
+    // NOLINTEND(readability-identifier-naming)
 };
 
 //! About 1 MB of lines.
