--- a/Emulator/emulatedplatform.cpp
+++ b/Emulator/emulatedplatform.cpp
@@ -9,13 +9,13 @@
 
 } // namespace
 
-EmulatedPlatform::EmulatedPlatform(asio::io_context &context, std::uint16_t firstPort)
+EmulatedPlatform::EmulatedPlatform(asio::io_context &context, std::uint16_t firstPort, Room room)
     : store(context, endpoint(firstPort)), duties(context, endpoint(firstPort + 1)),
-      m_firstPort(firstPort)
+      m_firstPort(firstPort), m_room(room)
 {
     for (int i = 0; i < modelEngines + plainEngines; ++i) {
         engines.push_back(std::make_unique<EmulatedEngine>(
-                context, "i-" + std::to_string(i), endpoint(firstPort + firstEnginePort + i)));
+                context, "i-" + std::to_string(i), engineEndpoint(static_cast<std::size_t>(i))));
         putEngine(*engines.back(), "ready");
     }
     putConfig(1);
@@ -32,9 +32,15 @@
             static_cast<std::uint16_t>(m_firstPort + firstNodePort + offset)};
 }
 
+Tcp::endpoint EmulatedPlatform::engineEndpoint(std::size_t index) const
+{
+    return endpoint(m_firstPort + firstEnginePort + static_cast<int>(index));
+}
+
 std::string EmulatedPlatform::engineAddress(std::size_t index) const
 {
-    return "127.0.0.1:" + std::to_string(m_firstPort + firstEnginePort + static_cast<int>(index));
+    const Tcp::endpoint address = engineEndpoint(index);
+    return address.address().to_string() + ":" + std::to_string(address.port());
 }
 
 void EmulatedPlatform::putEngine(const EmulatedEngine &engine, const std::string &state)
@@ -45,8 +51,8 @@
     const bool isModel = index < static_cast<std::size_t>(modelEngines);
     store.put("servers", engine.id(),
               std::string("{\"service\":\"") + (isModel ? "model" : "plain") + "\",\"address\":\""
-                      + engineAddress(index) + "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":4,"
-                      + "\"state\":\"" + state
+                      + engineAddress(index) + "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":"
+                      + std::to_string(m_room.slots) + ",\"state\":\"" + state
                       + "\",\"warmupLeftMs\":0,\"sequence\":1,\"born\":1}");
 }
 
@@ -72,8 +78,11 @@
     store.put(
             "config", "main",
             "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes
-                    + "],\"services\":[{\"name\":\"model\",\"maxConnections\":50,\"engine\":"
-                      "{\"slots\":4,\"kvCapacity\":100000}},{\"name\":\"plain\","
+                    + "],\"services\":[{\"name\":\"model\",\"maxConnections\":"
+                    + std::to_string(m_room.connections)
+                    + ",\"engine\":{\"slots\":" + std::to_string(m_room.slots)
+                    + ","
+                      "\"kvCapacity\":100000}},{\"name\":\"plain\","
                       "\"maxConnections\":50}],\"limits\":{\"maxHeaderBytes\":16384,"
                       "\"maxBodyBytes\":1000000,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
                       "\"tenants\":[{\"name\":\"large\",\"apiKeys\":[\"key-large\"]},"
--- a/Emulator/emulatedplatform.h
+++ b/Emulator/emulatedplatform.h
@@ -23,7 +23,18 @@
     static constexpr int modelEngines = 3;
     static constexpr int plainEngines = 2;
 
-    EmulatedPlatform(asio::io_context &context, std::uint16_t firstPort);
+    //! What each engine holds, as its entry and the configuration tell the nodes.
+    struct Room
+    {
+        int slots = 4;
+        int connections = 50;
+    };
+
+    EmulatedPlatform(asio::io_context &context, std::uint16_t firstPort, Room room);
+    EmulatedPlatform(asio::io_context &context, std::uint16_t firstPort)
+        : EmulatedPlatform(context, firstPort, Room {})
+    {
+    }
 
     /*!
         Puts a new version of the configuration in force. \a extraRoute adds a route at "/extra/".
@@ -43,6 +54,8 @@
     Tcp::endpoint readinessAddress(int index) const { return nodeEndpoint(index, 1); }
     Tcp::endpoint directoryAddress(int index) const { return nodeEndpoint(index, 2); }
 
+    Tcp::endpoint engineEndpoint(std::size_t index) const;
+
     EmulatedStore store;
     EmulatedDuties duties;
     std::vector<std::unique_ptr<EmulatedEngine>> engines; //!< The model engines come first.
@@ -53,6 +66,7 @@
     std::string engineAddress(std::size_t index) const;
 
     int m_firstPort;
+    Room m_room;
 };
 
 } // namespace sesame
