Order spot engines in other zones for a zone without, and follow the demand without the duty

Cause: a zone whose spot engines were reclaimed got engines of the normal price at once although other zones had spot engines to give. A new holder of the duties waited three seconds before its first order and knew no demand; its orders went out one in 100 ms. An order that did not get through counted as a refusal.

Change: what a zone lacks is moved to the other zones; only what no zone has is ordered at the normal price. Every node follows the demand. Orders follow each other after 30 ms. A failed call is no lack of engines. ScalingDuty holds the check of the term itself.

Of the three new tests each fails with its mechanism switched off.

--- a/Source/Core/engineplanner.cpp
+++ b/Source/Core/engineplanner.cpp
@@ -5,16 +5,32 @@
 
 namespace sesame {
 
-std::vector<EngineOrder> EnginePlanner::plan(const ServiceSpec &service,
-                                             const std::vector<EngineState *> &engines,
-                                             double refusedPerSecond, Timestamp now)
+bool EnginePlanner::observe(const ServiceSpec &service, const std::vector<EngineState *> &engines,
+                            double refusedPerSecond, Timestamp now)
 {
-    std::vector<EngineOrder> orders;
     if (!service.scaling || service.scaling->zonePrices.empty())
-        return orders;
+        return false;
     if (m_firstEngine == Timestamp {})
         m_firstEngine = now;
     if (now - m_firstEngine < m_options.settling)
+        return false;
+    m_planned = estimateNeed(*service.scaling, engines, refusedPerSecond, now);
+    return true;
+}
+
+void EnginePlanner::forgetOrders()
+{
+    m_placed.clear();
+    m_refusedUntil.clear();
+    m_shortZones.clear();
+}
+
+std::vector<EngineOrder> EnginePlanner::plan(const ServiceSpec &service,
+                                             const std::vector<EngineState *> &engines,
+                                             double refusedPerSecond, Timestamp now)
+{
+    std::vector<EngineOrder> orders;
+    if (!observe(service, engines, refusedPerSecond, now))
         return orders;
     const ScalingSpec &scaling = *service.scaling;
     std::map<std::string, Supply> supplies;
@@ -25,12 +41,12 @@
         ++(engine->entry.spot ? supply.spot : supply.normal);
         ++(engine->entry.spot ? spot : normal);
     }
-    m_planned = estimateNeed(scaling, engines, refusedPerSecond, now);
     const bool useSpot = scaling.spotPrice && *scaling.spotPrice < 1.0;
-    const int normalTotal = useSpot ? planNormal(spot, normal, now) : m_planned;
+    std::map<std::string, int> wantedSpot = distribute(scaling, useSpot ? m_planned : 0,
+                                                       scaling.min);
+    const int unplaced = moveFromShortZones(scaling, supplies, wantedSpot);
+    const int normalTotal = useSpot ? planNormal(spot, normal, unplaced) : m_planned;
     const std::map<std::string, int> wantedNormal = distribute(scaling, normalTotal, 0);
-    const std::map<std::string, int> wantedSpot = distribute(scaling, useSpot ? m_planned : 0,
-                                                             scaling.min);
     for (const auto &[zone, supply] : wantedSpot) {
         if (useSpot)
             addOrder(orders,
@@ -51,21 +67,49 @@
     are there until the planned spot engines are ready, and what the recent demand lacks while
     spot engines are not to be had.
 */
-int EnginePlanner::planNormal(int spot, int normal, Timestamp now) const
+int EnginePlanner::planNormal(int spot, int normal, int unplaced) const
 {
     if (spot >= m_planned)
         return 0;
     const auto needed = static_cast<int>(std::ceil(m_planned / m_options.reserve));
-    const bool isSpotScarce = std::any_of(m_refusedUntil.begin(), m_refusedUntil.end(),
-                                          [now](const auto &refused) {
-                                              return refused.first.second && refused.second > now;
-                                          });
-    const int lacking = isSpotScarce ? std::max(0, needed - spot) : 0;
+    const int lacking = std::min(unplaced, std::max(0, needed - spot));
     // Spot engines that are enough for the demand without the reserve make the others needless.
     const int kept = spot >= needed ? 0 : normal;
     return std::max(lacking, kept);
 }
 
+/*!
+    Moves what the zones without spot engines lack in \a wanted to the other zones, the cheapest
+    first. Returns how many engines no zone can take.
+*/
+int EnginePlanner::moveFromShortZones(const ScalingSpec &scaling,
+                                      const std::map<std::string, Supply> &supplies,
+                                      std::map<std::string, int> &wanted)
+{
+    int missing = 0;
+    for (auto zone = m_shortZones.begin(); zone != m_shortZones.end();) {
+        const auto supply = supplies.find(*zone);
+        const int lack = wanted[*zone] - (supply == supplies.end() ? 0 : supply->second.spot);
+        missing += std::max(0, lack);
+        zone = lack > 0 ? std::next(zone) : m_shortZones.erase(zone);
+    }
+    std::vector<std::pair<double, std::string>> open;
+    for (const auto &[zone, price] : scaling.zonePrices) {
+        if (!m_shortZones.contains(zone))
+            open.emplace_back(price, zone);
+    }
+    std::sort(open.begin(), open.end());
+    for (int round = 0; round < scaling.max && missing > 0; ++round) {
+        for (const auto &[price, zone] : open) {
+            if (missing > 0 && wanted[zone] < scaling.max) {
+                ++wanted[zone];
+                --missing;
+            }
+        }
+    }
+    return missing;
+}
+
 int EnginePlanner::estimateNeed(const ScalingSpec &scaling,
                                 const std::vector<EngineState *> &engines, double refusedPerSecond,
                                 Timestamp now)
@@ -140,13 +184,16 @@
         orders.push_back(order);
 }
 
-void EnginePlanner::recordResult(const EngineOrder &order, bool accepted, Timestamp now)
+void EnginePlanner::recordResult(const EngineOrder &order, OrderResult result, Timestamp now)
 {
     const OrderKey key(order.zone, order.spot);
-    if (accepted)
+    if (result == OrderResult::Accepted)
         m_placed[key] = {.desired = order.desired, .since = now};
     else
-        m_refusedUntil[key] = now + m_options.refusalPause;
+        m_refusedUntil[key] = now
+                + (result == OrderResult::Failed ? m_options.failurePause : m_options.refusalPause);
+    if (result == OrderResult::NoneAvailable && order.spot)
+        m_shortZones.insert(order.zone);
 }
 
 } // namespace sesame
--- a/Source/Core/engineplanner.h
+++ b/Source/Core/engineplanner.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,12 @@
     bool spot = false;
 };
 
+enum class OrderResult {
+    Accepted,
+    NoneAvailable, //!< The zone has no engines of the kind to give now.
+    Failed //!< The order did not get through.
+};
+
 struct EnginePlannerOptions
 {
     //! Part of an engine's slots that is planned to be in use; the rest keeps first events early
@@ -35,6 +42,7 @@
     Duration settling {std::chrono::seconds(3)};
     Duration averaging {std::chrono::milliseconds(1500)};
     Duration refusalPause {std::chrono::seconds(3)}; //!< A zone that had no engines to give.
+    Duration failurePause {std::chrono::milliseconds(500)}; //!< An order that did not get through.
     Duration repeatPause {
             std::chrono::seconds(6)}; //!< Before an order that has no effect is repeated.
 };
@@ -50,6 +58,19 @@
 public:
     explicit EnginePlanner(EnginePlannerOptions options = {}) : m_options(options) { }
 
+    /*!
+        Takes the present demand into account without ordering, so that a node that takes the
+        duty over knows the demand of the time before. Returns false while the engines that are
+        there first still register.
+    */
+    bool observe(const ServiceSpec &service, const std::vector<EngineState *> &engines,
+                 double refusedPerSecond, Timestamp now);
+
+    /*!
+        Forgets what was ordered, because another node may have ordered since.
+    */
+    void forgetOrders();
+
     /*!
         Returns the orders to send now for \a service, whose engines are \a engines.
         \a refusedPerSecond is how many requests all nodes refuse for lack of room.
@@ -59,9 +80,9 @@
                                   double refusedPerSecond, Timestamp now);
 
     /*!
-        Takes that \a order was accepted or refused.
+        Takes what became of \a order.
     */
-    void recordResult(const EngineOrder &order, bool accepted, Timestamp now);
+    void recordResult(const EngineOrder &order, OrderResult result, Timestamp now);
 
     /*!
         Returns the number of engines planned last.
@@ -83,7 +104,10 @@
 
     int estimateNeed(const ScalingSpec &scaling, const std::vector<EngineState *> &engines,
                      double refusedPerSecond, Timestamp now);
-    int planNormal(int spot, int normal, Timestamp now) const;
+    int planNormal(int spot, int normal, int unplaced) const;
+    int moveFromShortZones(const ScalingSpec &scaling,
+                           const std::map<std::string, Supply> &supplies,
+                           std::map<std::string, int> &wanted);
     static std::map<std::string, int> distribute(const ScalingSpec &scaling, int total,
                                                  int smallest);
     void addOrder(std::vector<EngineOrder> &orders, const EngineOrder &order, int present,
@@ -100,6 +124,7 @@
     int m_planned = 0;
     std::map<OrderKey, Placed> m_placed;
     std::map<OrderKey, Timestamp> m_refusedUntil;
+    std::set<std::string> m_shortZones; //!< Refused an order of spot engines and lack some since.
 };
 
 } // namespace sesame
--- a/Source/Serving/dutycalls.h
+++ b/Source/Serving/dutycalls.h
@@ -10,7 +10,8 @@
 
 enum class DutyCallStatus {
     Accepted,
-    Refused, //!< The call was answered, and not taken.
+    Refused, //!< The platform does not grant what was asked for.
+    Failed, //!< The call was not taken, for a reason that tells nothing of what it asked for.
     Unknown //!< No answer; the call may have been taken.
 };
 
--- a/Source/Serving/scalingduty.cpp
+++ b/Source/Serving/scalingduty.cpp
@@ -5,9 +5,60 @@
 
 namespace sesame {
 
-void ScalingDuty::tick(std::int64_t fencingToken)
+namespace {
+
+//! Between two orders, so that a series of them stays inside the platform's rate of calls.
+constexpr std::chrono::milliseconds orderPause {30};
+
+OrderResult toResult(DutyCallStatus status)
+{
+    if (status == DutyCallStatus::Accepted)
+        return OrderResult::Accepted;
+    return status == DutyCallStatus::Refused ? OrderResult::NoneAvailable : OrderResult::Failed;
+}
+
+std::string_view resultName(OrderResult result)
+{
+    return result == OrderResult::NoneAvailable ? "none available" : "call failed";
+}
+
+} // namespace
+
+ScalingDuty::ScalingDuty(ServingState &state, const DutyKeeper &duties, DutyCalls &calls)
+    : m_state(state), m_duties(duties), m_calls(calls), m_timer(state.context)
+{
+}
+
+void ScalingDuty::tick()
+{
+    if (!m_state.settings.scalesEngines || !m_state.config)
+        return;
+    if (!m_duties.isHeld()) {
+        observe();
+        return;
+    }
+    // Another node may have ordered since the last term of this one.
+    if (m_term != m_duties.term()) {
+        m_term = m_duties.term();
+        for (auto &[name, planner] : m_planners)
+            planner.forgetOrders();
+    }
+    order();
+}
+
+void ScalingDuty::observe()
 {
-    if (!m_state.settings.scalesEngines || !m_state.config || m_busy)
+    const Timestamp now = steadyNow();
+    for (const auto &[name, service] : m_state.config->services) {
+        if (service.scaling)
+            m_planners[name].observe(service, m_state.engines.usable(name),
+                                     m_state.refusals.perSecond(name, now), now);
+    }
+}
+
+void ScalingDuty::order()
+{
+    if (m_busy)
         return;
     for (const auto &[name, service] : m_state.config->services) {
         if (!service.scaling)
@@ -18,18 +69,12 @@
                 service, m_state.engines.usable(name), m_state.refusals.perSecond(name, now), now);
         if (orders.empty())
             continue;
-        send(planner, orders.front(), fencingToken);
+        send(planner, orders.front());
         return;
     }
 }
 
-void ScalingDuty::reset()
-{
-    m_planners.clear();
-    ++m_generation;
-}
-
-void ScalingDuty::send(EnginePlanner &planner, const EngineOrder &order, std::int64_t fencingToken)
+void ScalingDuty::send(EnginePlanner &planner, const EngineOrder &order)
 {
     m_busy = true;
     logEvent(LogLevel::Info, "engines.ordered",
@@ -38,18 +83,30 @@
               {"desired", static_cast<std::int64_t>(order.desired)},
               {"spot", order.spot},
               {"planned", static_cast<std::int64_t>(planner.planned())},
-              {"term", fencingToken}});
-    m_calls.orderEngines(order, fencingToken,
-                         [this, order, generation = m_generation](DutyCallStatus status) {
-                             m_busy = false;
-                             if (generation != m_generation)
-                                 return;
-                             const bool accepted = status == DutyCallStatus::Accepted;
-                             if (!accepted)
-                                 logEvent(LogLevel::Warning, "engines.order_refused",
-                                          {{"zone", order.zone}, {"spot", order.spot}});
-                             m_planners[order.service].recordResult(order, accepted, steadyNow());
-                         });
+              {"term", m_term}});
+    m_calls.orderEngines(order, m_term, [this, order, term = m_term](DutyCallStatus status) {
+        m_busy = false;
+        if (term != m_term)
+            return;
+        const OrderResult result = toResult(status);
+        if (result != OrderResult::Accepted)
+            logEvent(LogLevel::Warning, "engines.order_refused",
+                     {{"zone", order.zone}, {"spot", order.spot}, {"reason", resultName(result)}});
+        m_planners[order.service].recordResult(order, result, steadyNow());
+        continueSoon();
+    });
+}
+
+/*!
+    Sends what is left of the plan before the next tick, because engines take seconds to start.
+*/
+void ScalingDuty::continueSoon()
+{
+    m_timer.expires_after(orderPause);
+    m_timer.async_wait([this](const boost::system::error_code &ec) {
+        if (!ec)
+            tick();
+    });
 }
 
 } // namespace sesame
--- a/Source/Serving/scalingduty.h
+++ b/Source/Serving/scalingduty.h
@@ -2,6 +2,7 @@
 
 #include "Core/engineplanner.h"
 #include "Serving/dutycalls.h"
+#include "Serving/dutykeeper.h"
 #include "Serving/servingstate.h"
 
 namespace sesame {
@@ -12,26 +13,26 @@
 class ScalingDuty
 {
 public:
-    ScalingDuty(ServingState &state, DutyCalls &calls) : m_state(state), m_calls(calls) { }
+    ScalingDuty(ServingState &state, const DutyKeeper &duties, DutyCalls &calls);
 
     /*!
-        Plans and sends at most one order at a time. \a fencingToken is the present term's; the
-        caller has checked that the term is held.
+        Follows the demand, and sends at most one order at a time while this node holds the
+        duties.
     */
-    void tick(std::int64_t fencingToken);
-
-    /*!
-        Forgets the plans of an earlier term, because another node may have ordered since.
-    */
-    void reset();
+    void tick();
 
 private:
-    void send(EnginePlanner &planner, const EngineOrder &order, std::int64_t fencingToken);
+    void observe();
+    void order();
+    void send(EnginePlanner &planner, const EngineOrder &order);
+    void continueSoon();
 
     ServingState &m_state;
+    const DutyKeeper &m_duties;
     DutyCalls &m_calls;
+    boost::asio::steady_timer m_timer;
     std::map<std::string, EnginePlanner> m_planners; //!< By service.
-    std::uint64_t m_generation = 0; //!< Of the plans; answers for earlier ones are dropped.
+    std::int64_t m_term = 0; //!< In which the orders that are remembered were sent.
     bool m_busy = false;
 };
 
--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -90,8 +90,8 @@
               controlConnections),
       m_nodeStore(m_environment.makeStore()),
       m_duties(m_state, m_environment.makeStore(), *m_environment.dutyCalls),
-      m_scaling(m_state, *m_environment.dutyCalls), m_signals(context, SIGTERM, SIGINT, SIGHUP),
-      m_tickTimer(context), m_stopTimer(context)
+      m_scaling(m_state, m_duties, *m_environment.dutyCalls),
+      m_signals(context, SIGTERM, SIGINT, SIGHUP), m_tickTimer(context), m_stopTimer(context)
 {
 }
 
@@ -375,12 +375,7 @@
     m_state.engines.setPeerLoads(m_state.peers.engineLoads(now));
     m_state.crashes.expire(now);
     m_state.pool.trim();
-    if (m_duties.isHeld()) {
-        if (m_scalingTerm != m_duties.term())
-            m_scaling.reset();
-        m_scalingTerm = m_duties.term();
-        m_scaling.tick(m_scalingTerm);
-    }
+    m_scaling.tick();
     m_exchange.setReady(isReady());
     m_exchange.setEngineRevision(m_engineFollower->revision());
     scheduleTick();
--- a/Source/Serving/servingnode.h
+++ b/Source/Serving/servingnode.h
@@ -83,7 +83,6 @@
     std::unique_ptr<StoreFollower> m_engineFollower;
     DutyKeeper m_duties;
     ScalingDuty m_scaling;
-    std::int64_t m_scalingTerm = 0; //!< Term for which the present plans were made.
     asio::signal_set m_signals;
     asio::steady_timer m_tickTimer;
     asio::steady_timer m_stopTimer;
--- a/Tests/engineplannertest.cpp
+++ b/Tests/engineplannertest.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <set>
+
 using namespace sesame;
 using namespace std::chrono_literals;
 
@@ -33,15 +35,35 @@
             for (const EngineState &state : states)
                 engines.push_back(const_cast<EngineState *>(&state));
             for (const EngineOrder &order : planner.plan(spec, engines, refusedPerSecond, now)) {
-                const bool accepted = !order.spot || spotIsThere;
-                planner.recordResult(order, accepted, now);
                 ++orders;
-                if (accepted)
+                const bool isThere = !order.spot || (spotIsThere && !dryZones.contains(order.zone));
+                const OrderResult result = callsFail ? OrderResult::Failed
+                        : isThere                    ? OrderResult::Accepted
+                                                     : OrderResult::NoneAvailable;
+                planner.recordResult(order, result, now);
+                if (result == OrderResult::Accepted)
                     supply[{order.zone, order.spot}] = order.desired;
+                mostNormal = std::max(mostNormal, count(false));
             }
         }
     }
 
+    /*!
+        Lets another node's orders take effect while this one only follows the demand.
+    */
+    void follow(Duration time)
+    {
+        const Timestamp end = now + time;
+        while (now < end) {
+            now += 100ms;
+            const std::vector<EngineState> states = makeEngines();
+            std::vector<EngineState *> engines;
+            for (const EngineState &state : states)
+                engines.push_back(const_cast<EngineState *>(&state));
+            planner.observe(spec, engines, refusedPerSecond, now);
+        }
+    }
+
     int count(bool spot) const
     {
         int n = 0;
@@ -57,6 +79,9 @@
     int load = 0;
     double refusedPerSecond = 0.0;
     int orders = 0;
+    std::set<std::string> dryZones; //!< Have no spot engines to give.
+    bool callsFail = false;
+    int mostNormal = 0; //!< Engines of the normal price that there were at once.
 
 private:
     std::vector<EngineState> makeEngines() const
@@ -135,3 +160,51 @@
     service.run(60s, true);
     cr_expect_geq(service.count(true), 6);
 }
+
+// Guards against engines of the normal price for one zone without spot engines while other zones
+// have them to give.
+Test(engineplanner, otherZonesReplaceAZoneWithoutSpotEngines)
+{
+    ScaledService service;
+    service.load = 60;
+    service.run(30s, true);
+    const int before = service.count(true);
+    service.supply[{"a", true}] = 0;
+    service.dryZones = {"a"};
+    service.run(10s, true);
+    cr_expect_eq(service.count(true), before);
+    cr_expect_eq(service.count(false), 0);
+    service.dryZones.clear();
+    service.run(20s, true);
+    cr_expect_eq(service.count(true), before);
+    const int inFirst = service.supply[{"a", true}];
+    cr_expect_geq(inFirst, before / 2, "the zone has %d of %d engines", inFirst, before);
+}
+
+// Guards against an outage of the platform's calls that is taken for a lack of spot engines.
+Test(engineplanner, failedCallsDoNotBringNormalEngines)
+{
+    ScaledService service;
+    service.load = 60;
+    service.run(30s, true);
+    const int before = service.count(true);
+    service.supply[{"a", true}] = 0;
+    service.callsFail = true;
+    service.run(10s, true);
+    service.mostNormal = 0;
+    service.callsFail = false;
+    service.run(2s, true);
+    cr_expect_eq(service.count(true), before);
+    cr_expect_eq(service.mostNormal, 0);
+}
+
+// Guards against seconds without orders after a node has taken the duty over.
+Test(engineplanner, takeoverOrdersAtOnce)
+{
+    ScaledService service;
+    service.load = 120;
+    service.follow(30s);
+    service.planner.forgetOrders();
+    service.run(200ms, true);
+    cr_expect_geq(service.count(true), 13);
+}
