--- a/Tests/engineplannertest.cpp
+++ b/Tests/engineplannertest.cpp
@@ -36,6 +36,7 @@
                 engines.push_back(const_cast<EngineState *>(&state));
             for (const EngineOrder &order : planner.plan(spec, engines, refusedPerSecond, now)) {
                 ++orders;
+                normalOrders += !order.spot && order.desired > 0 ? 1 : 0;
                 const bool isThere = !order.spot || (spotIsThere && !dryZones.contains(order.zone));
                 const OrderResult result = callsFail ? OrderResult::Failed
                         : isThere                    ? OrderResult::Accepted
@@ -43,7 +44,6 @@
                 planner.recordResult(order, result, now);
                 if (result == OrderResult::Accepted)
                     supply[{order.zone, order.spot}] = order.desired;
-                mostNormal = std::max(mostNormal, count(false));
             }
         }
     }
@@ -81,7 +81,7 @@
     int orders = 0;
     std::set<std::string> dryZones; //!< Have no spot engines to give.
     bool callsFail = false;
-    int mostNormal = 0; //!< Engines of the normal price that there were at once.
+    int normalOrders = 0; //!< For engines of the normal price.
 
 private:
     std::vector<EngineState> makeEngines() const
@@ -189,13 +189,14 @@
     service.run(30s, true);
     const int before = service.count(true);
     service.supply[{"a", true}] = 0;
+    service.supply[{"b", true}] = 1;
+    service.normalOrders = 0;
     service.callsFail = true;
     service.run(10s, true);
-    service.mostNormal = 0;
     service.callsFail = false;
     service.run(2s, true);
     cr_expect_eq(service.count(true), before);
-    cr_expect_eq(service.mostNormal, 0);
+    cr_expect_eq(service.normalOrders, 0);
 }
 
 // Guards against seconds without orders after a node has taken the duty over.
