Keep engine places for urgent requests, and log what decided each send

The log did not tell where a request went and why.

A line request.sent for each send with the inputs of the choice; request.finished has first_ms.

--- a/Source/Serving/requestrun.cpp
+++ b/Source/Serving/requestrun.cpp
@@ -125,6 +125,11 @@
     return route().services.back().service;
 }
 
+int RequestRun::urgency() const
+{
+    return account() && account()->priority ? *account()->priority : route().priority;
+}
+
 void RequestRun::sendToEngine()
 {
     if (remaining() < smallestUsefulTime) {
@@ -136,12 +141,17 @@
     const std::vector<EngineState *> candidates = m_state.engines.usable(name);
     const std::int64_t memory = service && service->isModel ? service->memoryTokens : 0;
     EngineChoice choice;
+    // A request that has been at an engine already has waited for its place.
+    if (service && !m_mayHaveRun)
+        m_facts.work.urgencyRank = service->rankOf(urgency());
+    else
+        m_facts.work.urgencyRank.reset();
     while (service) {
         choice = m_state.chooser.choose(candidates, m_facts.work, memory, m_state.settings.zone,
                                         m_tried, steadyNow());
         if (!choice.engine)
             break;
-        if (prepareEngine(*choice.engine, *service))
+        if (prepareEngine(choice, *service))
             return;
     }
     if (m_relaying) {
@@ -158,14 +168,19 @@
 }
 
 /*!
-    Reserves \a engine and asks for a connection to it. Returns false if it cannot have one.
+    Reserves the engine of \a choice and asks for a connection to it. Returns false if it cannot
+   have one.
 */
-bool RequestRun::prepareEngine(EngineState &engine, const ServiceSpec &service)
+bool RequestRun::prepareEngine(const EngineChoice &choice, const ServiceSpec &service)
 {
+    const EngineState &engine = *choice.engine;
     const std::optional<Tcp::endpoint> address = parseTcpEndpoint(engine.entry.address);
     if (!address)
         return false;
     m_engine = engine.entry.id;
+    m_choice = {.requests = engine.own.requests + engine.peers.requests,
+                .tokens = engine.own.tokens + engine.peers.tokens,
+                .costMs = choice.costMs};
     m_load = {.requests = 1, .tokens = m_facts.work.tokens()};
     m_state.engines.addLoad(m_engine, m_load);
     m_tried.push_back(m_engine);
@@ -219,7 +234,7 @@
     send.engineId = m_engine;
     send.account = account() ? account()->name : std::string();
     send.remaining = remaining();
-    send.urgency = account() && account()->priority ? *account()->priority : route().priority;
+    send.urgency = urgency();
     send.isModelWork = m_facts.statesTokens;
     send.lastEventId = m_facts.lastEventId;
     if (!m_events.lastId().empty())
@@ -244,6 +259,25 @@
                                      m_request.body()),
                        method == "HEAD", makeSink());
     restartStallTimer();
+    logSend(send.remaining);
+}
+
+/*!
+    Tells where the request went and what decided it.
+*/
+void RequestRun::logSend(Milliseconds remaining) const
+{
+    logEvent(LogLevel::Info, "request.sent",
+             {{"request", m_facts.id},
+              {"send", static_cast<std::int64_t>(m_sends)},
+              {"engine", m_engine},
+              {"config", m_config->version},
+              {"engine_requests", static_cast<std::int64_t>(m_choice.requests)},
+              {"engine_tokens", m_choice.tokens},
+              {"estimate_ms", m_choice.costMs},
+              {"silent_peers", m_state.peers.silentShare(m_sendStart)},
+              {"after", m_events.lastId()},
+              {"remaining_ms", static_cast<std::int64_t>(remaining.count())}});
 }
 
 AnswerSink RequestRun::makeSink()
@@ -306,6 +340,8 @@
 {
     if (events.empty())
         return;
+    if (!m_relaying)
+        m_firstEvent = steadyNow();
     noteBegun();
     beginRelay();
     m_caller->sendPiece(events);
@@ -562,6 +598,9 @@
     m_state.metrics.recordRequest(m_admitted.route ? routeKindName(route().kind) : "none", status,
                                   time);
     const auto elapsed = std::chrono::duration<double, std::milli>(time);
+    const std::chrono::duration<double, std::milli> toFirst = m_firstEvent == Timestamp {}
+            ? time
+            : m_firstEvent - m_arrival;
     logEvent(LogLevel::Info, "request.finished",
              {{"request", m_facts.id},
               {"route", m_admitted.route ? std::string_view(route().name) : std::string_view()},
@@ -571,6 +610,7 @@
               {"sends", static_cast<std::int64_t>(m_sends)},
               {"status", static_cast<std::int64_t>(status)},
               {"outcome", outcome},
+              {"first_ms", toFirst.count()},
               {"ms", elapsed.count()}});
 }
 
--- a/Source/Serving/requestrun.h
+++ b/Source/Serving/requestrun.h
@@ -34,11 +34,13 @@
     const ClientAccount *account() const { return m_admitted.account; }
     void armTimers();
     const std::string &pickService();
+    int urgency() const;
     void sendToEngine();
-    bool prepareEngine(EngineState &engine, const ServiceSpec &service);
+    bool prepareEngine(const EngineChoice &choice, const ServiceSpec &service);
     void onConnection(const boost::system::error_code &ec,
                       const EngineConnections::Connection &connection);
     void sendRequest();
+    void logSend(Milliseconds remaining) const;
     AnswerSink makeSink();
     AnswerSink::Verdict onHead(const ResponseHead &head);
     void onBody(std::string_view piece);
@@ -78,8 +80,16 @@
     // The engine that has the request now.
     std::string m_engine;
     EngineLoad m_load;
+    //! What decided the choice of the engine, for the log.
+    struct ChoiceInputs
+    {
+        int requests = 0;
+        std::int64_t tokens = 0;
+        double costMs = 0.0;
+    } m_choice;
     EngineConnections::Connection m_connection;
     Timestamp m_sendStart;
+    Timestamp m_firstEvent {}; //!< Zero until a stream has begun.
     AnswerFacts m_answerFacts;
     ResponseHead m_answerHead;
     unsigned m_answerStatus = 0;
