Add the command explain, and check the platform's settings files

On-call engineers had only grep. 'sesameproxy explain ID LOG...' collects a request's lines over the nodes' logs, with what its nodes learned of its engines, the configuration and the store near it, in the order of true time: each node logs by how much its clock differs from the nodes' common time (clock.offset). Failed answers and exceeded quotas have lines of their own with their inputs.

--- /dev/null
+++ b/Source/Adapter/requeststory.cpp
@@ -0,0 +1,159 @@
+#include "Adapter/requeststory.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <fstream>
+
+namespace sesame {
+
+namespace {
+
+//! What a node learned this long before the request's first line may have decided it.
+constexpr std::int64_t millisBefore = 3000;
+//! An engine's end is often seen by others shortly after the request's last line.
+constexpr std::int64_t millisAfter = 2000;
+//! Keys that are shown in columns of their own, or are the same in each line.
+constexpr std::array<std::string_view, 6> hiddenKeys {"time_unix_ms", "level",   "node",
+                                                      "event",        "request", "line"};
+//! Beginnings of events of which a request's node is told even if they name no engine.
+constexpr std::array<std::string_view, 5> nodeEvents {"config.", "store.", "node.", "clock.",
+                                                      "engines.listed"};
+
+std::string formatValue(const json_t *value)
+{
+    if (json_is_string(value))
+        return json_string_value(value);
+    if (!json_is_real(value))
+        return json_is_integer(value) ? std::to_string(json_integer_value(value))
+                                      : std::string(json_is_true(value) ? "true" : "false");
+    std::array<char, 32> text {};
+    std::snprintf(text.data(), text.size(), "%.1f", json_real_value(value));
+    return text.data();
+}
+
+std::string formatFields(const json_t *object)
+{
+    std::string text;
+    const char *key = nullptr;
+    json_t *value = nullptr;
+    // The iteration macro takes a mutable object and does not change it.
+    json_object_foreach(const_cast<json_t *>(object), key, value)
+    {
+        if (std::find(hiddenKeys.begin(), hiddenKeys.end(), key) != hiddenKeys.end())
+            continue;
+        const std::string shown = formatValue(value);
+        const bool hasSpace = shown.empty() || shown.find(' ') != std::string::npos;
+        text += std::string(text.empty() ? "" : " ") + key + "=";
+        text += hasSpace ? "\"" + shown + "\"" : shown;
+    }
+    return text;
+}
+
+bool isNodeEvent(std::string_view event)
+{
+    return std::any_of(nodeEvents.begin(), nodeEvents.end(), [event](std::string_view prefix) {
+        return event.starts_with(prefix);
+    });
+}
+
+} // namespace
+
+bool RequestStory::addLog(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return false;
+    std::int64_t clockOffset = 0;
+    for (std::string text; std::getline(file, text);) {
+        const std::size_t begin = text.find('{');
+        if (begin == std::string::npos)
+            continue;
+        const JsonPtr object = parseJson(std::string_view(text).substr(begin));
+        if (!object)
+            continue;
+        // The offset holds from this line on; the line itself has the old clock's time.
+        if (jsonString(object.get(), "event") == "clock.offset")
+            clockOffset = jsonInteger(object.get(), "offset_ms");
+        addLine(object.get(), clockOffset);
+    }
+    return true;
+}
+
+void RequestStory::addLine(const json_t *object, std::int64_t clockOffset)
+{
+    Line line {.millis = jsonInteger(object, "time_unix_ms") + clockOffset,
+               .node = jsonString(object, "node"),
+               .event = jsonString(object, "event")};
+    const std::string engine = jsonString(object, "engine");
+    line.isOwn = jsonString(object, "request") == m_request;
+    if (!line.isOwn) {
+        const bool isContext = json_object_get(object, "request")
+                ? !engine.empty() && line.event.starts_with("engine.")
+                : !engine.empty() || isNodeEvent(line.event);
+        if (!isContext)
+            return;
+        line.fields = formatFields(object);
+        m_context.emplace_back(std::move(line), engine);
+        return;
+    }
+    line.fields = formatFields(object);
+    m_nodes.insert(line.node);
+    if (!engine.empty())
+        m_engines.insert(engine);
+    if (line.event == "request.finished") {
+        m_status = static_cast<int>(jsonInteger(object, "status"));
+        m_outcome = jsonString(object, "outcome");
+    }
+    m_own.push_back(std::move(line));
+}
+
+std::vector<RequestStory::Line> RequestStory::collect() const
+{
+    const auto earlier = [](const Line &a, const Line &b) {
+        return a.millis < b.millis;
+    };
+    const auto [first, last] = std::minmax_element(m_own.begin(), m_own.end(), earlier);
+    std::vector<Line> lines = m_own;
+    for (const auto &[line, engine] : m_context) {
+        const bool isNear = line.millis >= first->millis - millisBefore
+                && line.millis <= last->millis + millisAfter;
+        const bool concerns = engine.empty() ? m_nodes.contains(line.node)
+                                             : m_engines.contains(engine);
+        if (isNear && concerns)
+            lines.push_back(line);
+    }
+    std::stable_sort(lines.begin(), lines.end(), earlier);
+    return lines;
+}
+
+std::string RequestStory::format() const
+{
+    if (m_own.empty())
+        return {};
+    const std::vector<Line> lines = collect();
+    const std::int64_t start = m_own.front().millis;
+    std::string text;
+    for (const Line &line : lines) {
+        std::array<char, 96> head {};
+        std::snprintf(head.data(), head.size(), "%c %+8lld ms  %-20s %-24s ",
+                      line.isOwn ? '*' : ' ', static_cast<long long>(line.millis - start),
+                      line.node.c_str(), line.event.c_str());
+        text += head.data() + line.fields + "\n";
+    }
+    return text + formatOutcome();
+}
+
+std::string RequestStory::formatOutcome() const
+{
+    std::string engines;
+    for (const std::string &engine : m_engines)
+        engines += (engines.empty() ? "" : ", ") + engine;
+    std::string text = "request " + m_request + ": ";
+    if (m_status < 0)
+        return text + "not finished in these logs\n";
+    text += m_status == 0 ? "no final answer" : "status " + std::to_string(m_status);
+    return text + ", " + m_outcome + (engines.empty() ? "" : "; engines: " + engines) + "\n";
+}
+
+} // namespace sesame
--- a/Source/Command/checkcommand.cpp
+++ b/Source/Command/checkcommand.cpp
@@ -1,6 +1,7 @@
 #include "Core/sesamecore.h"
 #include "Core/tomlreader.h"
 #include "commands.h"
+#include "platformsettings.h"
 #include "textfile.h"
 
 #include <cstdio>
@@ -21,6 +22,25 @@
     return false;
 }
 
+/*!
+    The platform writes the settings of its nodes in YAML, our own files are TOML.
+*/
+bool isPlatformFile(std::string_view path)
+{
+    return path.ends_with(".yaml") || path.ends_with(".yml");
+}
+
+int reportCheck(const std::string &path, const char *kind, const std::vector<SettingsError> &errors)
+{
+    printErrors(errors);
+    if (!errors.empty()) {
+        std::fprintf(stderr, "%s: errors in %s: %zu\n", path.c_str(), kind, errors.size());
+        return ExitUsage;
+    }
+    std::printf("%s: valid %s\n", path.c_str(), kind);
+    return ExitSuccess;
+}
+
 int runCheckCommand(std::span<const std::string> arguments)
 {
     const std::string &path = arguments[0];
@@ -28,6 +48,10 @@
     if (!text)
         return ExitUsage;
     std::vector<SettingsError> errors;
+    if (isPlatformFile(path)) {
+        platform::readSettings(*text, path, errors);
+        return reportCheck(path, "platform settings", errors);
+    }
     const auto root = parseToml(*text, {.file = path, .errors = errors});
     const char *kind = "file";
     if (root && isFleetFile(*root)) {
@@ -37,13 +61,7 @@
         kind = "node settings";
         parseNodeSettings(*text, path, errors);
     }
-    printErrors(errors);
-    if (!errors.empty()) {
-        std::fprintf(stderr, "%s: errors in %s: %zu\n", path.c_str(), kind, errors.size());
-        return ExitUsage;
-    }
-    std::printf("%s: valid %s\n", path.c_str(), kind);
-    return ExitSuccess;
+    return reportCheck(path, kind, errors);
 }
 
 } // namespace
@@ -52,7 +70,9 @@
 {
     return {.name = "check",
             .synopsis = "FILE",
-            .help = "Checks a fleet file or the settings of a node and prints every error.\n",
+            .help
+            = "Checks a fleet file, the settings of a node or, by its ending .yaml, the settings "
+              "file\nof a platform node, and prints every error.\n",
             .argumentCount = 1,
             .flags = {},
             .run = runCheckCommand};
--- a/Source/Command/commandline.cpp
+++ b/Source/Command/commandline.cpp
@@ -123,7 +123,9 @@
         if (const auto fault = parseFlag(command, words, i))
             return failUsage(*fault);
     }
-    if (arguments.size() != command.argumentCount)
+    const bool isEnough = command.takesMore ? arguments.size() >= command.argumentCount
+                                            : arguments.size() == command.argumentCount;
+    if (!isEnough)
         return failUsage("usage: " + formatSynopsis(command));
     return command.run(arguments);
 }
--- a/Source/Command/commands.h
+++ b/Source/Command/commands.h
@@ -12,5 +12,6 @@
 Command statusCommand();
 Command drainCommand();
 Command reportBurnCommand();
+Command explainCommand();
 
 } // namespace sesame
--- a/Source/Core/enginechooser.cpp
+++ b/Source/Core/enginechooser.cpp
@@ -65,21 +65,14 @@
     return homes;
 }
 
-double EngineChooser::findPlaces(const WorkSize &work) const
-{
-    if (!work.urgencyRank)
-        return m_options.placesOfAll;
-    return m_options.placesOfMostUrgent
-            + *work.urgencyRank * (m_options.placesOfLeastUrgent - m_options.placesOfMostUrgent);
-}
-
 bool EngineChooser::hasRoom(const EngineState &engine, const WorkSize &work,
                             std::int64_t memoryTokens) const
 {
     const int requests = engine.own.requests + engine.peers.requests;
     if (requests == 0)
         return true;
-    if (requests + 1 > engine.entry.slots * findPlaces(work))
+    const double places = engine.entry.slots * (1.0 + m_options.queuePart);
+    if (requests + 1 > places)
         return false;
     if (memoryTokens == 0)
         return true;
--- a/Source/Core/enginechooser.h
+++ b/Source/Core/enginechooser.h
@@ -25,8 +25,6 @@
     std::vector<PromptPart> parts; //!< Empty if the request names none.
     std::int64_t promptTokens = 0;
     std::int64_t outputTokens = 0; //!< At most.
-    //! 0 for the most urgent requests of a service, 1 for the least urgent; unset: all are alike.
-    std::optional<double> urgencyRank;
 
     std::int64_t tokens() const { return promptTokens + outputTokens; }
 };
@@ -43,12 +41,8 @@
     //! Engines that are taken to hold the shared parts of a prompt; more than one, so that a hot
     //! prompt does not overload a single engine.
     std::size_t homesPerPrefix = 2;
-    //! Requests that may be at an engine, as a share of its slots, if all are equally urgent.
-    double placesOfAll = 1.5;
-    //! The same for the most and the least urgent ones: while engines are full, urgent requests
-    //! still find a place and the others are told at once to come back.
-    double placesOfMostUrgent = 1.2;
-    double placesOfLeastUrgent = 0.6;
+    //! Requests beyond the slots that may wait at an engine.
+    double queuePart = 0.5;
     double memoryPart = 0.9; //!< Part of an engine's memory that its requests may take.
 };
 
@@ -87,7 +81,6 @@
 private:
     std::vector<const EngineState *> findHomes(std::span<EngineState *const> candidates,
                                                const WorkSize &work) const;
-    double findPlaces(const WorkSize &work) const;
     bool hasRoom(const EngineState &engine, const WorkSize &work, std::int64_t memoryTokens) const;
 
     EngineChooserOptions m_options;
--- a/Source/Core/servingconfig.cpp
+++ b/Source/Core/servingconfig.cpp
@@ -1,18 +1,9 @@
 #include "Core/servingconfig.h"
 
 #include <algorithm>
-#include <set>
 
 namespace sesame {
 
-std::optional<double> ServiceSpec::rankOf(int priority) const
-{
-    if (leastUrgent <= mostUrgent)
-        return std::nullopt;
-    const double rank = static_cast<double>(priority - mostUrgent) / (leastUrgent - mostUrgent);
-    return std::clamp(rank, 0.0, 1.0);
-}
-
 void ServingConfig::indexRoutes()
 {
     m_routesOfHost.clear();
@@ -24,20 +15,6 @@
             return routes[a].pathPrefix.size() > routes[b].pathPrefix.size();
         });
     }
-    std::set<std::string> seen;
-    for (const ServingRoute &route : routes) {
-        for (const WeightedService &part : route.services) {
-            const auto found = services.find(part.service);
-            if (found == services.end())
-                continue;
-            ServiceSpec &service = found->second;
-            const bool isFirst = seen.insert(part.service).second;
-            service.mostUrgent = isFirst ? route.priority
-                                         : std::min(service.mostUrgent, route.priority);
-            service.leastUrgent = isFirst ? route.priority
-                                          : std::max(service.leastUrgent, route.priority);
-        }
-    }
 }
 
 const ServingRoute *ServingConfig::findRoute(std::string_view host, std::string_view path) const
--- a/Source/Core/servingconfig.h
+++ b/Source/Core/servingconfig.h
@@ -74,14 +74,6 @@
     bool isModel = false;
     std::int64_t memoryTokens = 0; //!< Of each model engine.
     std::optional<ScalingSpec> scaling;
-    int mostUrgent = 0; //!< Smallest priority of the routes that lead here.
-    int leastUrgent = 0; //!< Largest priority of the routes that lead here.
-
-    /*!
-        Returns where \a priority lies between the routes' most urgent one, 0, and their least
-        urgent one, 1; nothing if they are all alike.
-    */
-    std::optional<double> rankOf(int priority) const;
 };
 
 /*!
@@ -118,8 +110,7 @@
     RequestLimits limits;
 
     /*!
-        Builds the index of routes and what the services take from them; called once after
-        \c routes and \c services are filled.
+        Builds the index of routes; called once after \c routes is filled.
     */
     void indexRoutes();
 
--- a/Source/Serving/requestadmission.cpp
+++ b/Source/Serving/requestadmission.cpp
@@ -1,5 +1,8 @@
 #include "Serving/requestadmission.h"
 
+#include "Adapter/log.h"
+#include "Serving/clocks.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -65,6 +68,13 @@
     const double cost = account->countsTokens ? tokens : 1.0;
     QuotaBucket &quota = m_state.quotaOf(*account);
     if (!quota.tryTake(cost)) {
+        logEvent(LogLevel::Info, "request.quota_exceeded",
+                 {{"request", facts.id},
+                  {"account", account->name},
+                  {"cost", cost},
+                  {"level", quota.level()},
+                  {"rate", account->ratePerSecond},
+                  {"silent_peers", m_state.peers.silentShare(steadyNow())}});
         const auto wait = std::chrono::duration_cast<Milliseconds>(quota.timeUntil(cost));
         return refuse(
                 {tooManyRequests, "the account's quota is used up", std::max(wait, shortestRetry)});
--- a/Source/Serving/requestrun.cpp
+++ b/Source/Serving/requestrun.cpp
@@ -125,11 +125,6 @@
     return route().services.back().service;
 }
 
-int RequestRun::urgency() const
-{
-    return account() && account()->priority ? *account()->priority : route().priority;
-}
-
 void RequestRun::sendToEngine()
 {
     if (remaining() < smallestUsefulTime) {
@@ -141,11 +136,6 @@
     const std::vector<EngineState *> candidates = m_state.engines.usable(name);
     const std::int64_t memory = service && service->isModel ? service->memoryTokens : 0;
     EngineChoice choice;
-    // A request that has been at an engine already has waited for its place.
-    if (service && !m_mayHaveRun)
-        m_facts.work.urgencyRank = service->rankOf(urgency());
-    else
-        m_facts.work.urgencyRank.reset();
     while (service) {
         choice = m_state.chooser.choose(candidates, m_facts.work, memory, m_state.settings.zone,
                                         m_tried, steadyNow());
@@ -234,7 +224,7 @@
     send.engineId = m_engine;
     send.account = account() ? account()->name : std::string();
     send.remaining = remaining();
-    send.urgency = urgency();
+    send.urgency = account() && account()->priority ? *account()->priority : route().priority;
     send.isModelWork = m_facts.statesTokens;
     send.lastEventId = m_facts.lastEventId;
     if (!m_events.lastId().empty())
@@ -428,6 +418,12 @@
 {
     m_stallTimer.cancel();
     m_state.metrics.recordSend(pickService(), sendResultName(result));
+    if (m_answerStatus != 0)
+        logEvent(LogLevel::Info, "engine.answer_failed",
+                 {{"request", m_facts.id},
+                  {"engine", m_engine},
+                  {"status", static_cast<std::int64_t>(m_answerStatus)},
+                  {"result", sendResultName(result)}});
     if (result == SendResult::NotRun) {
         if (m_answerStatus == misdirected)
             m_state.engines.recordConnectFailure(m_engine, steadyNow());
--- a/Source/Serving/requestrun.h
+++ b/Source/Serving/requestrun.h
@@ -34,7 +34,6 @@
     const ClientAccount *account() const { return m_admitted.account; }
     void armTimers();
     const std::string &pickService();
-    int urgency() const;
     void sendToEngine();
     bool prepareEngine(const EngineChoice &choice, const ServiceSpec &service);
     void onConnection(const boost::system::error_code &ec,
--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
 
 namespace sesame {
 
@@ -29,6 +30,8 @@
 constexpr Duration acquaintanceTime = 1s;
 //! A node whose peers have not heard it for this long is taken out of the store's list.
 constexpr Duration staleRecordAge = 20s;
+//! Milliseconds. Smaller changes come from datagrams that were under way for different times.
+constexpr std::int64_t noticedClockChange = 50;
 constexpr std::size_t controlConnections = 256;
 //! Descriptors that the platform reserves and that connections to engines use.
 constexpr std::size_t reservedDescriptors = 1000;
@@ -376,11 +379,25 @@
     m_state.crashes.expire(now);
     m_state.pool.trim();
     m_scaling.tick();
+    noteClock();
     m_exchange.setReady(isReady());
     m_exchange.setEngineRevision(m_engineFollower->revision());
     scheduleTick();
 }
 
+/*!
+    Logs by how much the machine's clock differs from the nodes' common time when that changes, so
+    that lines of several nodes can be put in order.
+*/
+void ServingNode::noteClock()
+{
+    const std::int64_t offset = m_state.trueTime.now(bootMillis()) - wallNow();
+    if (std::abs(offset - m_clockOffset) < noticedClockChange)
+        return;
+    m_clockOffset = offset;
+    logEvent(LogLevel::Info, "clock.offset", {{"offset_ms", offset}});
+}
+
 void ServingNode::waitForSignals()
 {
     m_signals.async_wait([this](const boost::system::error_code &ec, int signal) {
--- a/Source/Serving/servingnode.h
+++ b/Source/Serving/servingnode.h
@@ -66,6 +66,7 @@
     void removeStaleRecords(const std::vector<StoredObject> &listed);
     void scheduleTick();
     void tick();
+    void noteClock();
     void waitForSignals();
     void beginStop();
     void finishStop();
@@ -83,6 +84,7 @@
     std::unique_ptr<StoreFollower> m_engineFollower;
     DutyKeeper m_duties;
     ScalingDuty m_scaling;
+    std::int64_t m_clockOffset = 0; //!< Milliseconds, as logged last.
     asio::signal_set m_signals;
     asio::steady_timer m_tickTimer;
     asio::steady_timer m_stopTimer;
--- a/Tests/enginechoosertest.cpp
+++ b/Tests/enginechoosertest.cpp
@@ -99,23 +99,3 @@
     choice = chooser.choose(engines.pointers, {}, 0, "z", {}, now);
     cr_expect_str_eq(choice.engine->entry.id.c_str(), "engine-0");
 }
-
-// Guards against urgent requests that find full engines because less urgent ones fill them, and
-// against refusals while half of the places are free.
-Test(enginechooser, lessUrgentRequestsLeavePlaces)
-{
-    Engines engines(1);
-    const EngineChooser chooser;
-    const Timestamp now {1h};
-    const auto isTaken = [&](double rank, int requests) {
-        WorkSize work;
-        work.urgencyRank = rank;
-        engines.states[0].own.requests = requests;
-        return chooser.choose(engines.pointers, work, 0, "z", {}, now).engine != nullptr;
-    };
-    const int slots = engines.states[0].entry.slots;
-    cr_expect(isTaken(1.0, slots / 2 - 1));
-    cr_expect_not(isTaken(1.0, slots - 1));
-    cr_expect(isTaken(0.0, slots - 1));
-    cr_expect_not(isTaken(0.0, 2 * slots));
-}
--- a/Tests/servingconfigtest.cpp
+++ b/Tests/servingconfigtest.cpp
@@ -34,31 +34,6 @@
     cr_expect_null(config.findRoute("c.example", "/x/"));
 }
 
-// Guards against urgent requests that are refused like the others while engines are full.
-Test(servingconfig, ranksLieBetweenTheRoutesOfAService)
-{
-    ServingConfig config;
-    config.services["busy"] = {.name = "busy"};
-    config.services["even"] = {.name = "even"};
-    for (const int priority : {4, 2, 3})
-        config.routes.push_back({.name = "r" + std::to_string(priority),
-                                 .host = "a.example",
-                                 .pathPrefix = "/" + std::to_string(priority) + "/",
-                                 .services = {{.service = "busy", .weight = 1.0}},
-                                 .priority = priority});
-    config.routes.push_back({.host = "a.example",
-                             .pathPrefix = "/even/",
-                             .services = {{.service = "even", .weight = 1.0}},
-                             .priority = 7});
-    config.indexRoutes();
-    const ServiceSpec *busy = config.findService("busy");
-    cr_expect_eq(busy->rankOf(2), 0.0);
-    cr_expect_eq(busy->rankOf(3), 0.5);
-    cr_expect_eq(busy->rankOf(4), 1.0);
-    cr_expect_eq(busy->rankOf(9), 1.0, "an account's priority may lie outside the routes'");
-    cr_expect_not(config.findService("even")->rankOf(7).has_value());
-}
-
 // Guards against a key that is taken for another account's.
 Test(servingconfig, keysBelongToOneAccount)
 {
