--- a/Source/Core/eventsplitter.cpp
+++ b/Source/Core/eventsplitter.cpp
@@ -1,52 +1,58 @@
 #include "Core/eventsplitter.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace sesame {
 
-namespace {
-
-//! Returns the length of the part of \a text that ends with a blank line, or 0.
-std::size_t completeLength(std::string_view text)
-{
-    const std::size_t lf = text.rfind("\n\n");
-    const std::size_t crlf = text.rfind("\r\n\r\n");
-    const std::size_t lfEnd = lf == std::string_view::npos ? 0 : lf + 2;
-    const std::size_t crlfEnd = crlf == std::string_view::npos ? 0 : crlf + 4;
-    return std::max(lfEnd, crlfEnd);
-}
-
-} // namespace
-
 std::string EventSplitter::append(std::string_view bytes)
 {
     m_partial.append(bytes);
-    const std::size_t length = completeLength(m_partial);
-    std::string events = m_partial.substr(0, length);
-    m_partial.erase(0, length);
-    noteIds(events);
-    return events;
-}
-
-void EventSplitter::noteIds(std::string_view events)
-{
-    while (!events.empty()) {
-        const std::size_t end = std::min(events.find('\n'), events.size());
-        std::string_view line = events.substr(0, end);
-        events.remove_prefix(std::min(end + 1, events.size()));
+    // What an event is follows from its lines alone, never from how its bytes arrive.
+    std::size_t complete = 0;
+    for (std::size_t end = 0; (end = m_partial.find('\n', m_lineStart)) != std::string::npos;) {
+        std::string_view line(m_partial.data() + m_lineStart, end - m_lineStart);
         if (line.ends_with('\r'))
             line.remove_suffix(1);
+        m_lineStart = end + 1;
         if (line.empty()) {
-            ++m_events;
-            continue;
+            complete = m_lineStart;
+            finishEvent();
+        } else {
+            noteLine(line);
         }
-        if (!line.starts_with("id:"))
-            continue;
-        line.remove_prefix(3);
-        if (line.starts_with(' '))
-            line.remove_prefix(1);
-        m_lastId = line;
     }
+    std::string events = m_partial.substr(0, complete);
+    m_partial.erase(0, complete);
+    m_lineStart -= complete;
+    return events;
+}
+
+void EventSplitter::dropPartial()
+{
+    m_partial.clear();
+    m_lineStart = 0;
+    m_hasLines = false;
+    m_nextId.reset();
+}
+
+void EventSplitter::noteLine(std::string_view line)
+{
+    m_hasLines = true;
+    if (!line.starts_with("id:"))
+        return;
+    line.remove_prefix(3);
+    if (line.starts_with(' '))
+        line.remove_prefix(1);
+    m_nextId = line;
+}
+
+void EventSplitter::finishEvent()
+{
+    if (!std::exchange(m_hasLines, false))
+        return;
+    ++m_events;
+    if (m_nextId)
+        m_lastId = *std::exchange(m_nextId, std::nullopt);
 }
 
 } // namespace sesame
--- a/Source/Core/eventsplitter.h
+++ b/Source/Core/eventsplitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -20,7 +21,7 @@
     /*!
         Drops an event that was cut off.
     */
-    void dropPartial() { m_partial.clear(); }
+    void dropPartial();
 
     const std::string &partial() const { return m_partial; }
 
@@ -32,9 +33,13 @@
     std::size_t events() const { return m_events; }
 
 private:
-    void noteIds(std::string_view events);
+    void noteLine(std::string_view line);
+    void finishEvent();
 
     std::string m_partial;
+    std::size_t m_lineStart = 0; //!< Of the first line in \c m_partial that has no end yet.
+    bool m_hasLines = false; //!< The event that is not complete has a line.
+    std::optional<std::string> m_nextId; //!< Of the event that is not complete.
     std::string m_lastId;
     std::size_t m_events = 0;
 };
--- /dev/null
+++ b/Source/Http/appendedbody.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/optional.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace sesame {
+
+/*!
+    A body for Beast's parsers that holds what has been received. Unlike Beast's string body it does
+    not reserve the length that the peer states: an engine that states a wrong one would otherwise
+    end the process. The names are Beast's.
+*/
+// NOLINTBEGIN(readability-identifier-naming)
+struct AppendedBody
+{
+    using value_type = std::string;
+
+    class reader
+    {
+    public:
+        template <bool isRequest, class Fields>
+        reader(boost::beast::http::header<isRequest, Fields> & /*header*/, value_type &body)
+            : m_body(body)
+        {
+        }
+
+        void init(const boost::optional<std::uint64_t> & /*length*/, boost::system::error_code &ec)
+        {
+            ec = {};
+        }
+
+        template <class Buffers>
+        std::size_t put(const Buffers &buffers, boost::system::error_code &ec)
+        {
+            ec = {};
+            std::size_t n = 0;
+            for (auto it = boost::asio::buffer_sequence_begin(buffers);
+                 it != boost::asio::buffer_sequence_end(buffers); ++it) {
+                const boost::asio::const_buffer piece = *it;
+                m_body.append(static_cast<const char *>(piece.data()), piece.size());
+                n += piece.size();
+            }
+            return n;
+        }
+
+        void finish(boost::system::error_code &ec) { ec = {}; }
+
+    private:
+        value_type &m_body;
+    };
+};
+// NOLINTEND(readability-identifier-naming)
+
+} // namespace sesame
--- a/Source/Http/clientconnection.h
+++ b/Source/Http/clientconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Http/appendedbody.h"
 #include "Http/httptypes.h"
 
 #include <boost/asio/io_context.hpp>
@@ -84,7 +85,7 @@
     Clock::time_point idleSince() const { return m_idleSince; }
 
 private:
-    using Parser = beast::http::response_parser<beast::http::string_body>;
+    using Parser = beast::http::response_parser<AppendedBody>;
 
     void readMore();
     void onRead(const boost::system::error_code &ec, std::size_t n);
--- /dev/null
+++ b/Tests/support/fuzztargets.cpp
@@ -0,0 +1,246 @@
+#include "support/fuzztargets.h"
+
+#include "Core/eventsplitter.h"
+#include "Core/peertable.h"
+#include "Core/wireformat.h"
+#include "Http/clientconnection.h"
+#include "Http/listener.h"
+#include "platformdocuments.h"
+#include "platformrequestformat.h"
+#include "platformsettings.h"
+#include "platformstore.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace sesame::test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+//! An exchange on loopback takes well under a millisecond; one that ends in no answer takes this.
+constexpr auto exchangeLimit = 200ms;
+
+void require(bool holds, const char *what)
+{
+    if (holds)
+        return;
+    std::fprintf(stderr, "does not hold: %s\n", what);
+    std::abort();
+}
+
+void feedSettings(std::string_view bytes)
+{
+    std::vector<SettingsError> errors;
+    const auto settings = platform::readSettings(std::string(bytes), "settings.yaml", errors);
+    require(settings.has_value() == errors.empty(), "settings are read or have an error");
+}
+
+void feedConfiguration(std::string_view bytes)
+{
+    const JsonPtr content = parseJson(bytes);
+    const auto config = platform::readConfig(content.get());
+    if (!config)
+        return;
+    for (const ServingRoute &route : config->routes) {
+        require(!route.services.empty(), "a route leads to a service");
+        const ServingRoute *found = config->findRoute(route.host, route.pathPrefix);
+        require(found && found->pathPrefix == route.pathPrefix, "each route is found");
+    }
+    for (const auto &[key, index] : config->accountOfKey)
+        require(index < config->accounts.size(), "each key belongs to an account");
+}
+
+void feedEngine(std::string_view bytes)
+{
+    const JsonPtr content = parseJson(bytes);
+    const auto entry = platform::readEngine("i-1", content.get());
+    require(!entry || (!entry->service.empty() && !entry->address.empty()),
+            "an engine has a service and an address");
+}
+
+void feedEvents(std::string_view bytes)
+{
+    EventSplitter whole;
+    const std::string atOnce = whole.append(bytes);
+    EventSplitter pieces;
+    std::string byPieces;
+    constexpr std::size_t pieceBytes = 3;
+    for (std::size_t i = 0; i < bytes.size(); i += pieceBytes)
+        byPieces += pieces.append(bytes.substr(i, pieceBytes));
+    require(atOnce + whole.partial() == bytes, "no byte of a stream is lost or added");
+    require(byPieces == atOnce, "events do not depend on how their bytes arrive");
+    require(pieces.lastId() == whole.lastId(), "nor does the last id");
+}
+
+void feedReport(std::string_view bytes)
+{
+    const auto report = decodeWire<wire::NodeReport>(bytes);
+    if (!report)
+        return;
+    PeerTable peers;
+    const Timestamp now {1h};
+    peers.observe(*report, now);
+    for (const auto &[account, growth] : peers.observe(*report, now))
+        require(growth == 0.0, "a repeated report adds no consumption");
+    peers.engineLoads(now);
+    peers.entryAddresses(now, true);
+    peers.crashCounts();
+}
+
+/*!
+    Accepts connections and answers each with given bytes, then closes.
+*/
+class ByteServer
+{
+public:
+    explicit ByteServer(asio::io_context &context)
+        : m_acceptor(context, {asio::ip::make_address_v4("127.0.0.1"), 0})
+    {
+        accept();
+    }
+
+    Tcp::endpoint address() const { return m_acceptor.local_endpoint(); }
+    void setAnswer(std::string_view bytes) { m_answer = bytes; }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code &ec, Tcp::socket socket) {
+            if (ec)
+                return;
+            const auto open = std::make_shared<Tcp::socket>(std::move(socket));
+            const auto input = std::make_shared<std::array<char, 4096>>();
+            open->async_read_some(asio::buffer(*input), [this, open, input](const auto &, auto) {
+                const auto output = std::make_shared<std::string>(m_answer);
+                asio::async_write(*open, asio::buffer(*output),
+                                  [open, output](const auto &, auto) {});
+            });
+            accept();
+        });
+    }
+
+    Tcp::acceptor m_acceptor;
+    std::string m_answer;
+};
+
+//! Runs \a context until \a done holds; returns whether it does.
+bool runUntil(asio::io_context &context, const bool &done)
+{
+    const auto end = std::chrono::steady_clock::now() + exchangeLimit;
+    context.restart();
+    while (!done && std::chrono::steady_clock::now() < end)
+        context.run_one_until(end);
+    return done;
+}
+
+void feedAnswer(std::string_view bytes)
+{
+    static asio::io_context context;
+    static ByteServer server(context);
+    server.setAnswer(bytes);
+    bool ended = false;
+    int ends = 0;
+    const auto connection = std::make_shared<ClientConnection>(context);
+    const auto end = [&] {
+        ended = true;
+        ++ends;
+    };
+    const platform::PlatformRequestFormat format;
+    connection->connect(server.address(), 100ms, [&](const boost::system::error_code &ec) {
+        require(!ec, "the loopback server accepts");
+        connection->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", false,
+                         {.head =
+                                  [&](const ResponseHead &head) {
+                                      format.readAnswer(head);
+                                      return AnswerSink::Verdict::Take;
+                                  },
+                          .body = [](std::string_view) {},
+                          .done = end,
+                          .failed =
+                                  [&](ExchangeFailure) {
+                                      end();
+                                  }});
+    });
+    require(runUntil(context, ended), "each exchange ends");
+    connection->close();
+    context.poll();
+    require(ends == 1, "an exchange ends once");
+}
+
+void feedStore(std::string_view bytes)
+{
+    static asio::io_context context;
+    static ByteServer server(context);
+    server.setAnswer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bytes.size())
+                     + "\r\nConnection: close\r\n\r\n" + std::string(bytes));
+    platform::PlatformStore store(context, server.address());
+    bool ended = false;
+    const auto take = [&](const StoreListing &listing) {
+        ended = true;
+        require(listing.status == StoreCallStatus::Ok || listing.objects.empty(),
+                "a failed call tells no objects");
+    };
+    store.watch("servers", 1, 50ms, take);
+    require(runUntil(context, ended), "each call ends");
+    ended = false;
+    store.replace("duties", "x", nullptr, 1, [&](const StoreWrite &) {
+        ended = true;
+    });
+    require(runUntil(context, ended), "each write ends");
+}
+
+void feedRequest(std::string_view bytes)
+{
+    static asio::io_context context;
+    static int running = 0;
+    static const platform::PlatformRequestFormat format;
+    static Listener listener(
+            context,
+            [](const std::shared_ptr<ServerConnection> &call, RequestMessage &&request) {
+                ++running;
+                const RequestFacts facts = format.readRequest(request);
+                require(facts.work.promptTokens >= 0 && facts.work.outputTokens >= 0,
+                        "a request asks for no negative work");
+                call->sendAnswer(200, format.formatOwnFields(facts.id, {}), request.body());
+            },
+            64);
+    static const Tcp::endpoint address = [] {
+        // A fixed port outside the ranges of the process tests.
+        const Tcp::endpoint endpoint(asio::ip::make_address_v4("127.0.9.1"), 22390);
+        require(!listener.open(endpoint), "the listener opens");
+        return endpoint;
+    }();
+    Tcp::socket socket(context);
+    socket.connect(address);
+    boost::system::error_code ignored;
+    asio::write(socket, asio::buffer(bytes.data(), bytes.size()), ignored);
+    socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    bool ended = false;
+    std::string answer;
+    asio::async_read(socket, asio::dynamic_buffer(answer), [&](const auto &, auto) {
+        ended = true;
+    });
+    require(runUntil(context, ended), "a connection whose caller has closed ends");
+    require(answer.empty() || answer.starts_with("HTTP/1.1 "), "answers are HTTP");
+}
+
+} // namespace
+
+const std::map<std::string, FuzzTarget> &fuzzTargets()
+{
+    static const std::map<std::string, FuzzTarget> targets {
+            {"settings", feedSettings}, {"configuration", feedConfiguration},
+            {"engine", feedEngine},     {"events", feedEvents},
+            {"report", feedReport},     {"request", feedRequest},
+            {"answer", feedAnswer},     {"store", feedStore}};
+    return targets;
+}
+
+} // namespace sesame::test
