Wait longer for changes of the configuration while peers are in touch

The short wait bounds how long a silent connection hides a change.

Change: the configuration is watched for 2.5 s while a peer is in touch. Reports tell each node's version; a node that is behind a peer for 300 ms lists again. The watch of engines is as before, because reports do not tell of engines that left.

Test: platformprocesstest, peersTellOfANewConfiguration, with a watch of one node that the emulator never answers; it fails without the refresh.

--- a/Emulator/emulatedstore.cpp
+++ b/Emulator/emulatedstore.cpp
@@ -84,6 +84,18 @@
     });
 }
 
+bool EmulatedStore::silenceWatch(const std::string &kind)
+{
+    const auto found = std::find_if(m_watches.rbegin(), m_watches.rend(), [&](const auto &watch) {
+        return watch->kind == kind;
+    });
+    if (found == m_watches.rend())
+        return false;
+    (*found)->timer->cancel();
+    m_watches.erase(std::next(found).base());
+    return true;
+}
+
 void EmulatedStore::serve(const Call &call, const RequestMessage &request)
 {
     ++m_calls;
--- a/Emulator/emulatedstore.h
+++ b/Emulator/emulatedstore.h
@@ -35,6 +35,12 @@
     */
     void compact() { m_oldestRevision = m_revision; }
 
+    /*!
+        Lets the newest waiting watch of \a kind fall silent: it stays open and is never answered.
+        Returns false if there is none.
+    */
+    bool silenceWatch(const std::string &kind);
+
     /*!
         Writes \a spec, JSON text, as the platform's own writers do.
     */
--- a/Source/Core/peertable.cpp
+++ b/Source/Core/peertable.cpp
@@ -66,6 +66,16 @@
     return n;
 }
 
+std::int64_t PeerTable::newestConfig(Timestamp now) const
+{
+    std::int64_t newest = 0;
+    for (const auto &[name, peer] : m_peers) {
+        if (isInTouch(peer, now))
+            newest = std::max(newest, peer.report.configVersion);
+    }
+    return newest;
+}
+
 const PeerNode *PeerTable::find(const std::string &name) const
 {
     const auto found = m_peers.find(name);
--- a/Source/Core/peertable.h
+++ b/Source/Core/peertable.h
@@ -79,6 +79,12 @@
     /*!
         Returns the peer \a name, or null.
     */
+    /*!
+        Returns the newest version of the configuration that a peer in touch has in force, 0 if no
+        peer is in touch.
+    */
+    std::int64_t newestConfig(Timestamp now) const;
+
     const PeerNode *find(const std::string &name) const;
 
     const std::map<std::string, PeerNode> &peers() const { return m_peers; }
--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -36,6 +36,14 @@
 //! Descriptors that the platform reserves and that connections to engines use.
 constexpr std::size_t reservedDescriptors = 1000;
 constexpr const char *nodeKind = "nodes";
+//! Changes must be in force two seconds after they are accepted, also if a watch falls silent.
+constexpr std::chrono::milliseconds shortWatchWait {800};
+//! Each call costs. Peers tell of a new configuration, so a silent watch of it does no harm while
+//! one is in touch. With the call's margin it is as long as a machine counts as disturbed after its
+//! connections were.
+constexpr std::chrono::milliseconds configWatchWait {2500};
+//! A change reaches the nodes' watches and their reports within this time.
+constexpr Duration configSpread = 300ms;
 constexpr std::string_view metricsPath = "/metrics";
 
 constexpr unsigned ok = 200;
@@ -141,8 +149,13 @@
     events.changed = [this](const StoredObject &object, std::optional<Timestamp>) {
         takeConfig(object);
     };
-    return std::make_unique<StoreFollower>(m_context, m_environment.makeStore(),
-                                           m_environment.configKind, std::move(events));
+    return std::make_unique<StoreFollower>(
+            m_context, m_environment.makeStore(), m_environment.configKind,
+            [this] {
+                return m_state.peers.newestConfig(steadyNow()) > 0 ? configWatchWait
+                                                                   : shortWatchWait;
+            },
+            std::move(events));
 }
 
 std::unique_ptr<StoreFollower> ServingNode::followEngines()
@@ -164,8 +177,12 @@
     events.changed = [this](const StoredObject &object, std::optional<Timestamp> graceEnd) {
         takeEngine(object, graceEnd);
     };
-    return std::make_unique<StoreFollower>(m_context, m_environment.makeStore(),
-                                           m_environment.engineKind, std::move(events));
+    return std::make_unique<StoreFollower>(
+            m_context, m_environment.makeStore(), m_environment.engineKind,
+            [] {
+                return shortWatchWait;
+            },
+            std::move(events));
 }
 
 void ServingNode::takeConfig(const StoredObject &object)
@@ -380,11 +397,34 @@
     m_state.pool.trim();
     m_scaling.tick();
     noteClock();
+    followPeersConfig();
     m_exchange.setReady(isReady());
     m_exchange.setEngineRevision(m_engineFollower->revision());
     scheduleTick();
 }
 
+/*!
+    Asks the store for the configuration if a peer has had a newer one for longer than it takes to
+    learn of a change: this node's watch has fallen silent.
+*/
+void ServingNode::followPeersConfig()
+{
+    const Timestamp now = steadyNow();
+    const std::int64_t own = m_state.config ? m_state.config->version : 0;
+    const std::int64_t newest = m_state.peers.newestConfig(now);
+    if (newest <= own) {
+        m_behindSince.reset();
+        return;
+    }
+    if (!m_behindSince)
+        m_behindSince = now;
+    if (now - *m_behindSince < configSpread)
+        return;
+    m_behindSince = now;
+    logEvent(LogLevel::Warning, "config.behind", {{"version", own}, {"peers_version", newest}});
+    m_configFollower->refresh();
+}
+
 /*!
     Logs by how much the machine's clock differs from the nodes' common time when that changes, so
     that lines of several nodes can be put in order.
--- a/Source/Serving/servingnode.h
+++ b/Source/Serving/servingnode.h
@@ -66,6 +66,7 @@
     void removeStaleRecords(const std::vector<StoredObject> &listed);
     void scheduleTick();
     void tick();
+    void followPeersConfig();
     void noteClock();
     void waitForSignals();
     void beginStop();
@@ -84,6 +85,7 @@
     std::unique_ptr<StoreFollower> m_engineFollower;
     DutyKeeper m_duties;
     ScalingDuty m_scaling;
+    std::optional<Timestamp> m_behindSince; //!< A peer has a newer configuration since.
     std::int64_t m_clockOffset = 0; //!< Milliseconds, as logged last.
     asio::signal_set m_signals;
     asio::steady_timer m_tickTimer;
--- a/Source/Serving/storefollower.cpp
+++ b/Source/Serving/storefollower.cpp
@@ -11,8 +11,6 @@
 
 using namespace std::chrono_literals;
 
-//! Changes must be in force two seconds after they are accepted, also if a watch falls silent.
-constexpr auto watchWait = 800ms;
 constexpr auto firstRetry = 60ms;
 constexpr auto longestRetry = 400ms;
 //! Entries lapse after three missed heartbeats, so a shorter outage explains no missing entry.
@@ -25,24 +23,36 @@
 
 StoreFollower::StoreFollower(boost::asio::io_context &context,
                              std::unique_ptr<ObjectStoreCalls> store, std::string kind,
-                             FollowerEvents events)
+                             WatchWait watchWait, FollowerEvents events)
     : m_timer(context), m_store(std::move(store)), m_kind(std::move(kind)),
-      m_events(std::move(events))
+      m_watchWait(std::move(watchWait)), m_events(std::move(events))
 {
 }
 
 void StoreFollower::relist()
 {
-    m_store->list(m_kind, false, [this](const StoreListing &listing) {
-        onListed(listing);
+    m_store->list(m_kind, false, [this, call = ++m_call](const StoreListing &listing) {
+        if (isCurrent(call))
+            onListed(listing);
     });
 }
 
 void StoreFollower::watch()
 {
-    m_store->watch(m_kind, m_revision, watchWait, [this](const StoreListing &listing) {
-        onWatched(listing);
-    });
+    m_store->watch(m_kind, m_revision, m_watchWait(),
+                   [this, call = ++m_call](const StoreListing &listing) {
+                       if (isCurrent(call))
+                           onWatched(listing);
+                   });
+}
+
+void StoreFollower::refresh()
+{
+    // A call after a failure is under way or will be soon.
+    if (m_failures > 0 || m_mustList)
+        return;
+    m_mustList = true;
+    relist();
 }
 
 void StoreFollower::onListed(const StoreListing &listing)
--- a/Source/Serving/storefollower.h
+++ b/Source/Serving/storefollower.h
@@ -24,23 +24,35 @@
 };
 
 /*!
-    Keeps up with one kind of objects: lists it, then watches. Each watch is short, because a
-    connection may fall silent without an error; a silent one ends at the call's time limit.
+    Keeps up with one kind of objects: lists it, then watches. A connection may fall silent without
+    an error; its watch ends at the call's time limit, or when refresh() is called.
 */
 class StoreFollower
 {
 public:
+    using WatchWait = std::function<std::chrono::milliseconds()>;
+
+    /*!
+        \a watchWait tells for how long the next watch may wait for a change.
+    */
     StoreFollower(boost::asio::io_context &context, std::unique_ptr<ObjectStoreCalls> store,
-                  std::string kind, FollowerEvents events);
+                  std::string kind, WatchWait watchWait, FollowerEvents events);
 
     void start() { relist(); }
 
+    /*!
+        Lists again now instead of waiting for the present watch, because others know of a change
+        that this follower has not seen.
+    */
+    void refresh();
+
     std::uint64_t revision() const { return m_revision; }
     bool isReachable() const { return m_reachable; }
 
 private:
     void relist();
     void watch();
+    bool isCurrent(std::uint64_t call) const { return call == m_call; }
     void onListed(const StoreListing &listing);
     void onWatched(const StoreListing &listing);
     void onFailure();
@@ -50,7 +62,9 @@
     boost::asio::steady_timer m_timer;
     std::unique_ptr<ObjectStoreCalls> m_store;
     std::string m_kind;
+    WatchWait m_watchWait;
     FollowerEvents m_events;
+    std::uint64_t m_call = 0; //!< Counts the calls; answers to earlier ones are dropped.
     std::uint64_t m_revision = 0;
     bool m_reachable = true;
     bool m_mustList = true;
--- a/Tests/platformprocesstest.cpp
+++ b/Tests/platformprocesstest.cpp
@@ -214,6 +214,23 @@
     cr_expect_eq(world.platform.engines[4]->totalRuns(), others);
 }
 
+// Guards against a configuration that comes late to a node whose watch has fallen silent, although
+// its peer has it in force.
+Test(platform, peersTellOfANewConfiguration)
+{
+    Deployment world(21550, 2);
+    // The nodes have heard each other and wait for long.
+    world.run(2000ms);
+    const auto silenced = [&] {
+        return world.platform.store.silenceWatch("config");
+    };
+    cr_assert(world.runUntil(silenced, 1s));
+    world.platform.putConfig(2, true);
+    world.run(1200ms);
+    cr_expect_eq(world.request(1, "GET", "/extra/x", "c-1").status, 200U);
+    cr_expect_eq(world.request(2, "GET", "/extra/x", "c-2").status, 200U);
+}
+
 // Guards against a planned stop that loses a request or leaves the node in the directory.
 Test(platform, stopFinishesItsRequests)
 {
