--- a/Tests/engineplannertest.cpp
+++ b/Tests/engineplannertest.cpp
@@ -58,6 +58,7 @@
             now += 100ms;
             const std::vector<EngineState> states = makeEngines();
             std::vector<EngineState *> engines;
+            engines.reserve(states.size());
             for (const EngineState &state : states)
                 engines.push_back(const_cast<EngineState *>(&state));
             planner.observe(spec, engines, refusedPerSecond, now);
--- a/Tests/fuzztest.cpp
+++ b/Tests/fuzztest.cpp
@@ -24,11 +24,11 @@
 {
     std::vector<std::string> corpus;
     const std::string folder = std::string(PROJECT_DIRECTORY) + "/Tests/corpus/" + target;
-    std::vector<std::filesystem::path> files;
-    for (const auto &entry : std::filesystem::directory_iterator(folder))
-        files.push_back(entry.path());
+    const std::filesystem::directory_iterator entries(folder);
+    std::vector<std::filesystem::path> files(begin(entries), end(entries));
     // The order of a folder is not the same on all machines.
     std::sort(files.begin(), files.end());
+    corpus.reserve(files.size());
     for (const auto &file : files)
         corpus.push_back(readFile(file));
     return corpus;
--- a/Tests/requeststorytest.cpp
+++ b/Tests/requeststorytest.cpp
@@ -27,7 +27,7 @@
 
     std::string write(const std::string &name, const std::string &text) const
     {
-        const std::string path = m_directory + "/" + name;
+        std::string path = m_directory + "/" + name;
         std::ofstream(path) << text;
         return path;
     }
--- a/Tests/support/fuzztargets.cpp
+++ b/Tests/support/fuzztargets.cpp
@@ -213,7 +213,7 @@
             64);
     static const Tcp::endpoint address = [] {
         // A fixed port outside the ranges of the process tests.
-        const Tcp::endpoint endpoint(asio::ip::make_address_v4("127.0.9.1"), 22390);
+        Tcp::endpoint endpoint(asio::ip::make_address_v4("127.0.9.1"), 22390);
         require(!listener.open(endpoint), "the listener opens");
         return endpoint;
     }();
