--- a/Generated/exchange_types.cpp
+++ b/Generated/exchange_types.cpp
@@ -238,77 +238,41 @@
 }
 
 
-NodeReport::~NodeReport() noexcept {
+Tally::~Tally() noexcept {
 }
 
 
-void NodeReport::__set_node(const std::string& val) {
-  this->node = val;
-}
-
-void NodeReport::__set_incarnation(const int64_t val) {
-  this->incarnation = val;
-}
-
-void NodeReport::__set_sequence(const int64_t val) {
-  this->sequence = val;
-}
-
-void NodeReport::__set_entryAddress(const std::string& val) {
-  this->entryAddress = val;
-}
-
-void NodeReport::__set_zone(const std::string& val) {
-  this->zone = val;
-}
-
-void NodeReport::__set_ready(const bool val) {
-  this->ready = val;
-}
-
-void NodeReport::__set_leaving(const bool val) {
-  this->leaving = val;
-}
-
-void NodeReport::__set_trueMillis(const int64_t val) {
-  this->trueMillis = val;
-}
-
-void NodeReport::__set_consumed(const std::map<std::string, double> & val) {
+void Tally::__set_consumed(const std::map<std::string, double> & val) {
   this->consumed = val;
 }
 
-void NodeReport::__set_began(const std::map<int64_t, std::map<std::string, int64_t> > & val) {
+void Tally::__set_began(const std::map<int64_t, std::map<std::string, int64_t> > & val) {
   this->began = val;
 }
 
-void NodeReport::__set_engines(const std::map<std::string, EngineShare> & val) {
+void Tally::__set_engines(const std::map<std::string, EngineShare> & val) {
   this->engines = val;
 }
 
-void NodeReport::__set_crashes(const std::map<int64_t, CrashShare> & val) {
+void Tally::__set_crashes(const std::map<int64_t, CrashShare> & val) {
   this->crashes = val;
 }
 
-void NodeReport::__set_configVersion(const int64_t val) {
-  this->configVersion = val;
-}
-
-void NodeReport::__set_engineRevision(const int64_t val) {
-  this->engineRevision = val;
+void Tally::__set_refused(const std::map<std::string, int64_t> & val) {
+  this->refused = val;
 }
 
-void NodeReport::__set_refused(const std::map<std::string, int64_t> & val) {
-  this->refused = val;
+void Tally::__set_late(const std::map<std::string, double> & val) {
+  this->late = val;
 }
-std::ostream& operator<<(std::ostream& out, const NodeReport& obj)
+std::ostream& operator<<(std::ostream& out, const Tally& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t NodeReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Tally::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -330,70 +294,6 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->node);
-          this->__isset.node = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->incarnation);
-          this->__isset.incarnation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->entryAddress);
-          this->__isset.entryAddress = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->zone);
-          this->__isset.zone = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->ready);
-          this->__isset.ready = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->leaving);
-          this->__isset.leaving = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->trueMillis);
-          this->__isset.trueMillis = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->consumed.clear();
@@ -416,7 +316,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 10:
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->began.clear();
@@ -454,7 +354,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 11:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->engines.clear();
@@ -477,7 +377,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 12:
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->crashes.clear();
@@ -500,23 +400,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->configVersion);
-          this->__isset.configVersion = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->engineRevision);
-          this->__isset.engineRevision = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 15:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->refused.clear();
@@ -539,6 +423,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->late.clear();
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _ktype47;
+            ::apache::thrift::protocol::TType _vtype48;
+            xfer += iprot->readMapBegin(_ktype47, _vtype48, _size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
+            {
+              std::string _key51;
+              xfer += iprot->readString(_key51);
+              double& _val52 = this->late[_key51];
+              xfer += iprot->readDouble(_val52);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.late = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -551,70 +458,38 @@
   return xfer;
 }
 
-uint32_t NodeReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Tally::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("NodeReport");
-
-  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->node);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->incarnation);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->sequence);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("entryAddress", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->entryAddress);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->zone);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("ready", ::apache::thrift::protocol::T_BOOL, 6);
-  xfer += oprot->writeBool(this->ready);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Tally");
 
-  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 7);
-  xfer += oprot->writeBool(this->leaving);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("trueMillis", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->trueMillis);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("consumed", ::apache::thrift::protocol::T_MAP, 9);
+  xfer += oprot->writeFieldBegin("consumed", ::apache::thrift::protocol::T_MAP, 1);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->consumed.size()));
-    std::map<std::string, double> ::const_iterator _iter46;
-    for (_iter46 = this->consumed.begin(); _iter46 != this->consumed.end(); ++_iter46)
+    std::map<std::string, double> ::const_iterator _iter53;
+    for (_iter53 = this->consumed.begin(); _iter53 != this->consumed.end(); ++_iter53)
     {
-      xfer += oprot->writeString(_iter46->first);
-      xfer += oprot->writeDouble(_iter46->second);
+      xfer += oprot->writeString(_iter53->first);
+      xfer += oprot->writeDouble(_iter53->second);
     }
     xfer += oprot->writeMapEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("began", ::apache::thrift::protocol::T_MAP, 10);
+  xfer += oprot->writeFieldBegin("began", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_MAP, static_cast<uint32_t>(this->began.size()));
-    std::map<int64_t, std::map<std::string, int64_t> > ::const_iterator _iter47;
-    for (_iter47 = this->began.begin(); _iter47 != this->began.end(); ++_iter47)
+    std::map<int64_t, std::map<std::string, int64_t> > ::const_iterator _iter54;
+    for (_iter54 = this->began.begin(); _iter54 != this->began.end(); ++_iter54)
     {
-      xfer += oprot->writeI64(_iter47->first);
+      xfer += oprot->writeI64(_iter54->first);
       {
-        xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter47->second.size()));
-        std::map<std::string, int64_t> ::const_iterator _iter48;
-        for (_iter48 = _iter47->second.begin(); _iter48 != _iter47->second.end(); ++_iter48)
+        xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter54->second.size()));
+        std::map<std::string, int64_t> ::const_iterator _iter55;
+        for (_iter55 = _iter54->second.begin(); _iter55 != _iter54->second.end(); ++_iter55)
         {
-          xfer += oprot->writeString(_iter48->first);
-          xfer += oprot->writeI64(_iter48->second);
+          xfer += oprot->writeString(_iter55->first);
+          xfer += oprot->writeI64(_iter55->second);
         }
         xfer += oprot->writeMapEnd();
       }
@@ -623,48 +498,53 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_MAP, 11);
+  xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::map<std::string, EngineShare> ::const_iterator _iter49;
-    for (_iter49 = this->engines.begin(); _iter49 != this->engines.end(); ++_iter49)
+    std::map<std::string, EngineShare> ::const_iterator _iter56;
+    for (_iter56 = this->engines.begin(); _iter56 != this->engines.end(); ++_iter56)
     {
-      xfer += oprot->writeString(_iter49->first);
-      xfer += _iter49->second.write(oprot);
+      xfer += oprot->writeString(_iter56->first);
+      xfer += _iter56->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_MAP, 12);
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::map<int64_t, CrashShare> ::const_iterator _iter50;
-    for (_iter50 = this->crashes.begin(); _iter50 != this->crashes.end(); ++_iter50)
+    std::map<int64_t, CrashShare> ::const_iterator _iter57;
+    for (_iter57 = this->crashes.begin(); _iter57 != this->crashes.end(); ++_iter57)
     {
-      xfer += oprot->writeI64(_iter50->first);
-      xfer += _iter50->second.write(oprot);
+      xfer += oprot->writeI64(_iter57->first);
+      xfer += _iter57->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("configVersion", ::apache::thrift::protocol::T_I64, 13);
-  xfer += oprot->writeI64(this->configVersion);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("engineRevision", ::apache::thrift::protocol::T_I64, 14);
-  xfer += oprot->writeI64(this->engineRevision);
+  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_MAP, 5);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->refused.size()));
+    std::map<std::string, int64_t> ::const_iterator _iter58;
+    for (_iter58 = this->refused.begin(); _iter58 != this->refused.end(); ++_iter58)
+    {
+      xfer += oprot->writeString(_iter58->first);
+      xfer += oprot->writeI64(_iter58->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_MAP, 15);
+  xfer += oprot->writeFieldBegin("late", ::apache::thrift::protocol::T_MAP, 6);
   {
-    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->refused.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter51;
-    for (_iter51 = this->refused.begin(); _iter51 != this->refused.end(); ++_iter51)
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->late.size()));
+    std::map<std::string, double> ::const_iterator _iter59;
+    for (_iter59 = this->late.begin(); _iter59 != this->late.end(); ++_iter59)
     {
-      xfer += oprot->writeString(_iter51->first);
-      xfer += oprot->writeI64(_iter51->second);
+      xfer += oprot->writeString(_iter59->first);
+      xfer += oprot->writeDouble(_iter59->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -675,81 +555,1851 @@
   return xfer;
 }
 
-void swap(NodeReport &a, NodeReport &b) {
+void swap(Tally &a, Tally &b) {
   using ::std::swap;
-  swap(a.node, b.node);
-  swap(a.incarnation, b.incarnation);
-  swap(a.sequence, b.sequence);
-  swap(a.entryAddress, b.entryAddress);
-  swap(a.zone, b.zone);
-  swap(a.ready, b.ready);
-  swap(a.leaving, b.leaving);
-  swap(a.trueMillis, b.trueMillis);
   swap(a.consumed, b.consumed);
   swap(a.began, b.began);
   swap(a.engines, b.engines);
   swap(a.crashes, b.crashes);
-  swap(a.configVersion, b.configVersion);
-  swap(a.engineRevision, b.engineRevision);
   swap(a.refused, b.refused);
+  swap(a.late, b.late);
   swap(a.__isset, b.__isset);
 }
 
-NodeReport::NodeReport(const NodeReport& other52) {
-  node = other52.node;
-  incarnation = other52.incarnation;
-  sequence = other52.sequence;
-  entryAddress = other52.entryAddress;
-  zone = other52.zone;
-  ready = other52.ready;
-  leaving = other52.leaving;
-  trueMillis = other52.trueMillis;
-  consumed = other52.consumed;
-  began = other52.began;
-  engines = other52.engines;
-  crashes = other52.crashes;
-  configVersion = other52.configVersion;
-  engineRevision = other52.engineRevision;
-  refused = other52.refused;
-  __isset = other52.__isset;
-}
-NodeReport& NodeReport::operator=(const NodeReport& other53) {
-  node = other53.node;
-  incarnation = other53.incarnation;
-  sequence = other53.sequence;
-  entryAddress = other53.entryAddress;
-  zone = other53.zone;
-  ready = other53.ready;
-  leaving = other53.leaving;
-  trueMillis = other53.trueMillis;
-  consumed = other53.consumed;
-  began = other53.began;
-  engines = other53.engines;
-  crashes = other53.crashes;
-  configVersion = other53.configVersion;
-  engineRevision = other53.engineRevision;
-  refused = other53.refused;
-  __isset = other53.__isset;
+Tally::Tally(const Tally& other60) {
+  consumed = other60.consumed;
+  began = other60.began;
+  engines = other60.engines;
+  crashes = other60.crashes;
+  refused = other60.refused;
+  late = other60.late;
+  __isset = other60.__isset;
+}
+Tally& Tally::operator=(const Tally& other61) {
+  consumed = other61.consumed;
+  began = other61.began;
+  engines = other61.engines;
+  crashes = other61.crashes;
+  refused = other61.refused;
+  late = other61.late;
+  __isset = other61.__isset;
   return *this;
 }
-void NodeReport::printTo(std::ostream& out) const {
+void Tally::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "NodeReport(";
-  out << "node=" << to_string(node);
-  out << ", " << "incarnation=" << to_string(incarnation);
-  out << ", " << "sequence=" << to_string(sequence);
-  out << ", " << "entryAddress=" << to_string(entryAddress);
-  out << ", " << "zone=" << to_string(zone);
-  out << ", " << "ready=" << to_string(ready);
-  out << ", " << "leaving=" << to_string(leaving);
-  out << ", " << "trueMillis=" << to_string(trueMillis);
-  out << ", " << "consumed=" << to_string(consumed);
+  out << "Tally(";
+  out << "consumed=" << to_string(consumed);
   out << ", " << "began=" << to_string(began);
   out << ", " << "engines=" << to_string(engines);
   out << ", " << "crashes=" << to_string(crashes);
-  out << ", " << "configVersion=" << to_string(configVersion);
-  out << ", " << "engineRevision=" << to_string(engineRevision);
   out << ", " << "refused=" << to_string(refused);
+  out << ", " << "late=" << to_string(late);
+  out << ")";
+}
+
+
+Member::~Member() noexcept {
+}
+
+
+void Member::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void Member::__set_entryAddress(const std::string& val) {
+  this->entryAddress = val;
+}
+
+void Member::__set_ready(const bool val) {
+  this->ready = val;
+}
+
+void Member::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void Member::__set_capacity(const int32_t val) {
+  this->capacity = val;
+}
+std::ostream& operator<<(std::ostream& out, const Member& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Member::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->entryAddress);
+          this->__isset.entryAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ready);
+          this->__isset.ready = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->capacity);
+          this->__isset.capacity = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Member::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Member");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entryAddress", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->entryAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ready", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->ready);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("capacity", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->capacity);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Member &a, Member &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.entryAddress, b.entryAddress);
+  swap(a.ready, b.ready);
+  swap(a.leaving, b.leaving);
+  swap(a.capacity, b.capacity);
+  swap(a.__isset, b.__isset);
+}
+
+Member::Member(const Member& other62) {
+  node = other62.node;
+  entryAddress = other62.entryAddress;
+  ready = other62.ready;
+  leaving = other62.leaving;
+  capacity = other62.capacity;
+  __isset = other62.__isset;
+}
+Member& Member::operator=(const Member& other63) {
+  node = other63.node;
+  entryAddress = other63.entryAddress;
+  ready = other63.ready;
+  leaving = other63.leaving;
+  capacity = other63.capacity;
+  __isset = other63.__isset;
+  return *this;
+}
+void Member::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Member(";
+  out << "node=" << to_string(node);
+  out << ", " << "entryAddress=" << to_string(entryAddress);
+  out << ", " << "ready=" << to_string(ready);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "capacity=" << to_string(capacity);
+  out << ")";
+}
+
+
+StateVersion::~StateVersion() noexcept {
+}
+
+
+void StateVersion::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void StateVersion::__set_ageMillis(const int64_t val) {
+  this->ageMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const StateVersion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StateVersion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMillis);
+          this->__isset.ageMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StateVersion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StateVersion");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMillis", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->ageMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StateVersion &a, StateVersion &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.ageMillis, b.ageMillis);
+  swap(a.__isset, b.__isset);
+}
+
+StateVersion::StateVersion(const StateVersion& other64) noexcept {
+  revision = other64.revision;
+  ageMillis = other64.ageMillis;
+  __isset = other64.__isset;
+}
+StateVersion& StateVersion::operator=(const StateVersion& other65) noexcept {
+  revision = other65.revision;
+  ageMillis = other65.ageMillis;
+  __isset = other65.__isset;
+  return *this;
+}
+void StateVersion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StateVersion(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "ageMillis=" << to_string(ageMillis);
+  out << ")";
+}
+
+
+Sender::~Sender() noexcept {
+}
+
+
+void Sender::__set_member(const Member& val) {
+  this->member = val;
+}
+
+void Sender::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void Sender::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void Sender::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void Sender::__set_trueMillis(const int64_t val) {
+  this->trueMillis = val;
+}
+
+void Sender::__set_configuration(const StateVersion& val) {
+  this->configuration = val;
+}
+
+void Sender::__set_engines(const StateVersion& val) {
+  this->engines = val;
+}
+std::ostream& operator<<(std::ostream& out, const Sender& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Sender::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->member.read(iprot);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->trueMillis);
+          this->__isset.trueMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configuration.read(iprot);
+          this->__isset.configuration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->engines.read(iprot);
+          this->__isset.engines = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Sender::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Sender");
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->member.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("trueMillis", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->trueMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configuration", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += this->configuration.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_STRUCT, 7);
+  xfer += this->engines.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Sender &a, Sender &b) {
+  using ::std::swap;
+  swap(a.member, b.member);
+  swap(a.zone, b.zone);
+  swap(a.incarnation, b.incarnation);
+  swap(a.sequence, b.sequence);
+  swap(a.trueMillis, b.trueMillis);
+  swap(a.configuration, b.configuration);
+  swap(a.engines, b.engines);
+  swap(a.__isset, b.__isset);
+}
+
+Sender::Sender(const Sender& other66) {
+  member = other66.member;
+  zone = other66.zone;
+  incarnation = other66.incarnation;
+  sequence = other66.sequence;
+  trueMillis = other66.trueMillis;
+  configuration = other66.configuration;
+  engines = other66.engines;
+  __isset = other66.__isset;
+}
+Sender& Sender::operator=(const Sender& other67) {
+  member = other67.member;
+  zone = other67.zone;
+  incarnation = other67.incarnation;
+  sequence = other67.sequence;
+  trueMillis = other67.trueMillis;
+  configuration = other67.configuration;
+  engines = other67.engines;
+  __isset = other67.__isset;
+  return *this;
+}
+void Sender::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Sender(";
+  out << "member=" << to_string(member);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "trueMillis=" << to_string(trueMillis);
+  out << ", " << "configuration=" << to_string(configuration);
+  out << ", " << "engines=" << to_string(engines);
+  out << ")";
+}
+
+
+MemberReport::~MemberReport() noexcept {
+}
+
+
+void MemberReport::__set_tally(const Tally& val) {
+  this->tally = val;
+}
+
+void MemberReport::__set_wantsDigest(const bool val) {
+  this->wantsDigest = val;
+}
+
+void MemberReport::__set_unheard(const std::vector<std::string> & val) {
+  this->unheard = val;
+}
+std::ostream& operator<<(std::ostream& out, const MemberReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MemberReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->tally.read(iprot);
+          this->__isset.tally = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantsDigest);
+          this->__isset.wantsDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unheard.clear();
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->unheard.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
+            {
+              xfer += iprot->readString(this->unheard[_i72]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unheard = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t MemberReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("MemberReport");
+
+  xfer += oprot->writeFieldBegin("tally", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->tally.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wantsDigest", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->wantsDigest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unheard", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->unheard.size()));
+    std::vector<std::string> ::const_iterator _iter73;
+    for (_iter73 = this->unheard.begin(); _iter73 != this->unheard.end(); ++_iter73)
+    {
+      xfer += oprot->writeString((*_iter73));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(MemberReport &a, MemberReport &b) {
+  using ::std::swap;
+  swap(a.tally, b.tally);
+  swap(a.wantsDigest, b.wantsDigest);
+  swap(a.unheard, b.unheard);
+  swap(a.__isset, b.__isset);
+}
+
+MemberReport::MemberReport(const MemberReport& other74) {
+  tally = other74.tally;
+  wantsDigest = other74.wantsDigest;
+  unheard = other74.unheard;
+  __isset = other74.__isset;
+}
+MemberReport& MemberReport::operator=(const MemberReport& other75) {
+  tally = other75.tally;
+  wantsDigest = other75.wantsDigest;
+  unheard = other75.unheard;
+  __isset = other75.__isset;
+  return *this;
+}
+void MemberReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "MemberReport(";
+  out << "tally=" << to_string(tally);
+  out << ", " << "wantsDigest=" << to_string(wantsDigest);
+  out << ", " << "unheard=" << to_string(unheard);
+  out << ")";
+}
+
+
+ZoneReport::~ZoneReport() noexcept {
+}
+
+
+void ZoneReport::__set_tally(const Tally& val) {
+  this->tally = val;
+}
+
+void ZoneReport::__set_nodes(const int32_t val) {
+  this->nodes = val;
+}
+
+void ZoneReport::__set_silent(const int32_t val) {
+  this->silent = val;
+}
+
+void ZoneReport::__set_members(const std::vector<Member> & val) {
+  this->members = val;
+__isset.members = true;
+}
+std::ostream& operator<<(std::ostream& out, const ZoneReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ZoneReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->tally.read(iprot);
+          this->__isset.tally = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->nodes);
+          this->__isset.nodes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->silent);
+          this->__isset.silent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->members.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
+            {
+              xfer += this->members[_i80].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ZoneReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ZoneReport");
+
+  xfer += oprot->writeFieldBegin("tally", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->tally.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->nodes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("silent", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->silent);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.members) {
+    xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+      std::vector<Member> ::const_iterator _iter81;
+      for (_iter81 = this->members.begin(); _iter81 != this->members.end(); ++_iter81)
+      {
+        xfer += (*_iter81).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ZoneReport &a, ZoneReport &b) {
+  using ::std::swap;
+  swap(a.tally, b.tally);
+  swap(a.nodes, b.nodes);
+  swap(a.silent, b.silent);
+  swap(a.members, b.members);
+  swap(a.__isset, b.__isset);
+}
+
+ZoneReport::ZoneReport(const ZoneReport& other82) {
+  tally = other82.tally;
+  nodes = other82.nodes;
+  silent = other82.silent;
+  members = other82.members;
+  __isset = other82.__isset;
+}
+ZoneReport& ZoneReport::operator=(const ZoneReport& other83) {
+  tally = other83.tally;
+  nodes = other83.nodes;
+  silent = other83.silent;
+  members = other83.members;
+  __isset = other83.__isset;
+  return *this;
+}
+void ZoneReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ZoneReport(";
+  out << "tally=" << to_string(tally);
+  out << ", " << "nodes=" << to_string(nodes);
+  out << ", " << "silent=" << to_string(silent);
+  out << ", " << "members="; (__isset.members ? (out << to_string(members)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ZoneMembers::~ZoneMembers() noexcept {
+}
+
+
+void ZoneMembers::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void ZoneMembers::__set_members(const std::vector<Member> & val) {
+  this->members = val;
+}
+std::ostream& operator<<(std::ostream& out, const ZoneMembers& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ZoneMembers::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->members.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
+            {
+              xfer += this->members[_i88].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ZoneMembers::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ZoneMembers");
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<Member> ::const_iterator _iter89;
+    for (_iter89 = this->members.begin(); _iter89 != this->members.end(); ++_iter89)
+    {
+      xfer += (*_iter89).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ZoneMembers &a, ZoneMembers &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.members, b.members);
+  swap(a.__isset, b.__isset);
+}
+
+ZoneMembers::ZoneMembers(const ZoneMembers& other90) {
+  zone = other90.zone;
+  members = other90.members;
+  __isset = other90.__isset;
+}
+ZoneMembers& ZoneMembers::operator=(const ZoneMembers& other91) {
+  zone = other91.zone;
+  members = other91.members;
+  __isset = other91.__isset;
+  return *this;
+}
+void ZoneMembers::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ZoneMembers(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "members=" << to_string(members);
+  out << ")";
+}
+
+
+Digest::~Digest() noexcept {
+}
+
+
+void Digest::__set_acknowledged(const int64_t val) {
+  this->acknowledged = val;
+}
+
+void Digest::__set_consumed(const std::map<std::string, double> & val) {
+  this->consumed = val;
+}
+
+void Digest::__set_engines(const std::map<std::string, EngineShare> & val) {
+  this->engines = val;
+}
+
+void Digest::__set_crashes(const std::map<int64_t, CrashShare> & val) {
+  this->crashes = val;
+}
+
+void Digest::__set_nodes(const int32_t val) {
+  this->nodes = val;
+}
+
+void Digest::__set_silent(const int32_t val) {
+  this->silent = val;
+}
+
+void Digest::__set_counted(const bool val) {
+  this->counted = val;
+}
+
+void Digest::__set_zones(const std::vector<ZoneMembers> & val) {
+  this->zones = val;
+__isset.zones = true;
+}
+
+void Digest::__set_late(const std::map<std::string, double> & val) {
+  this->late = val;
+}
+std::ostream& operator<<(std::ostream& out, const Digest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Digest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->acknowledged);
+          this->__isset.acknowledged = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->consumed.clear();
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _ktype93;
+            ::apache::thrift::protocol::TType _vtype94;
+            xfer += iprot->readMapBegin(_ktype93, _vtype94, _size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
+            {
+              std::string _key97;
+              xfer += iprot->readString(_key97);
+              double& _val98 = this->consumed[_key97];
+              xfer += iprot->readDouble(_val98);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.consumed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->engines.clear();
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _ktype100;
+            ::apache::thrift::protocol::TType _vtype101;
+            xfer += iprot->readMapBegin(_ktype100, _vtype101, _size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
+            {
+              std::string _key104;
+              xfer += iprot->readString(_key104);
+              EngineShare& _val105 = this->engines[_key104];
+              xfer += _val105.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.engines = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->crashes.clear();
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _ktype107;
+            ::apache::thrift::protocol::TType _vtype108;
+            xfer += iprot->readMapBegin(_ktype107, _vtype108, _size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
+            {
+              int64_t _key111;
+              xfer += iprot->readI64(_key111);
+              CrashShare& _val112 = this->crashes[_key111];
+              xfer += _val112.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->nodes);
+          this->__isset.nodes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->silent);
+          this->__isset.silent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->counted);
+          this->__isset.counted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->zones.clear();
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->zones.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
+            {
+              xfer += this->zones[_i117].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.zones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->late.clear();
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _ktype119;
+            ::apache::thrift::protocol::TType _vtype120;
+            xfer += iprot->readMapBegin(_ktype119, _vtype120, _size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
+            {
+              std::string _key123;
+              xfer += iprot->readString(_key123);
+              double& _val124 = this->late[_key123];
+              xfer += iprot->readDouble(_val124);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.late = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Digest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Digest");
+
+  xfer += oprot->writeFieldBegin("acknowledged", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->acknowledged);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("consumed", ::apache::thrift::protocol::T_MAP, 2);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->consumed.size()));
+    std::map<std::string, double> ::const_iterator _iter125;
+    for (_iter125 = this->consumed.begin(); _iter125 != this->consumed.end(); ++_iter125)
+    {
+      xfer += oprot->writeString(_iter125->first);
+      xfer += oprot->writeDouble(_iter125->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_MAP, 3);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
+    std::map<std::string, EngineShare> ::const_iterator _iter126;
+    for (_iter126 = this->engines.begin(); _iter126 != this->engines.end(); ++_iter126)
+    {
+      xfer += oprot->writeString(_iter126->first);
+      xfer += _iter126->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_MAP, 4);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::map<int64_t, CrashShare> ::const_iterator _iter127;
+    for (_iter127 = this->crashes.begin(); _iter127 != this->crashes.end(); ++_iter127)
+    {
+      xfer += oprot->writeI64(_iter127->first);
+      xfer += _iter127->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->nodes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("silent", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->silent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("counted", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->counted);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.zones) {
+    xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 8);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->zones.size()));
+      std::vector<ZoneMembers> ::const_iterator _iter128;
+      for (_iter128 = this->zones.begin(); _iter128 != this->zones.end(); ++_iter128)
+      {
+        xfer += (*_iter128).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("late", ::apache::thrift::protocol::T_MAP, 9);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->late.size()));
+    std::map<std::string, double> ::const_iterator _iter129;
+    for (_iter129 = this->late.begin(); _iter129 != this->late.end(); ++_iter129)
+    {
+      xfer += oprot->writeString(_iter129->first);
+      xfer += oprot->writeDouble(_iter129->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Digest &a, Digest &b) {
+  using ::std::swap;
+  swap(a.acknowledged, b.acknowledged);
+  swap(a.consumed, b.consumed);
+  swap(a.engines, b.engines);
+  swap(a.crashes, b.crashes);
+  swap(a.nodes, b.nodes);
+  swap(a.silent, b.silent);
+  swap(a.counted, b.counted);
+  swap(a.zones, b.zones);
+  swap(a.late, b.late);
+  swap(a.__isset, b.__isset);
+}
+
+Digest::Digest(const Digest& other130) {
+  acknowledged = other130.acknowledged;
+  consumed = other130.consumed;
+  engines = other130.engines;
+  crashes = other130.crashes;
+  nodes = other130.nodes;
+  silent = other130.silent;
+  counted = other130.counted;
+  zones = other130.zones;
+  late = other130.late;
+  __isset = other130.__isset;
+}
+Digest& Digest::operator=(const Digest& other131) {
+  acknowledged = other131.acknowledged;
+  consumed = other131.consumed;
+  engines = other131.engines;
+  crashes = other131.crashes;
+  nodes = other131.nodes;
+  silent = other131.silent;
+  counted = other131.counted;
+  zones = other131.zones;
+  late = other131.late;
+  __isset = other131.__isset;
+  return *this;
+}
+void Digest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Digest(";
+  out << "acknowledged=" << to_string(acknowledged);
+  out << ", " << "consumed=" << to_string(consumed);
+  out << ", " << "engines=" << to_string(engines);
+  out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "nodes=" << to_string(nodes);
+  out << ", " << "silent=" << to_string(silent);
+  out << ", " << "counted=" << to_string(counted);
+  out << ", " << "zones="; (__isset.zones ? (out << to_string(zones)) : (out << "<null>"));
+  out << ", " << "late=" << to_string(late);
+  out << ")";
+}
+
+
+Datagram::~Datagram() noexcept {
+}
+
+
+void Datagram::__set_version(const int32_t val) {
+  this->version = val;
+}
+
+void Datagram::__set_sender(const Sender& val) {
+  this->sender = val;
+}
+
+void Datagram::__set_member(const MemberReport& val) {
+  this->member = val;
+__isset.member = true;
+}
+
+void Datagram::__set_zone(const ZoneReport& val) {
+  this->zone = val;
+__isset.zone = true;
+}
+
+void Datagram::__set_digest(const Digest& val) {
+  this->digest = val;
+__isset.digest = true;
+}
+std::ostream& operator<<(std::ostream& out, const Datagram& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Datagram::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sender.read(iprot);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->member.read(iprot);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->zone.read(iprot);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->digest.read(iprot);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Datagram::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Datagram");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->sender.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.member) {
+    xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->member.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.zone) {
+    xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->zone.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.digest) {
+    xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->digest.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Datagram &a, Datagram &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.sender, b.sender);
+  swap(a.member, b.member);
+  swap(a.zone, b.zone);
+  swap(a.digest, b.digest);
+  swap(a.__isset, b.__isset);
+}
+
+Datagram::Datagram(const Datagram& other132) {
+  version = other132.version;
+  sender = other132.sender;
+  member = other132.member;
+  zone = other132.zone;
+  digest = other132.digest;
+  __isset = other132.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other133) {
+  version = other133.version;
+  sender = other133.sender;
+  member = other133.member;
+  zone = other133.zone;
+  digest = other133.digest;
+  __isset = other133.__isset;
+  return *this;
+}
+void Datagram::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Datagram(";
+  out << "version=" << to_string(version);
+  out << ", " << "sender=" << to_string(sender);
+  out << ", " << "member="; (__isset.member ? (out << to_string(member)) : (out << "<null>"));
+  out << ", " << "zone="; (__isset.zone ? (out << to_string(zone)) : (out << "<null>"));
+  out << ", " << "digest="; (__isset.digest ? (out << to_string(digest)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ReplicatedObject::~ReplicatedObject() noexcept {
+}
+
+
+void ReplicatedObject::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void ReplicatedObject::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ReplicatedObject::__set_removed(const bool val) {
+  this->removed = val;
+}
+
+void ReplicatedObject::__set_content(const std::string& val) {
+  this->content = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReplicatedObject& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReplicatedObject::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->removed);
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->content);
+          this->__isset.content = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplicatedObject::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplicatedObject");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->removed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->content);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReplicatedObject &a, ReplicatedObject &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.revision, b.revision);
+  swap(a.removed, b.removed);
+  swap(a.content, b.content);
+  swap(a.__isset, b.__isset);
+}
+
+ReplicatedObject::ReplicatedObject(const ReplicatedObject& other134) {
+  name = other134.name;
+  revision = other134.revision;
+  removed = other134.removed;
+  content = other134.content;
+  __isset = other134.__isset;
+}
+ReplicatedObject& ReplicatedObject::operator=(const ReplicatedObject& other135) {
+  name = other135.name;
+  revision = other135.revision;
+  removed = other135.removed;
+  content = other135.content;
+  __isset = other135.__isset;
+  return *this;
+}
+void ReplicatedObject::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReplicatedObject(";
+  out << "name=" << to_string(name);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "removed=" << to_string(removed);
+  out << ", " << "content=" << to_string(content);
+  out << ")";
+}
+
+
+ReplicaUpdate::~ReplicaUpdate() noexcept {
+}
+
+
+void ReplicaUpdate::__set_version(const StateVersion& val) {
+  this->version = val;
+}
+
+void ReplicaUpdate::__set_complete(const bool val) {
+  this->complete = val;
+}
+
+void ReplicaUpdate::__set_objects(const std::vector<ReplicatedObject> & val) {
+  this->objects = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReplicaUpdate& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReplicaUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->version.read(iprot);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          this->__isset.complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->objects.clear();
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->objects.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
+            {
+              xfer += this->objects[_i140].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.objects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplicaUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplicaUpdate");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->version.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->complete);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
+    std::vector<ReplicatedObject> ::const_iterator _iter141;
+    for (_iter141 = this->objects.begin(); _iter141 != this->objects.end(); ++_iter141)
+    {
+      xfer += (*_iter141).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReplicaUpdate &a, ReplicaUpdate &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.complete, b.complete);
+  swap(a.objects, b.objects);
+  swap(a.__isset, b.__isset);
+}
+
+ReplicaUpdate::ReplicaUpdate(const ReplicaUpdate& other142) {
+  version = other142.version;
+  complete = other142.complete;
+  objects = other142.objects;
+  __isset = other142.__isset;
+}
+ReplicaUpdate& ReplicaUpdate::operator=(const ReplicaUpdate& other143) {
+  version = other143.version;
+  complete = other143.complete;
+  objects = other143.objects;
+  __isset = other143.__isset;
+  return *this;
+}
+void ReplicaUpdate::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReplicaUpdate(";
+  out << "version=" << to_string(version);
+  out << ", " << "complete=" << to_string(complete);
+  out << ", " << "objects=" << to_string(objects);
   out << ")";
 }
 
--- a/Generated/exchange_types.h
+++ b/Generated/exchange_types.h
@@ -25,7 +25,27 @@
 
 class CrashShare;
 
-class NodeReport;
+class Tally;
+
+class Member;
+
+class StateVersion;
+
+class Sender;
+
+class MemberReport;
+
+class ZoneReport;
+
+class ZoneMembers;
+
+class Digest;
+
+class Datagram;
+
+class ReplicatedObject;
+
+class ReplicaUpdate;
 
 typedef struct _EngineShare__isset {
   _EngineShare__isset() : requests(false), tokens(false) {}
@@ -34,7 +54,7 @@
 } _EngineShare__isset;
 
 /**
- * What one node has at one engine now.
+ * Work that one node, or several nodes together, have in progress at one engine.
  */
 class EngineShare : public virtual ::apache::thrift::TBase {
  public:
@@ -87,7 +107,7 @@
 } _CrashShare__isset;
 
 /**
- * How often a request was running when its engine went down, and how often it succeeded.
+ * How often a request was running when its engine crashed, and how often it succeeded.
  */
 class CrashShare : public virtual ::apache::thrift::TBase {
  public:
@@ -133,170 +153,846 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashShare& obj);
 
-typedef struct _NodeReport__isset {
-  _NodeReport__isset() : node(false), incarnation(false), sequence(false), entryAddress(false), zone(false), ready(false), leaving(false), trueMillis(false), consumed(false), began(false), engines(false), crashes(false), configVersion(false), engineRevision(false), refused(false) {}
-  bool node :1;
-  bool incarnation :1;
-  bool sequence :1;
-  bool entryAddress :1;
-  bool zone :1;
-  bool ready :1;
-  bool leaving :1;
-  bool trueMillis :1;
+typedef struct _Tally__isset {
+  _Tally__isset() : consumed(false), began(false), engines(false), crashes(false), refused(false), late(false) {}
   bool consumed :1;
   bool began :1;
   bool engines :1;
   bool crashes :1;
-  bool configVersion :1;
-  bool engineRevision :1;
   bool refused :1;
-} _NodeReport__isset;
+  bool late :1;
+} _Tally__isset;
 
 /**
- * A datagram in which a node tells a peer all that the peer needs of it.
+ * Counters and load of one node, or their sum over the nodes of a zone.
  */
-class NodeReport : public virtual ::apache::thrift::TBase {
+class Tally : public virtual ::apache::thrift::TBase {
  public:
 
-  NodeReport(const NodeReport&);
-  NodeReport& operator=(const NodeReport&);
-  NodeReport() noexcept
-             : node(),
-               incarnation(0),
-               sequence(0),
-               entryAddress(),
-               zone(),
-               ready(0),
-               leaving(0),
-               trueMillis(0),
-               configVersion(0),
-               engineRevision(0) {
-  }
-
-  virtual ~NodeReport() noexcept;
-  std::string node;
+  Tally(const Tally&);
+  Tally& operator=(const Tally&);
+  Tally() noexcept {
+  }
+
+  virtual ~Tally() noexcept;
   /**
-   * Unix milliseconds of the process's start; counters start at zero with it.
+   * Quota units that each account has used since the counters started at zero.
    */
-  int64_t incarnation;
-  int64_t sequence;
+  std::map<std::string, double>  consumed;
+  /**
+   * Number of requests that started to run, by usage window and account.
+   */
+  std::map<int64_t, std::map<std::string, int64_t> >  began;
+  /**
+   * Work in progress at each engine, by engine id.
+   */
+  std::map<std::string, EngineShare>  engines;
+  /**
+   * Crashes and successes of requests, by fingerprint of the request.
+   */
+  std::map<int64_t, CrashShare>  crashes;
+  /**
+   * Number of requests that were refused for lack of capacity, by service.
+   */
+  std::map<std::string, int64_t>  refused;
+  /**
+   * Part of consumed that was reported after a silence, in which units were withheld for it.
+   */
+  std::map<std::string, double>  late;
+
+  _Tally__isset __isset;
+
+  void __set_consumed(const std::map<std::string, double> & val);
+
+  void __set_began(const std::map<int64_t, std::map<std::string, int64_t> > & val);
+
+  void __set_engines(const std::map<std::string, EngineShare> & val);
+
+  void __set_crashes(const std::map<int64_t, CrashShare> & val);
+
+  void __set_refused(const std::map<std::string, int64_t> & val);
+
+  void __set_late(const std::map<std::string, double> & val);
+
+  bool operator == (const Tally & rhs) const
+  {
+    if (!(consumed == rhs.consumed))
+      return false;
+    if (!(began == rhs.began))
+      return false;
+    if (!(engines == rhs.engines))
+      return false;
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(refused == rhs.refused))
+      return false;
+    if (!(late == rhs.late))
+      return false;
+    return true;
+  }
+  bool operator != (const Tally &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Tally & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Tally &a, Tally &b);
+
+std::ostream& operator<<(std::ostream& out, const Tally& obj);
+
+typedef struct _Member__isset {
+  _Member__isset() : node(false), entryAddress(false), ready(false), leaving(false), capacity(false) {}
+  bool node :1;
+  bool entryAddress :1;
+  bool ready :1;
+  bool leaving :1;
+  bool capacity :1;
+} _Member__isset;
+
+/**
+ * A node as the other nodes know it.
+ */
+class Member : public virtual ::apache::thrift::TBase {
+ public:
+
+  Member(const Member&);
+  Member& operator=(const Member&);
+  Member() noexcept
+         : node(),
+           entryAddress(),
+           ready(0),
+           leaving(0),
+           capacity(0) {
+  }
+
+  virtual ~Member() noexcept;
+  std::string node;
   /**
-   * IP:PORT where callers connect.
+   * Address for callers, as IP:PORT.
    */
   std::string entryAddress;
-  std::string zone;
   /**
-   * The node serves callers.
+   * Whether the node serves callers.
    */
   bool ready;
   /**
-   * The node has been told to stop.
+   * Whether the node is shutting down after it was told to stop.
    */
   bool leaving;
   /**
-   * The node's own estimate of true time, Unix milliseconds.
+   * Processor share of the node's machine, in thousandths of a core.
    */
-  int64_t trueMillis;
+  int32_t capacity;
+
+  _Member__isset __isset;
+
+  void __set_node(const std::string& val);
+
+  void __set_entryAddress(const std::string& val);
+
+  void __set_ready(const bool val);
+
+  void __set_leaving(const bool val);
+
+  void __set_capacity(const int32_t val);
+
+  bool operator == (const Member & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(entryAddress == rhs.entryAddress))
+      return false;
+    if (!(ready == rhs.ready))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    if (!(capacity == rhs.capacity))
+      return false;
+    return true;
+  }
+  bool operator != (const Member &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Member & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Member &a, Member &b);
+
+std::ostream& operator<<(std::ostream& out, const Member& obj);
+
+typedef struct _StateVersion__isset {
+  _StateVersion__isset() : revision(false), ageMillis(false) {}
+  bool revision :1;
+  bool ageMillis :1;
+} _StateVersion__isset;
+
+/**
+ * Which state of one kind of stored objects a node has.
+ */
+class StateVersion : public virtual ::apache::thrift::TBase {
+ public:
+
+  StateVersion(const StateVersion&) noexcept;
+  StateVersion& operator=(const StateVersion&) noexcept;
+  StateVersion() noexcept
+               : revision(0),
+                 ageMillis(0) {
+  }
+
+  virtual ~StateVersion() noexcept;
   /**
-   * Quota units spent since the start, by account.
+   * Highest revision of the store at which an object of the kind changed.
    */
-  std::map<std::string, double>  consumed;
+  int64_t revision;
   /**
-   * Requests that began to run, by window and account.
+   * Time since the state was known to be the current one, or -1 if the node has none.
    */
-  std::map<int64_t, std::map<std::string, int64_t> >  began;
+  int64_t ageMillis;
+
+  _StateVersion__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_ageMillis(const int64_t val);
+
+  bool operator == (const StateVersion & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(ageMillis == rhs.ageMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const StateVersion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StateVersion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StateVersion &a, StateVersion &b);
+
+std::ostream& operator<<(std::ostream& out, const StateVersion& obj);
+
+typedef struct _Sender__isset {
+  _Sender__isset() : member(false), zone(false), incarnation(false), sequence(false), trueMillis(false), configuration(false), engines(false) {}
+  bool member :1;
+  bool zone :1;
+  bool incarnation :1;
+  bool sequence :1;
+  bool trueMillis :1;
+  bool configuration :1;
+  bool engines :1;
+} _Sender__isset;
+
+/**
+ * The sender of a datagram.
+ */
+class Sender : public virtual ::apache::thrift::TBase {
+ public:
+
+  Sender(const Sender&);
+  Sender& operator=(const Sender&);
+  Sender() noexcept
+         : zone(),
+           incarnation(0),
+           sequence(0),
+           trueMillis(0) {
+  }
+
+  virtual ~Sender() noexcept;
+  Member member;
+  std::string zone;
   /**
-   * By engine id.
+   * Start time of the process in Unix milliseconds. The counters are zero at that time.
    */
-  std::map<std::string, EngineShare>  engines;
+  int64_t incarnation;
+  int64_t sequence;
   /**
-   * By fingerprint of the request.
+   * The node's estimate of the true time in Unix milliseconds.
    */
-  std::map<int64_t, CrashShare>  crashes;
+  int64_t trueMillis;
+  StateVersion configuration;
+  StateVersion engines;
+
+  _Sender__isset __isset;
+
+  void __set_member(const Member& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_trueMillis(const int64_t val);
+
+  void __set_configuration(const StateVersion& val);
+
+  void __set_engines(const StateVersion& val);
+
+  bool operator == (const Sender & rhs) const
+  {
+    if (!(member == rhs.member))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(trueMillis == rhs.trueMillis))
+      return false;
+    if (!(configuration == rhs.configuration))
+      return false;
+    if (!(engines == rhs.engines))
+      return false;
+    return true;
+  }
+  bool operator != (const Sender &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Sender & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Sender &a, Sender &b);
+
+std::ostream& operator<<(std::ostream& out, const Sender& obj);
+
+typedef struct _MemberReport__isset {
+  _MemberReport__isset() : tally(false), wantsDigest(false), unheard(false) {}
+  bool tally :1;
+  bool wantsDigest :1;
+  bool unheard :1;
+} _MemberReport__isset;
+
+/**
+ * Report of a node to the aggregators of its zone.
+ */
+class MemberReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  MemberReport(const MemberReport&);
+  MemberReport& operator=(const MemberReport&);
+  MemberReport() noexcept
+               : wantsDigest(0) {
+  }
+
+  virtual ~MemberReport() noexcept;
+  Tally tally;
+  /**
+   * Whether the receiver is to answer with digests.
+   */
+  bool wantsDigest;
+  /**
+   * Nodes of the zone from which the sender, as an aggregator, receives no reports.
+   */
+  std::vector<std::string>  unheard;
+
+  _MemberReport__isset __isset;
+
+  void __set_tally(const Tally& val);
+
+  void __set_wantsDigest(const bool val);
+
+  void __set_unheard(const std::vector<std::string> & val);
+
+  bool operator == (const MemberReport & rhs) const
+  {
+    if (!(tally == rhs.tally))
+      return false;
+    if (!(wantsDigest == rhs.wantsDigest))
+      return false;
+    if (!(unheard == rhs.unheard))
+      return false;
+    return true;
+  }
+  bool operator != (const MemberReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MemberReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MemberReport &a, MemberReport &b);
+
+std::ostream& operator<<(std::ostream& out, const MemberReport& obj);
+
+typedef struct _ZoneReport__isset {
+  _ZoneReport__isset() : tally(false), nodes(false), silent(false), members(false) {}
+  bool tally :1;
+  bool nodes :1;
+  bool silent :1;
+  bool members :1;
+} _ZoneReport__isset;
+
+/**
+ * Sum over a zone that an aggregator sends to the aggregators of the other zones.
+ */
+class ZoneReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  ZoneReport(const ZoneReport&);
+  ZoneReport& operator=(const ZoneReport&);
+  ZoneReport() noexcept
+             : nodes(0),
+               silent(0) {
+  }
+
+  virtual ~ZoneReport() noexcept;
+  Tally tally;
   /**
-   * Version of the configuration in force, 0 if there is none.
+   * Nodes of the zone that hold a share of the quotas.
    */
-  int64_t configVersion;
+  int32_t nodes;
   /**
-   * Revision of the store up to which the node's list of engines is current.
+   * Those of them from which the aggregator receives no reports.
    */
-  int64_t engineRevision;
+  int32_t silent;
   /**
-   * Requests refused for lack of room since the start, by service.
+   * Nodes of the zone from which the aggregator receives reports; not in each report.
    */
-  std::map<std::string, int64_t>  refused;
+  std::vector<Member>  members;
 
-  _NodeReport__isset __isset;
+  _ZoneReport__isset __isset;
 
-  void __set_node(const std::string& val);
+  void __set_tally(const Tally& val);
 
-  void __set_incarnation(const int64_t val);
+  void __set_nodes(const int32_t val);
 
-  void __set_sequence(const int64_t val);
+  void __set_silent(const int32_t val);
 
-  void __set_entryAddress(const std::string& val);
+  void __set_members(const std::vector<Member> & val);
+
+  bool operator == (const ZoneReport & rhs) const
+  {
+    if (!(tally == rhs.tally))
+      return false;
+    if (!(nodes == rhs.nodes))
+      return false;
+    if (!(silent == rhs.silent))
+      return false;
+    if (__isset.members != rhs.__isset.members)
+      return false;
+    else if (__isset.members && !(members == rhs.members))
+      return false;
+    return true;
+  }
+  bool operator != (const ZoneReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ZoneReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ZoneReport &a, ZoneReport &b);
+
+std::ostream& operator<<(std::ostream& out, const ZoneReport& obj);
+
+typedef struct _ZoneMembers__isset {
+  _ZoneMembers__isset() : zone(false), members(false) {}
+  bool zone :1;
+  bool members :1;
+} _ZoneMembers__isset;
+
+/**
+ * Nodes of one zone.
+ */
+class ZoneMembers : public virtual ::apache::thrift::TBase {
+ public:
+
+  ZoneMembers(const ZoneMembers&);
+  ZoneMembers& operator=(const ZoneMembers&);
+  ZoneMembers() noexcept
+              : zone() {
+  }
+
+  virtual ~ZoneMembers() noexcept;
+  std::string zone;
+  std::vector<Member>  members;
+
+  _ZoneMembers__isset __isset;
 
   void __set_zone(const std::string& val);
 
-  void __set_ready(const bool val);
+  void __set_members(const std::vector<Member> & val);
 
-  void __set_leaving(const bool val);
+  bool operator == (const ZoneMembers & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(members == rhs.members))
+      return false;
+    return true;
+  }
+  bool operator != (const ZoneMembers &rhs) const {
+    return !(*this == rhs);
+  }
 
-  void __set_trueMillis(const int64_t val);
+  bool operator < (const ZoneMembers & ) const;
 
-  void __set_consumed(const std::map<std::string, double> & val);
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
 
-  void __set_began(const std::map<int64_t, std::map<std::string, int64_t> > & val);
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ZoneMembers &a, ZoneMembers &b);
+
+std::ostream& operator<<(std::ostream& out, const ZoneMembers& obj);
+
+typedef struct _Digest__isset {
+  _Digest__isset() : acknowledged(false), consumed(false), engines(false), crashes(false), nodes(false), silent(false), counted(false), zones(false), late(false) {}
+  bool acknowledged :1;
+  bool consumed :1;
+  bool engines :1;
+  bool crashes :1;
+  bool nodes :1;
+  bool silent :1;
+  bool counted :1;
+  bool zones :1;
+  bool late :1;
+} _Digest__isset;
+
+/**
+ * Sums over the deployment that an aggregator sends to a node of its zone.
+ */
+class Digest : public virtual ::apache::thrift::TBase {
+ public:
+
+  Digest(const Digest&);
+  Digest& operator=(const Digest&);
+  Digest() noexcept
+         : acknowledged(0),
+           nodes(0),
+           silent(0),
+           counted(0) {
+  }
+
+  virtual ~Digest() noexcept;
+  /**
+   * Sequence number of the receiver's latest report that the sums include.
+   */
+  int64_t acknowledged;
+  /**
+   * Quota units that each account has used at all nodes, since the aggregator's start.
+   */
+  std::map<std::string, double>  consumed;
+  std::map<std::string, EngineShare>  engines;
+  std::map<int64_t, CrashShare>  crashes;
+  /**
+   * Nodes that hold a share of the quotas.
+   */
+  int32_t nodes;
+  /**
+   * Those of them whose consumption is not known.
+   */
+  int32_t silent;
+  /**
+   * Whether all aggregators of the zone receive the reports of the receiver.
+   */
+  bool counted;
+  /**
+   * All nodes, by zone; not in each digest.
+   */
+  std::vector<ZoneMembers>  zones;
+  /**
+   * Part of consumed that was reported after a silence.
+   */
+  std::map<std::string, double>  late;
+
+  _Digest__isset __isset;
+
+  void __set_acknowledged(const int64_t val);
+
+  void __set_consumed(const std::map<std::string, double> & val);
 
   void __set_engines(const std::map<std::string, EngineShare> & val);
 
   void __set_crashes(const std::map<int64_t, CrashShare> & val);
 
-  void __set_configVersion(const int64_t val);
+  void __set_nodes(const int32_t val);
 
-  void __set_engineRevision(const int64_t val);
+  void __set_silent(const int32_t val);
 
-  void __set_refused(const std::map<std::string, int64_t> & val);
+  void __set_counted(const bool val);
+
+  void __set_zones(const std::vector<ZoneMembers> & val);
 
-  bool operator == (const NodeReport & rhs) const
+  void __set_late(const std::map<std::string, double> & val);
+
+  bool operator == (const Digest & rhs) const
   {
-    if (!(node == rhs.node))
+    if (!(acknowledged == rhs.acknowledged))
       return false;
-    if (!(incarnation == rhs.incarnation))
+    if (!(consumed == rhs.consumed))
       return false;
-    if (!(sequence == rhs.sequence))
+    if (!(engines == rhs.engines))
       return false;
-    if (!(entryAddress == rhs.entryAddress))
+    if (!(crashes == rhs.crashes))
       return false;
-    if (!(zone == rhs.zone))
+    if (!(nodes == rhs.nodes))
       return false;
-    if (!(ready == rhs.ready))
+    if (!(silent == rhs.silent))
       return false;
-    if (!(leaving == rhs.leaving))
+    if (!(counted == rhs.counted))
       return false;
-    if (!(trueMillis == rhs.trueMillis))
+    if (__isset.zones != rhs.__isset.zones)
       return false;
-    if (!(consumed == rhs.consumed))
+    else if (__isset.zones && !(zones == rhs.zones))
       return false;
-    if (!(began == rhs.began))
+    if (!(late == rhs.late))
       return false;
-    if (!(engines == rhs.engines))
+    return true;
+  }
+  bool operator != (const Digest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Digest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Digest &a, Digest &b);
+
+std::ostream& operator<<(std::ostream& out, const Digest& obj);
+
+typedef struct _Datagram__isset {
+  _Datagram__isset() : version(false), sender(false), member(false), zone(false), digest(false) {}
+  bool version :1;
+  bool sender :1;
+  bool member :1;
+  bool zone :1;
+  bool digest :1;
+} _Datagram__isset;
+
+/**
+ * Datagram between two nodes.
+ */
+class Datagram : public virtual ::apache::thrift::TBase {
+ public:
+
+  Datagram(const Datagram&);
+  Datagram& operator=(const Datagram&);
+  Datagram() noexcept
+           : version(0) {
+  }
+
+  virtual ~Datagram() noexcept;
+  /**
+   * Version of this format. A receiver ignores other versions.
+   */
+  int32_t version;
+  Sender sender;
+  MemberReport member;
+  ZoneReport zone;
+  Digest digest;
+
+  _Datagram__isset __isset;
+
+  void __set_version(const int32_t val);
+
+  void __set_sender(const Sender& val);
+
+  void __set_member(const MemberReport& val);
+
+  void __set_zone(const ZoneReport& val);
+
+  void __set_digest(const Digest& val);
+
+  bool operator == (const Datagram & rhs) const
+  {
+    if (!(version == rhs.version))
       return false;
-    if (!(crashes == rhs.crashes))
+    if (!(sender == rhs.sender))
       return false;
-    if (!(configVersion == rhs.configVersion))
+    if (__isset.member != rhs.__isset.member)
       return false;
-    if (!(engineRevision == rhs.engineRevision))
+    else if (__isset.member && !(member == rhs.member))
       return false;
-    if (!(refused == rhs.refused))
+    if (__isset.zone != rhs.__isset.zone)
+      return false;
+    else if (__isset.zone && !(zone == rhs.zone))
+      return false;
+    if (__isset.digest != rhs.__isset.digest)
+      return false;
+    else if (__isset.digest && !(digest == rhs.digest))
+      return false;
+    return true;
+  }
+  bool operator != (const Datagram &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Datagram & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Datagram &a, Datagram &b);
+
+std::ostream& operator<<(std::ostream& out, const Datagram& obj);
+
+typedef struct _ReplicatedObject__isset {
+  _ReplicatedObject__isset() : name(false), revision(false), removed(false), content(false) {}
+  bool name :1;
+  bool revision :1;
+  bool removed :1;
+  bool content :1;
+} _ReplicatedObject__isset;
+
+/**
+ * A stored object, or the note that it was removed.
+ */
+class ReplicatedObject : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReplicatedObject(const ReplicatedObject&);
+  ReplicatedObject& operator=(const ReplicatedObject&);
+  ReplicatedObject() noexcept
+                   : name(),
+                     revision(0),
+                     removed(0),
+                     content() {
+  }
+
+  virtual ~ReplicatedObject() noexcept;
+  std::string name;
+  int64_t revision;
+  bool removed;
+  /**
+   * Content as JSON; empty if the object was removed.
+   */
+  std::string content;
+
+  _ReplicatedObject__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_removed(const bool val);
+
+  void __set_content(const std::string& val);
+
+  bool operator == (const ReplicatedObject & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    if (!(content == rhs.content))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplicatedObject &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplicatedObject & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReplicatedObject &a, ReplicatedObject &b);
+
+std::ostream& operator<<(std::ostream& out, const ReplicatedObject& obj);
+
+typedef struct _ReplicaUpdate__isset {
+  _ReplicaUpdate__isset() : version(false), complete(false), objects(false) {}
+  bool version :1;
+  bool complete :1;
+  bool objects :1;
+} _ReplicaUpdate__isset;
+
+/**
+ * State of one kind of stored objects, or the changes to it since a revision.
+ */
+class ReplicaUpdate : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReplicaUpdate(const ReplicaUpdate&);
+  ReplicaUpdate& operator=(const ReplicaUpdate&);
+  ReplicaUpdate() noexcept
+                : complete(0) {
+  }
+
+  virtual ~ReplicaUpdate() noexcept;
+  StateVersion version;
+  /**
+   * Whether the objects are the complete state.
+   */
+  bool complete;
+  std::vector<ReplicatedObject>  objects;
+
+  _ReplicaUpdate__isset __isset;
+
+  void __set_version(const StateVersion& val);
+
+  void __set_complete(const bool val);
+
+  void __set_objects(const std::vector<ReplicatedObject> & val);
+
+  bool operator == (const ReplicaUpdate & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(complete == rhs.complete))
+      return false;
+    if (!(objects == rhs.objects))
       return false;
     return true;
   }
-  bool operator != (const NodeReport &rhs) const {
+  bool operator != (const ReplicaUpdate &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const NodeReport & ) const;
+  bool operator < (const ReplicaUpdate & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -304,9 +1000,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(NodeReport &a, NodeReport &b);
+void swap(ReplicaUpdate &a, ReplicaUpdate &b);
 
-std::ostream& operator<<(std::ostream& out, const NodeReport& obj);
+std::ostream& operator<<(std::ostream& out, const ReplicaUpdate& obj);
 
 }} // namespace
 
--- a/Interface/exchange.thrift
+++ b/Interface/exchange.thrift
@@ -1,6 +1,6 @@
 namespace cpp sesame.wire
 
-/** Work that one node currently has in progress at one engine. */
+/** Work that one node, or several nodes together, have in progress at one engine. */
 struct EngineShare {
   1: i32 requests
   2: i64 tokens
@@ -12,33 +12,125 @@
   2: i64 successes
 }
 
-/** Load report of a node: a datagram with all that the receiving peer needs to know about it. */
-struct NodeReport {
+/** Counters and load of one node, or their sum over the nodes of a zone. */
+struct Tally {
+  /** Quota units that each account has used since the counters started at zero. */
+  1: map<string, double> consumed
+  /** Number of requests that started to run, by usage window and account. */
+  2: map<i64, map<string, i64>> began
+  /** Work in progress at each engine, by engine id. */
+  3: map<string, EngineShare> engines
+  /** Crashes and successes of requests, by fingerprint of the request. */
+  4: map<i64, CrashShare> crashes
+  /** Number of requests that were refused for lack of capacity, by service. */
+  5: map<string, i64> refused
+  /** Part of consumed that was reported after a silence, in which units were withheld for it. */
+  6: map<string, double> late
+}
+
+/** A node as the other nodes know it. */
+struct Member {
   1: string node
-  /** Start time of the process in Unix milliseconds. The counters are zero at that time. */
-  2: i64 incarnation
-  3: i64 sequence
   /** Address for callers, as IP:PORT. */
-  4: string entryAddress
-  5: string zone
+  2: string entryAddress
   /** Whether the node serves callers. */
-  6: bool ready
+  3: bool ready
   /** Whether the node is shutting down after it was told to stop. */
-  7: bool leaving
+  4: bool leaving
+  /** Processor share of the node's machine, in thousandths of a core. */
+  5: i32 capacity
+}
+
+/** Which state of one kind of stored objects a node has. */
+struct StateVersion {
+  /** Highest revision of the store at which an object of the kind changed. */
+  1: i64 revision
+  /** Time since the state was known to be the current one, or -1 if the node has none. */
+  2: i64 ageMillis
+}
+
+/** The sender of a datagram. */
+struct Sender {
+  1: Member member
+  2: string zone
+  /** Start time of the process in Unix milliseconds. The counters are zero at that time. */
+  3: i64 incarnation
+  4: i64 sequence
   /** The node's estimate of the true time in Unix milliseconds. */
-  8: i64 trueMillis
-  /** Quota units that each account has used since the start of the process. */
-  9: map<string, double> consumed
-  /** Number of requests that started to run, by window and account. */
-  10: map<i64, map<string, i64>> began
-  /** Work in progress at each engine, by engine id. */
-  11: map<string, EngineShare> engines
-  /** Crashes and successes of requests, by fingerprint of the request. */
-  12: map<i64, CrashShare> crashes
-  /** Version of the configuration that the node uses, or 0 if it has none. */
-  13: i64 configVersion
-  /** Revision of the store that the node's list of engines reflects. */
-  14: i64 engineRevision
-  /** Number of requests that were refused for lack of capacity since the start, by service. */
-  15: map<string, i64> refused
+  5: i64 trueMillis
+  6: StateVersion configuration
+  7: StateVersion engines
+}
+
+/** Report of a node to the aggregators of its zone. */
+struct MemberReport {
+  1: Tally tally
+  /** Whether the receiver is to answer with digests. */
+  2: bool wantsDigest
+  /** Nodes of the zone from which the sender, as an aggregator, receives no reports. */
+  3: list<string> unheard
+}
+
+/** Sum over a zone that an aggregator sends to the aggregators of the other zones. */
+struct ZoneReport {
+  1: Tally tally
+  /** Nodes of the zone that hold a share of the quotas. */
+  2: i32 nodes
+  /** Those of them from which the aggregator receives no reports. */
+  3: i32 silent
+  /** Nodes of the zone from which the aggregator receives reports; not in each report. */
+  4: optional list<Member> members
+}
+
+/** Nodes of one zone. */
+struct ZoneMembers {
+  1: string zone
+  2: list<Member> members
+}
+
+/** Sums over the deployment that an aggregator sends to a node of its zone. */
+struct Digest {
+  /** Sequence number of the receiver's latest report that the sums include. */
+  1: i64 acknowledged
+  /** Quota units that each account has used at all nodes, since the aggregator's start. */
+  2: map<string, double> consumed
+  3: map<string, EngineShare> engines
+  4: map<i64, CrashShare> crashes
+  /** Nodes that hold a share of the quotas. */
+  5: i32 nodes
+  /** Those of them whose consumption is not known. */
+  6: i32 silent
+  /** Whether all aggregators of the zone receive the reports of the receiver. */
+  7: bool counted
+  /** All nodes, by zone; not in each digest. */
+  8: optional list<ZoneMembers> zones
+  /** Part of consumed that was reported after a silence. */
+  9: map<string, double> late
+}
+
+/** Datagram between two nodes. */
+struct Datagram {
+  /** Version of this format. A receiver ignores other versions. */
+  1: i32 version
+  2: Sender sender
+  3: optional MemberReport member
+  4: optional ZoneReport zone
+  5: optional Digest digest
+}
+
+/** A stored object, or the note that it was removed. */
+struct ReplicatedObject {
+  1: string name
+  2: i64 revision
+  3: bool removed
+  /** Content as JSON; empty if the object was removed. */
+  4: string content
+}
+
+/** State of one kind of stored objects, or the changes to it since a revision. */
+struct ReplicaUpdate {
+  1: StateVersion version
+  /** Whether the objects are the complete state. */
+  2: bool complete
+  3: list<ReplicatedObject> objects
 }
--- a/Source/Core/enginedirectory.cpp
+++ b/Source/Core/enginedirectory.cpp
@@ -1,7 +1,6 @@
 #include "Core/enginedirectory.h"
 
 #include <algorithm>
-#include <unordered_set>
 
 namespace sesame {
 
@@ -19,30 +18,6 @@
 
 } // namespace
 
-void EngineDirectory::replaceAll(const std::vector<EngineEntry> &entries,
-                                 std::optional<Timestamp> graceEnd)
-{
-    std::unordered_set<std::string> listedIds;
-    for (const EngineEntry &entry : entries) {
-        listedIds.insert(entry.id);
-        update(entry);
-    }
-    std::vector<std::string> missingIds;
-    for (auto &[id, engine] : m_engines) {
-        if (listedIds.contains(id) || !engine.usable)
-            continue;
-        missingIds.push_back(id);
-    }
-    for (const std::string &id : missingIds) {
-        if (m_engines[id].removeAt != Timestamp {})
-            continue;
-        if (graceEnd)
-            markMissing(id, *graceEnd);
-        else
-            remove(id);
-    }
-}
-
 void EngineDirectory::update(const EngineEntry &entry)
 {
     EngineState &engine = m_engines[entry.id];
@@ -55,7 +30,6 @@
     }
     engine.entry = entry;
     engine.usable = !entry.draining;
-    engine.removeAt = {};
 }
 
 void EngineDirectory::remove(const std::string &id)
@@ -67,24 +41,6 @@
     removeIfUnused(id);
 }
 
-void EngineDirectory::markMissing(const std::string &id, Timestamp graceEnd)
-{
-    EngineState *engine = find(id);
-    if (engine && engine->removeAt == Timestamp {})
-        engine->removeAt = graceEnd;
-}
-
-void EngineDirectory::removeExpired(Timestamp now)
-{
-    std::vector<std::string> expiredIds;
-    for (const auto &[id, engine] : m_engines) {
-        if (engine.removeAt != Timestamp {} && now >= engine.removeAt)
-            expiredIds.push_back(id);
-    }
-    for (const std::string &id : expiredIds)
-        remove(id);
-}
-
 std::vector<EngineState *> EngineDirectory::findUsable(const std::string &service)
 {
     std::vector<EngineState *> usableEngines;
--- a/Source/Core/enginedirectory.h
+++ b/Source/Core/enginedirectory.h
@@ -27,9 +27,6 @@
 {
     EngineEntry entry;
     bool usable = true; //!< False if the engine is draining or has left.
-    //! Time at which the engine is removed because its entry has been missing since an outage of
-    //! the store; zero if the entry is present.
-    Timestamp removeAt {};
     //! Until this time the engine is chosen only if all others are avoided too, because it
     //! recently failed a connection or had no capacity.
     Timestamp avoidUntil {};
@@ -46,13 +43,6 @@
 class EngineDirectory
 {
 public:
-    /*!
-        Replaces the known engines by the complete list \a entries. Engines that are not listed
-        have left, unless \a graceEnd is set: then their entries may have expired during an outage
-        of the store, and the engines are kept until that time.
-    */
-    void replaceAll(const std::vector<EngineEntry> &entries, std::optional<Timestamp> graceEnd);
-
     /*!
         Adds the engine of \a entry, or updates it. A new incarnation or address resets the
         recorded failures.
@@ -64,17 +54,6 @@
     */
     void remove(const std::string &id);
 
-    /*!
-        Marks the entry of \a id as missing. It may have expired during an outage of the store;
-        the engine is removed if the entry has not returned by \a graceEnd.
-    */
-    void markMissing(const std::string &id, Timestamp graceEnd);
-
-    /*!
-        Removes engines whose entries have not returned by the end of their grace time.
-    */
-    void removeExpired(Timestamp now);
-
     /*!
         Returns the engines of \a service that may receive requests.
     */
--- a/Source/Core/quotabucket.h
+++ b/Source/Core/quotabucket.h
@@ -11,7 +11,7 @@
     The bucket is charged at once for the node's own requests, and for the requests of its peers
     when they report them. For each peer that does not report, an equal share of the rate is
     withheld, because that peer may still grant requests. A node that reaches no peer therefore
-    grants only its own share.
+    grants only its own share. What is withheld covers what the peer reports later.
 */
 class QuotaBucket
 {
@@ -32,7 +32,8 @@
 
     /*!
         Takes \a cost for a request of this node. Returns false and leaves the bucket unchanged if
-        its level is too low.
+        its level is too low for it and for what the peers have probably granted since their last
+        reports.
     */
     bool tryTake(double cost);
 
@@ -44,7 +45,13 @@
     /*!
         Charges the \a cost of requests that a peer has reported. The level may become negative.
     */
-    void chargePeerUsage(double cost) { m_level -= cost; }
+    void chargePeerUsage(double cost, Timestamp now);
+
+    /*!
+        Charges the \a cost of requests that a peer has reported after a silence. What was withheld
+        for silent peers covers it first.
+    */
+    void chargeLateUsage(double cost);
 
     /*!
         Lowers the level to at most \a share of the burst, for a node that does not know how much
@@ -68,6 +75,12 @@
     double m_level = 0.0;
     double m_consumed = 0.0;
     double m_silentShare = 0.0;
+    double unreportedUsage() const;
+
+    double m_peerRate = 0.0; //!< Recent consumption of the peers, in units per second.
+    Timestamp m_lastPeerChargeAt {};
+    Duration m_detectionDelay {};
+    double m_withheld = 0.0; //!< Units withheld for silent peers that these have not reported.
     Timestamp m_lastRefillAt;
 };
 
--- a/Source/Core/refusalmeter.cpp
+++ b/Source/Core/refusalmeter.cpp
@@ -24,21 +24,10 @@
     addToRate(service, 1.0, now);
 }
 
-void RefusalMeter::mergePeerCounters(const std::string &peer, std::int64_t incarnation,
-                                     const std::map<std::string, std::int64_t> &counters,
-                                     Timestamp now)
+void RefusalMeter::recordPeerRefusals(const std::string &service, std::int64_t n, Timestamp now)
 {
-    Peer &known = m_peers[peer];
-    const bool isFirst = known.incarnation == 0;
-    if (known.incarnation != incarnation)
-        known = {.incarnation = incarnation};
-    for (const auto &[service, n] : counters) {
-        std::int64_t &before = known.counters[service];
-        // The first report of a peer contains refusals whose times are unknown.
-        if (n > before && !isFirst)
-            addToRate(service, static_cast<double>(n - before), now);
-        before = std::max(before, n);
-    }
+    if (n > 0)
+        addToRate(service, static_cast<double>(n), now);
 }
 
 double RefusalMeter::refusalsPerSecond(const std::string &service, Timestamp now) const
--- a/Source/Core/refusalmeter.h
+++ b/Source/Core/refusalmeter.h
@@ -20,11 +20,9 @@
     void record(const std::string &service, Timestamp now);
 
     /*!
-        Adds the refusals that \a peer has counted since its last report to the rates. The
-        \a counters of a peer start at zero with each incarnation.
+        Counts \a n requests for \a service that other nodes refused.
     */
-    void mergePeerCounters(const std::string &peer, std::int64_t incarnation,
-                           const std::map<std::string, std::int64_t> &counters, Timestamp now);
+    void recordPeerRefusals(const std::string &service, std::int64_t n, Timestamp now);
 
     /*!
         Returns the recent rate of refusals for \a service over all nodes, per second.
@@ -42,16 +40,10 @@
         double refusalsPerSecond = 0.0;
         Timestamp last;
     };
-    struct Peer
-    {
-        std::int64_t incarnation = 0;
-        std::map<std::string, std::int64_t> counters;
-    };
 
     void addToRate(const std::string &service, double refusals, Timestamp now);
 
     std::map<std::string, std::int64_t> m_ownCounters;
-    std::map<std::string, Peer> m_peers;
     std::map<std::string, Rate> m_rates;
 };
 
--- a/Source/Serving/dutycoordinator.cpp
+++ b/Source/Serving/dutycoordinator.cpp
@@ -15,6 +15,9 @@
 //! The holder renews three times within a lease, so that one lost response does not end its term.
 constexpr Duration renewInterval = 800ms;
 constexpr Duration recordPollInterval = 1000ms;
+//! A holder that is no longer an aggregator keeps the duties for this time, because its place among
+//! the nodes may change for a moment when others start.
+constexpr Duration eligibilityGrace = 3s;
 //! Delay after the end of a usage window until its counts are final. Within this time, the reports
 //! of peers arrive, and so do the first responses to requests that were sent in the window.
 constexpr std::int64_t windowSettleMillis = 2500;
@@ -95,15 +98,27 @@
     if (m_storeCallPending || now < m_nextStoreCallTime)
         return;
     if (m_term.term() == 0) {
-        readRecord();
+        if (m_state.tally.isAggregator())
+            readRecord();
         return;
     }
     DutyRecord record = m_term.currentRecord();
-    if (m_withdrawn)
+    if (m_withdrawn || !isEligible(now))
         record.holder.clear();
     writeRecord(record);
 }
 
+/*!
+    Returns whether this node may go on to hold the duties. Only an aggregator receives the counts
+   of all zones.
+*/
+bool DutyCoordinator::isEligible(Timestamp now)
+{
+    if (m_state.tally.isAggregator())
+        m_lastEligibleTime = now;
+    return now - m_lastEligibleTime < eligibilityGrace;
+}
+
 void DutyCoordinator::readRecord()
 {
     if (m_withdrawn)
@@ -175,13 +190,13 @@
     m_decidedCounts = readCounts(json_object_get(content, "decidedCounts"));
     m_isDecisionStored = m_decidedWindow != 0;
     const char *window = nullptr;
-    json_t *reporters = nullptr;
-    json_object_foreach(json_object_get(content, "began"), window, reporters)
+    json_t *zones = nullptr;
+    json_object_foreach(json_object_get(content, "began"), window, zones)
     {
-        const char *reporter = nullptr;
+        const char *zone = nullptr;
         json_t *counts = nullptr;
-        json_object_foreach(reporters, reporter, counts)
-                m_state.usage.merge(std::atoll(window), reporter, readCounts(counts));
+        json_object_foreach(zones, zone, counts)
+                m_state.usage.mergeZone(std::atoll(window), zone, readCounts(counts));
     }
     return record;
 }
@@ -202,12 +217,12 @@
     // and the term would then appear to have lapsed.
     set("renewedAt", json_integer(bootMillis()));
     json_t *began = json_object();
-    for (const auto &[window, reporters] : m_state.usage.windows()) {
-        if (window <= m_reportedThrough)
-            continue;
+    const std::int64_t lastWindow = m_state.usage.lastWindow();
+    const std::int64_t firstWindow = std::max(m_reportedThrough + 1, lastWindow - retainedWindows);
+    for (std::int64_t window = firstWindow; window <= lastWindow; ++window) {
         json_t *entry = json_object();
-        for (const auto &[reporter, counts] : reporters)
-            json_object_set_new(entry, reporter.c_str(), formatCounts(counts));
+        for (const auto &[zone, counts] : m_state.usage.zoneTotals(window))
+            json_object_set_new(entry, zone.c_str(), formatCounts(counts));
         json_object_set_new(began, std::to_string(window).c_str(), entry);
     }
     set("began", began);
--- a/Source/Serving/dutycoordinator.h
+++ b/Source/Serving/dutycoordinator.h
@@ -48,6 +48,7 @@
 private:
     void scheduleTick();
     void tick();
+    bool isEligible(Timestamp now);
     void readRecord();
     void onRecordRead(const StoreReadResult &result);
     void rereadRecord();
@@ -76,6 +77,7 @@
     AccountCounts m_decidedCounts; //!< Counts of the decided report.
     Timestamp m_nextStoreCallTime; //!< Earliest time of the next read or write of the record.
     Timestamp m_nextReportTime; //!< Earliest time of the next usage report.
+    Timestamp m_lastEligibleTime; //!< Last time at which this node was an aggregator.
 };
 
 } // namespace sesame
--- a/Source/Serving/nodeexchange.cpp
+++ b/Source/Serving/nodeexchange.cpp
@@ -10,17 +10,19 @@
 
 using namespace std::chrono_literals;
 
-//! Peers choose engines and grant quotas based on the last report that they received. A shorter
-//! interval costs more processor time because each datagram has to be processed.
-constexpr auto reportInterval = 120ms;
 //! Number of usage windows in each report: the current one, and earlier ones whose final counts may
 //! have been in a lost datagram.
 constexpr std::int64_t repeatedWindows = 3;
+//! Shortest interval at which the sums over the peers are computed.
+constexpr Duration peerStateInterval = 30ms;
 
 } // namespace
 
-NodeExchange::NodeExchange(ServingState &state, asio::io_context &context)
-    : m_state(state), m_socket(context), m_timer(context)
+NodeExchange::NodeExchange(ServingState &state, asio::io_context &context,
+                           VersionHandler versionHandler)
+    : m_state(state), m_socket(context), m_timer(context),
+      m_versionHandler(std::move(versionHandler)),
+      m_reports(state.peers, state.tally, state.incarnation), m_suspensionGuard(bootNow())
 {
 }
 
@@ -35,6 +37,7 @@
     if (!ec)
         m_socket.non_blocking(true, ec);
     if (!ec) {
+        recordRun();
         receive();
         scheduleReport();
     }
@@ -43,10 +46,11 @@
 
 void NodeExchange::scheduleReport()
 {
-    m_timer.expires_after(reportInterval);
+    m_timer.expires_after(m_reports.interval(steadyNow()));
     m_timer.async_wait([this](const boost::system::error_code &ec) {
         if (ec)
             return;
+        recordRun();
         sendReports();
         scheduleReport();
     });
@@ -54,37 +58,41 @@
 
 void NodeExchange::sendReports()
 {
-    const std::string bytes = encodeWire(makeReport());
-    for (const auto &[name, peer] : m_state.peers.peers()) {
-        const auto entry = parseTcpEndpoint(peer.report.entryAddress);
-        if (!entry)
-            continue;
-        const Udp::endpoint target(entry->address(), m_state.settings.exchangePort);
-        // A send error is ignored because the next report replaces this one.
-        boost::system::error_code ignored;
-        m_socket.send_to(asio::buffer(bytes), target, 0, ignored);
-    }
+    const ReportInputs inputs {
+            .sender = makeSender(), .own = makeTally(), .zoneBegan = makeZoneBegan()};
+    const std::string primary = m_reports.primary();
+    for (const OutgoingDatagram &outgoing : m_reports.makeDatagrams(inputs, steadyNow()))
+        send(outgoing.datagram, outgoing.receiver);
+    if (primary != m_reports.primary())
+        logEvent(LogLevel::Info, "aggregator.chosen",
+                 {{"peer", m_reports.primary()}, {"previous", primary}});
+}
+
+wire::Sender NodeExchange::makeSender() const
+{
+    wire::Sender sender;
+    sender.member = m_state.peers.selfMember();
+    sender.member.ready = m_ready;
+    sender.member.leaving = m_state.leaving;
+    sender.zone = m_state.settings.zone;
+    sender.incarnation = m_state.incarnation;
+    sender.trueMillis = m_state.trueTime.ownEstimate(bootMillis());
+    sender.configuration = m_state.configReplica.version(bootNow());
+    sender.engines = m_state.engineReplica.version(bootNow());
+    return sender;
 }
 
-wire::NodeReport NodeExchange::makeReport()
+wire::Tally NodeExchange::makeTally() const
 {
-    wire::NodeReport report;
-    report.node = m_state.settings.node;
-    report.incarnation = m_state.incarnation;
-    report.sequence = ++m_sequence;
-    report.entryAddress = m_state.settings.entryAddressText;
-    report.zone = m_state.settings.zone;
-    report.ready = m_ready;
-    report.leaving = m_state.leaving;
-    report.trueMillis = m_state.trueTime.ownEstimate(bootMillis());
+    wire::Tally tally;
     for (const auto &[account, quota] : m_state.quotas)
-        report.consumed[account] = quota.consumed();
-    const std::int64_t oldest = m_state.currentWindow() - repeatedWindows;
+        tally.consumed[account] = quota.consumed();
+    const std::int64_t current = m_state.currentWindow();
     const std::string self = m_state.reporterName();
-    for (const auto &[window, reporters] : m_state.usage.windows()) {
-        const auto own = reporters.find(self);
-        if (window > oldest && own != reporters.end())
-            report.began[window] = own->second;
+    for (std::int64_t window = current - repeatedWindows + 1; window <= current; ++window) {
+        const AccountCounts counts = m_state.usage.nodeCounts(window, self);
+        if (!counts.empty())
+            tally.began[window] = counts;
     }
     for (const auto &[id, engine] : m_state.engines.engines()) {
         if (engine.ownLoad.requests == 0)
@@ -92,18 +100,40 @@
         wire::EngineShare share;
         share.requests = engine.ownLoad.requests;
         share.tokens = engine.ownLoad.tokens;
-        report.engines[id] = share;
+        tally.engines[id] = share;
     }
     m_state.crashes.visitOwn([&](std::uint64_t fingerprint, const CrashCount &count) {
         wire::CrashShare share;
         share.crashes = count.crashes;
         share.successes = count.successes;
-        report.crashes[static_cast<std::int64_t>(fingerprint)] = share;
+        tally.crashes[static_cast<std::int64_t>(fingerprint)] = share;
     });
-    report.refused = m_state.refusals.ownCounters();
-    report.configVersion = m_state.config ? m_state.config->version : 0;
-    report.engineRevision = static_cast<std::int64_t>(m_engineRevision);
-    return report;
+    tally.refused = m_state.refusals.ownCounters();
+    return tally;
+}
+
+std::map<std::int64_t, AccountCounts> NodeExchange::makeZoneBegan() const
+{
+    std::map<std::int64_t, AccountCounts> began;
+    const std::int64_t current = m_state.currentWindow();
+    for (std::int64_t window = current - repeatedWindows + 1; window <= current; ++window) {
+        AccountCounts counts = m_state.usage.ownZoneTotal(window);
+        if (!counts.empty())
+            began[window] = std::move(counts);
+    }
+    return began;
+}
+
+void NodeExchange::send(const wire::Datagram &datagram, const std::string &node)
+{
+    const PeerNode *peer = m_state.peers.find(node);
+    const auto entry = peer ? parseTcpEndpoint(peer->member.entryAddress) : std::nullopt;
+    if (!entry)
+        return;
+    const Udp::endpoint target(entry->address(), m_state.settings.exchangePort);
+    // A send error is ignored because the next datagram replaces this one.
+    boost::system::error_code ignored;
+    m_socket.send_to(asio::buffer(encodeWire(datagram)), target, 0, ignored);
 }
 
 void NodeExchange::receive()
@@ -113,39 +143,79 @@
                                     if (ec == asio::error::operation_aborted)
                                         return;
                                     if (!ec)
-                                        handleReport({m_buffer.data(), n});
+                                        handleDatagram({m_buffer.data(), n});
                                     receive();
                                 });
 }
 
-void NodeExchange::handleReport(std::string_view bytes)
+void NodeExchange::recordRun()
 {
-    const auto report = decodeWire<wire::NodeReport>(bytes);
-    if (!report) {
+    if (m_suspensionGuard.recordRun(bootNow()))
+        logEvent(LogLevel::Warning, "node.paused", {});
+}
+
+void NodeExchange::handleDatagram(std::string_view bytes)
+{
+    recordRun();
+    if (m_suspensionGuard.mustDiscard(bootNow()))
+        return;
+    const auto datagram = decodeWire<wire::Datagram>(bytes);
+    if (!datagram) {
         logEvent(LogLevel::Warning, "exchange.unreadable",
                  {{"bytes", static_cast<std::int64_t>(bytes.size())}});
         return;
     }
-    if (report->node.empty() || report->node == m_state.settings.node)
-        return;
+    if (m_reports.isAcceptable(*datagram))
+        applyDatagram(*datagram);
+}
+
+void NodeExchange::applyDatagram(const wire::Datagram &datagram)
+{
     const Timestamp now = steadyNow();
-    const bool isNew = !m_state.peers.peers().contains(report->node);
-    for (const auto &[account, growth] : m_state.peers.recordReport(*report, now)) {
+    const wire::Sender &sender = datagram.sender;
+    const std::string &node = sender.member.node;
+    m_lastHeardAt = now;
+    if (!m_state.peers.find(node))
+        logEvent(LogLevel::Info, "peer.found",
+                 {{"peer", node}, {"incarnation", sender.incarnation}});
+    m_state.trueTime.recordPeerEstimate(node, sender.trueMillis, bootMillis());
+    mergeUsage(datagram);
+    charge(m_reports.apply(datagram, now));
+    if (now - m_peerStateRefreshedAt >= peerStateInterval) {
+        m_peerStateRefreshedAt = now;
+        m_state.refreshPeerState();
+    }
+    m_versionHandler(sender);
+}
+
+void NodeExchange::charge(const TallyGrowth &growth)
+{
+    for (const auto &[account, n] : growth.consumed) {
         const auto quota = m_state.quotas.find(account);
         if (quota != m_state.quotas.end())
-            quota->second.chargePeerUsage(growth);
+            quota->second.chargePeerUsage(n, steadyNow());
+    }
+    for (const auto &[account, n] : growth.late) {
+        const auto quota = m_state.quotas.find(account);
+        if (quota != m_state.quotas.end())
+            quota->second.chargeLateUsage(n);
+    }
+    for (const auto &[service, n] : growth.refused)
+        m_state.refusals.recordPeerRefusals(service, n, steadyNow());
+}
+
+void NodeExchange::mergeUsage(const wire::Datagram &datagram)
+{
+    const wire::Sender &sender = datagram.sender;
+    if (datagram.__isset.member) {
+        const std::string reporter = sender.member.node + "#" + std::to_string(sender.incarnation);
+        for (const auto &[window, counts] : datagram.member.tally.began)
+            m_state.usage.mergeNode(window, reporter, counts);
+    }
+    if (datagram.__isset.zone) {
+        for (const auto &[window, counts] : datagram.zone.tally.began)
+            m_state.usage.mergeZone(window, sender.zone, counts);
     }
-    m_state.refusals.mergePeerCounters(report->node, report->incarnation, report->refused, now);
-    m_state.trueTime.recordPeerEstimate(report->node, report->trueMillis, bootMillis());
-    const std::string reporter = report->node + "#" + std::to_string(report->incarnation);
-    for (const auto &[window, counts] : report->began)
-        m_state.usage.merge(window, reporter, {counts.begin(), counts.end()});
-    m_state.engines.setPeerLoads(m_state.peers.engineLoads(now));
-    for (const auto &[fingerprint, count] : m_state.peers.crashCounts())
-        m_state.crashes.setPeerCount(fingerprint, count, now);
-    if (isNew)
-        logEvent(LogLevel::Info, "peer.found",
-                 {{"peer", report->node}, {"incarnation", report->incarnation}});
 }
 
 } // namespace sesame
--- a/Source/Serving/nodeexchange.h
+++ b/Source/Serving/nodeexchange.h
@@ -1,23 +1,29 @@
 #pragma once
 
+#include "Core/reportexchange.h"
+#include "Core/suspensionguard.h"
 #include "Serving/servingstate.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <functional>
 
 namespace sesame {
 
 /*!
-    Sends the state and the counters of this node to its peers over UDP several times a second, and
-    applies the reports of the peers. Every report contains the full values of all counters, so that
-    the next report replaces a lost datagram.
+    Exchanges reports, sums and digests with the other nodes over UDP several times a second, see
+    ReportExchange. Every datagram contains the full values of all counters, so
+    that the next one replaces a lost one.
 */
 class NodeExchange
 {
 public:
-    NodeExchange(ServingState &state, asio::io_context &context);
+    //! Receives which state of the stored objects another node has.
+    using VersionHandler = std::function<void(const wire::Sender &)>;
+
+    NodeExchange(ServingState &state, asio::io_context &context, VersionHandler versionHandler);
 
     /*!
         Binds the exchange port and starts sending and receiving. Returns the error if this fails.
@@ -25,31 +31,44 @@
     boost::system::error_code open();
 
     /*!
-        Sends a report to every known peer immediately, for example before the process exits.
+        Sends the reports immediately, for example before the process exits.
     */
     void sendReports();
 
     //! Sets the readiness that reports state.
     void setReady(bool ready) { m_ready = ready; }
-    //! Sets the revision of the engine list that reports state.
-    void setEngineRevision(std::uint64_t revision) { m_engineRevision = revision; }
+
+    /*!
+        Returns the time of the last datagram from another node; zero if there was none.
+    */
+    Timestamp lastHeardAt() const { return m_lastHeardAt; }
 
 private:
     using Udp = asio::ip::udp;
 
     void scheduleReport();
     void receive();
-    void handleReport(std::string_view bytes);
-    wire::NodeReport makeReport();
+    void handleDatagram(std::string_view bytes);
+    void applyDatagram(const wire::Datagram &datagram);
+    void charge(const TallyGrowth &growth);
+    void mergeUsage(const wire::Datagram &datagram);
+    void recordRun();
+    wire::Sender makeSender() const;
+    wire::Tally makeTally() const;
+    std::map<std::int64_t, AccountCounts> makeZoneBegan() const;
+    void send(const wire::Datagram &datagram, const std::string &node);
 
     ServingState &m_state;
     Udp::socket m_socket;
     asio::steady_timer m_timer;
+    VersionHandler m_versionHandler;
     Udp::endpoint m_sender;
     std::array<char, 65536> m_buffer {};
-    std::int64_t m_sequence = 0;
+    ReportExchange m_reports;
     bool m_ready = false;
-    std::uint64_t m_engineRevision = 0;
+    Timestamp m_lastHeardAt {};
+    Timestamp m_peerStateRefreshedAt {};
+    SuspensionGuard m_suspensionGuard;
 };
 
 } // namespace sesame
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -182,7 +182,7 @@
     m_state.engines.addLoad(m_engineId, m_engineLoad);
     m_triedEngines.push_back(m_engineId);
     // Each node may use its share of the engine's connections, but at least one.
-    const auto nodes = static_cast<int>(m_state.peers.quotaNodeCount());
+    const auto nodes = m_state.quotaShares.nodes;
     const int limit = service.maxConnections > 0 ? std::max(1, service.maxConnections / nodes) : 0;
     const bool started = m_state.connectionPool.acquire(
             m_engineId, *address, limit, !route().isRepeatable(),
@@ -274,7 +274,7 @@
               {"engine_requests", static_cast<std::int64_t>(m_choiceInputs.requests)},
               {"engine_tokens", m_choiceInputs.tokens},
               {"estimate_ms", m_choiceInputs.costMs},
-              {"silent_peers", m_state.peers.silentQuotaShare(m_sendStartTime)},
+              {"silent_peers", m_state.quotaShares.silentShare()},
               {"after", m_eventSplitter.lastId()},
               {"remaining_ms", static_cast<std::int64_t>(remainingTime.count())}});
 }
@@ -480,8 +480,8 @@
     const bool allowed = outcome == SendOutcome::NotExecuted || route().isRepeatable();
     if (!allowed || m_sendCount >= route().maxAttempts || remainingTime() < minUsefulTime)
         return false;
-    return m_state.resendBudget.tryResend(selectService(), m_state.peers.quotaNodeCount(),
-                                          steadyNow());
+    return m_state.resendBudget.tryResend(
+            selectService(), static_cast<std::size_t>(m_state.quotaShares.nodes), steadyNow());
 }
 
 void ProxiedRequest::countUsageOnce()
--- a/Source/Serving/requestadmission.cpp
+++ b/Source/Serving/requestadmission.cpp
@@ -44,6 +44,9 @@
         admitted.account = m_config->findAccount(info.accountKey);
         if (!admitted.account)
             return refuse({unauthorized, "unknown account key"});
+        if (!m_state.acceptsKeys())
+            return refuse(
+                    {unavailable, "the account key may have been revoked", defaultRetryAfter});
     }
     admitted.fingerprint = computeFingerprint(
             info.path, admitted.account ? admitted.account->name : info.host, body);
@@ -74,7 +77,7 @@
                   {"cost", cost},
                   {"level", quota.level()},
                   {"rate", account->ratePerSecond},
-                  {"silent_peers", m_state.peers.silentQuotaShare(steadyNow())}});
+                  {"silent_peers", m_state.quotaShares.silentShare()}});
         const auto wait = std::chrono::duration_cast<Milliseconds>(quota.timeUntilAvailable(cost));
         return refuse(
                 {tooManyRequests, "the account's quota is used up", std::max(wait, minRetryAfter)});
--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -18,6 +18,8 @@
 constexpr Duration nodeListInterval = 3s;
 //! Replaces nodeListInterval while the node knows no peers.
 constexpr Duration initialNodeListInterval = 500ms;
+//! Replaces nodeListInterval for nodes that are no aggregators and learn of other nodes from them.
+constexpr Duration memberNodeListInterval = 30s;
 //! Time to live of a directory response.
 constexpr double directoryTtlSeconds = 2.0;
 //! Time that a stopping node continues to accept requests. Callers may use a directory response for
@@ -43,14 +45,17 @@
 constexpr const char *nodeKind = "nodes";
 //! A change must take effect within two seconds after it was accepted, even if a watch stops
 //! delivering data without an error.
-constexpr std::chrono::milliseconds shortWatchWait {800};
-//! Used for the configuration watch while this node is in touch with a peer. Each call has a cost,
-//! and a watch that stops delivering data does no harm, because peers report a new configuration.
-//! Together with the margin of the call, the wait is as long as a machine counts as disturbed after
-//! its connections were disturbed.
+constexpr std::chrono::milliseconds watchWait {800};
+//! Used for the configuration unless its age limits the use of account keys. Each call has a cost,
+//! and a watch that stops delivering data does no harm, because other nodes tell of a new version.
 constexpr std::chrono::milliseconds longWatchWait {2500};
-//! Time within which a new configuration reaches all nodes through their watches and reports.
-constexpr Duration configPropagationTime = 300ms;
+//! Longest delay between two calls to a store that fails, for the nodes that always follow it.
+constexpr std::chrono::milliseconds shortStoreRetryDelay {400};
+//! The same for the other nodes: their number times this, so that all of them together call the
+//! store as often as a few followers do.
+constexpr std::chrono::milliseconds storeRetryDelayPerNode {20};
+//! Time after the start within which a node waits for its peers' state before it follows the store.
+constexpr Duration startupWait = 1500ms;
 constexpr std::string_view metricsPath = "/metrics";
 
 constexpr unsigned ok = 200;
@@ -64,6 +69,20 @@
             : settings.descriptorLimit / 2;
 }
 
+std::vector<ReplicaObject> toReplicaObjects(std::span<const StoredObject> objects)
+{
+    std::vector<ReplicaObject> converted;
+    converted.reserve(objects.size());
+    for (const StoredObject &object : objects) {
+        const bool hasContent = !object.removed && object.content;
+        converted.push_back({.name = object.name,
+                             .revision = static_cast<std::int64_t>(object.revision),
+                             .removed = object.removed,
+                             .content = hasContent ? dumpJson(object.content.get()) : ""});
+    }
+    return converted;
+}
+
 std::string formatSeries(const std::string &name, const std::string &label,
                          const std::string &value)
 {
@@ -81,7 +100,12 @@
 ServingNode::ServingNode(asio::io_context &context, const ServingSettings &settings,
                          ServingEnvironment environment)
     : m_context(context), m_environment(std::move(environment)),
-      m_state(context, settings, *m_environment.format), m_exchange(m_state, context),
+      m_state(context, settings, *m_environment.format), m_stateExchange(context, m_state),
+      m_exchange(m_state, context,
+                 [this](const wire::Sender &sender) {
+                     m_stateExchange.compare(sender);
+                 }),
+      m_followPolicy(std::uniform_real_distribution<double>(0.0, 1.0)(m_state.random)),
       m_entryListener(
               context,
               [this](const CallerConnection &connection, RequestMessage &&request) {
@@ -130,96 +154,149 @@
         return reason;
     if (const boost::system::error_code ec = m_exchange.open())
         return "exchange port: " + ec.message();
+    if (const boost::system::error_code ec = m_stateExchange.open())
+        return "state exchange port: " + ec.message();
     logEvent(LogLevel::Info, "node.started",
              {{"zone", settings.zone},
               {"entry", settings.entryAddressText},
               {"incarnation", m_state.incarnation},
               {"first_start", settings.isFirstStart}});
     m_startTime = steadyNow();
-    m_configWatcher = makeConfigWatcher();
-    m_engineWatcher = makeEngineWatcher();
-    m_configWatcher->start();
-    m_engineWatcher->start();
+    const auto applyConfigChanges = [this](std::span<const ReplicaObject> objects) {
+        applyConfig(objects);
+    };
+    const auto applyEngineChanges = [this](std::span<const ReplicaObject> objects) {
+        applyEngines(objects);
+    };
+    m_stateExchange.addReplica("configuration", m_state.configReplica, &wire::Sender::configuration,
+                               2 * (configWatchWait() - watchWait), applyConfigChanges);
+    m_stateExchange.addReplica("engines", m_state.engineReplica, &wire::Sender::engines,
+                               Duration::zero(), applyEngineChanges);
+    m_configWatcher = makeWatcher(m_environment.configKind, configWatchWait(),
+                                  m_state.configReplica, applyConfigChanges);
+    m_engineWatcher = makeWatcher(m_environment.engineKind, watchWait, m_state.engineReplica,
+                                  applyEngineChanges);
     m_dutyCoordinator.start();
     waitForSignals();
     tick();
     return std::nullopt;
 }
 
-std::unique_ptr<StoreWatcher> ServingNode::makeConfigWatcher()
+std::unique_ptr<StoreWatcher>
+ServingNode::makeWatcher(const std::string &kind, std::chrono::milliseconds wait,
+                         ObjectReplica &replica,
+                         std::function<void(std::span<const ReplicaObject>)> apply)
 {
     StoreWatchHandlers handlers;
-    handlers.listed = [this](const std::vector<StoredObject> &objects, std::optional<Timestamp>) {
-        for (const StoredObject &object : objects)
-            applyConfig(object);
+    handlers.listed = [this, kind, &replica, apply](const std::vector<StoredObject> &objects,
+                                                    const StoreReadContext &read) {
+        logEvent(LogLevel::Info, "store.listed",
+                 {{"kind", kind},
+                  {"objects", static_cast<std::int64_t>(objects.size())},
+                  {"after_outage", read.graceEnd.has_value()}});
+        apply(replica.applyListing(toReplicaObjects(objects),
+                                   static_cast<std::int64_t>(read.revision), read.knownAt,
+                                   read.graceEnd));
     };
-    handlers.changed = [this](const StoredObject &object, std::optional<Timestamp>) {
-        applyConfig(object);
+    handlers.changed = [&replica, apply](const std::vector<StoredObject> &objects,
+                                         const StoreReadContext &read) {
+        apply(replica.applyChanges(toReplicaObjects(objects),
+                                   static_cast<std::int64_t>(read.revision), read.knownAt,
+                                   read.graceEnd));
     };
     return std::make_unique<StoreWatcher>(
-            m_context, m_environment.makeStoreClient(), m_environment.configKind,
+            m_context, m_environment.makeStoreClient(), kind, wait,
             [this] {
-                return m_state.peers.newestConfigVersion(steadyNow()) > 0 ? longWatchWait
-                                                                          : shortWatchWait;
+                return maxStoreRetryDelay();
             },
             std::move(handlers));
 }
 
-std::unique_ptr<StoreWatcher> ServingNode::makeEngineWatcher()
+std::chrono::milliseconds ServingNode::configWatchWait() const
 {
-    StoreWatchHandlers handlers;
-    handlers.listed = [this](const std::vector<StoredObject> &objects,
-                             std::optional<Timestamp> graceEnd) {
-        std::vector<EngineEntry> entries;
-        for (const StoredObject &object : objects) {
-            if (const auto entry = m_environment.readEngine(object.name, object.content.get()))
-                entries.push_back(*entry);
-        }
-        m_state.engines.replaceAll(entries, graceEnd);
-        m_state.enginesListed = true;
-        logEvent(LogLevel::Info, "engines.listed",
-                 {{"engines", static_cast<std::int64_t>(entries.size())},
-                  {"after_outage", graceEnd.has_value()}});
-    };
-    handlers.changed = [this](const StoredObject &object, std::optional<Timestamp> graceEnd) {
-        applyEngineChange(object, graceEnd);
-    };
-    return std::make_unique<StoreWatcher>(
-            m_context, m_environment.makeStoreClient(), m_environment.engineKind,
-            [] {
-                return shortWatchWait;
-            },
-            std::move(handlers));
+    return m_state.settings.revocationLimit ? watchWait : longWatchWait;
+}
+
+std::chrono::milliseconds ServingNode::maxStoreRetryDelay() const
+{
+    return isStoreFollower()
+            ? shortStoreRetryDelay
+            : std::max(shortStoreRetryDelay, storeRetryDelayPerNode * m_state.quotaShares.nodes);
 }
 
-void ServingNode::applyConfig(const StoredObject &object)
+bool ServingNode::isStoreFollower() const
+{
+    const std::vector<std::string> followers = m_state.peers.storeFollowers(steadyNow());
+    return std::find(followers.begin(), followers.end(), m_state.settings.node) != followers.end();
+}
+
+/*!
+    Starts or stops to follow the store, as the follow policy decides.
+*/
+void ServingNode::updateFollowing()
 {
-    if (object.name != m_environment.configName || object.removed)
+    const Timestamp now = steadyNow();
+    FollowInputs inputs;
+    inputs.isFollower = m_isListed && isStoreFollower();
+    inputs.isAggregator = m_state.tally.isAggregator();
+    inputs.hearsPeers = now - m_exchange.lastHeardAt() < m_followPolicy.isolationLimit();
+    inputs.peerAge = m_stateExchange.peerAge();
+    inputs.age = m_stateExchange.age();
+    // A node that has just started waits for the state of its peers.
+    const bool isStarting = !inputs.age && now - m_startTime < startupWait;
+    if (isStarting && !inputs.isFollower)
+        return;
+    if (m_followPolicy.update(inputs, now) == m_configWatcher->isStarted())
         return;
-    const auto config = m_environment.readConfig(object.content.get());
-    if (!config) {
-        logEvent(LogLevel::Error, "config.unreadable",
-                 {{"revision", static_cast<std::int64_t>(object.revision)}});
+    if (m_configWatcher->isStarted()) {
+        logEvent(LogLevel::Info, "store.left", {});
+        m_configWatcher->stop();
+        m_engineWatcher->stop();
         return;
     }
-    m_state.adoptConfig(config);
-    const RequestLimits &limits = m_state.config->limits;
-    m_entryListener.setLimits({.headerBytes = limits.headerBytes,
-                               .bodyBytes = limits.bodyBytes,
-                               .headerTimeout = limits.headerTimeout,
-                               .idleTimeout = limits.idleTimeout});
+    logEvent(LogLevel::Info, "store.followed",
+             {{"follower", inputs.isFollower},
+              {"hears_peers", inputs.hearsPeers},
+              {"age_ms",
+               inputs.age ? std::chrono::duration_cast<Milliseconds>(*inputs.age).count() : -1}});
+    m_configWatcher->start();
+    m_engineWatcher->start();
+}
+
+void ServingNode::applyConfig(std::span<const ReplicaObject> objects)
+{
+    for (const ReplicaObject &object : objects) {
+        if (object.name != m_environment.configName || object.removed)
+            continue;
+        const auto config = m_environment.readConfig(parseJson(object.content).get());
+        if (!config) {
+            logEvent(LogLevel::Error, "config.unreadable", {{"revision", object.revision}});
+            continue;
+        }
+        m_state.adoptConfig(config);
+        const RequestLimits &limits = m_state.config->limits;
+        m_entryListener.setLimits({.headerBytes = limits.headerBytes,
+                                   .bodyBytes = limits.bodyBytes,
+                                   .headerTimeout = limits.headerTimeout,
+                                   .idleTimeout = limits.idleTimeout});
+    }
 }
 
-void ServingNode::applyEngineChange(const StoredObject &object, std::optional<Timestamp> graceEnd)
+void ServingNode::applyEngines(std::span<const ReplicaObject> objects)
 {
-    const auto entry = object.removed ? std::nullopt
-                                      : m_environment.readEngine(object.name, object.content.get());
+    for (const ReplicaObject &object : objects)
+        applyEngine(object);
+}
+
+void ServingNode::applyEngine(const ReplicaObject &object)
+{
+    const auto entry = object.removed
+            ? std::nullopt
+            : m_environment.readEngine(object.name, parseJson(object.content).get());
     const EngineState *known = m_state.engines.find(object.name);
     const bool wasUsable = known && known->usable;
     if (entry)
         m_state.engines.update(*entry);
-    else if (graceEnd)
-        m_state.engines.markMissing(object.name, *graceEnd);
     else
         m_state.engines.remove(object.name);
     const EngineState *now = m_state.engines.find(object.name);
@@ -229,9 +306,7 @@
     if (!isUsable)
         m_state.connectionPool.closeIdle(object.name);
     logEvent(LogLevel::Info, isUsable ? "engine.joined" : "engine.left",
-             {{"engine", object.name},
-              {"removed", object.removed},
-              {"revision", static_cast<std::int64_t>(object.revision)}});
+             {{"engine", object.name}, {"removed", object.removed}, {"revision", object.revision}});
 }
 
 void ServingNode::serveRequest(const CallerConnection &connection, RequestMessage &&request)
@@ -286,7 +361,7 @@
                      m_state.config ? static_cast<double>(m_state.config->version) : 0.0);
     metrics.setGauge("duties_held", m_dutyCoordinator.isHolder() ? 1.0 : 0.0);
     metrics.setGauge("peers_known", static_cast<double>(m_state.peers.peers().size()));
-    metrics.setGauge("quota_silent_share", m_state.peers.silentQuotaShare(steadyNow()));
+    metrics.setGauge("quota_silent_share", m_state.quotaShares.silentShare());
     metrics.setGauge("open_requests", static_cast<double>(m_entryListener.openRequests()));
     metrics.setGauge("caller_connections", static_cast<double>(m_entryListener.connections()));
     metrics.setGauge("log_lines_dropped", static_cast<double>(droppedLogLines()));
@@ -308,7 +383,8 @@
 
 bool ServingNode::isReady() const
 {
-    return !m_state.leaving && m_state.config && m_state.enginesListed;
+    return !m_state.leaving && m_state.config && m_state.engineReplica.hasState()
+            && m_state.acceptsKeys();
 }
 
 /*!
@@ -323,6 +399,8 @@
     json_object_set_new(content.get(), "entry",
                         json_string(m_state.settings.entryAddressText.c_str()));
     json_object_set_new(content.get(), "zone", json_string(m_state.settings.zone.c_str()));
+    json_object_set_new(content.get(), "capacity",
+                        json_integer(m_state.settings.capacityMillicores));
     m_nodeStoreClient->create(nodeKind, m_state.settings.node, content.get(),
                               [this](const StoreWriteResult &written) {
                                   m_registrationPending = false;
@@ -341,14 +419,14 @@
     const Timestamp now = steadyNow();
     std::erase_if(m_silentSince, [&](const auto &item) {
         const PeerNode *peer = m_state.peers.find(item.first);
-        return peer && m_state.peers.hasRecentReport(*peer, now);
+        return peer && m_state.peers.isRunning(*peer, now);
     });
     // A node without peers cannot tell whether it or the other node is unreachable.
     const bool hasPeers = !m_state.peers.entryAddresses(now, false).empty();
     for (const StoredObject &object : listed) {
         const PeerNode *peer = m_state.peers.find(object.name);
         if (object.removed || object.name == m_state.settings.node
-            || (peer && m_state.peers.hasRecentReport(*peer, now)))
+            || (peer && m_state.peers.isRunning(*peer, now)))
             continue;
         const Timestamp silentSince = m_silentSince.try_emplace(object.name, now).first->second;
         if (!hasPeers || !m_dutyCoordinator.isHolder() || now - silentSince < staleRecordAge)
@@ -368,12 +446,18 @@
             return object.name == m_state.settings.node && !object.removed;
         };
         m_isRegistered = std::any_of(listing.objects.begin(), listing.objects.end(), isOwn);
+        m_isListed = m_isListed || m_isRegistered;
         removeStaleNodeRecords(listing.objects);
         for (const StoredObject &object : listing.objects) {
             if (object.name == m_state.settings.node || object.removed)
                 continue;
-            m_state.peers.addListedNode(object.name, jsonString(object.content.get(), "entry"),
-                                        jsonString(object.content.get(), "zone"), steadyNow());
+            wire::Member member;
+            member.node = object.name;
+            member.entryAddress = jsonString(object.content.get(), "entry");
+            member.ready = true;
+            member.capacity = static_cast<int>(jsonInteger(object.content.get(), "capacity"));
+            m_state.peers.addListedNode(member, jsonString(object.content.get(), "zone"),
+                                        steadyNow());
         }
     });
 }
@@ -392,48 +476,29 @@
     const Timestamp now = steadyNow();
     if (now >= m_nextNodeListTime) {
         const bool hasNoPeers = m_state.peers.peers().empty();
-        m_nextNodeListTime = now + (hasNoPeers ? initialNodeListInterval : nodeListInterval);
+        const Duration interval = m_state.tally.isAggregator() ? nodeListInterval
+                                                               : memberNodeListInterval;
+        m_nextNodeListTime = now + (hasNoPeers ? initialNodeListInterval : interval);
         refreshNodeList();
         registerNode();
     }
     for (const std::string &peer : m_state.peers.removeExpired(now)) {
         m_state.trueTime.forgetPeer(peer);
+        m_stateExchange.forget(peer);
         logEvent(LogLevel::Info, "peer.forgotten", {{"peer", peer}});
     }
-    m_state.engines.removeExpired(now);
-    m_state.engines.setPeerLoads(m_state.peers.engineLoads(now));
+    applyConfig(m_state.configReplica.removeExpired(bootNow()));
+    applyEngines(m_state.engineReplica.removeExpired(bootNow()));
+    updateFollowing();
+    m_state.refreshPeerState();
     m_state.crashes.removeExpired(now);
     m_state.connectionPool.closeExpired();
     m_scalingDuty.tick();
     logClockOffset();
-    refreshOutdatedConfig();
     m_exchange.setReady(isReady());
-    m_exchange.setEngineRevision(m_engineWatcher->revision());
     scheduleTick();
 }
 
-/*!
-    Reads the configuration again if a peer has had a newer one for longer than a change takes to
-    propagate. The watch of this node has then stopped delivering changes.
-*/
-void ServingNode::refreshOutdatedConfig()
-{
-    const Timestamp now = steadyNow();
-    const std::int64_t own = m_state.config ? m_state.config->version : 0;
-    const std::int64_t newest = m_state.peers.newestConfigVersion(now);
-    if (newest <= own) {
-        m_configOutdatedSince.reset();
-        return;
-    }
-    if (!m_configOutdatedSince)
-        m_configOutdatedSince = now;
-    if (now - *m_configOutdatedSince < configPropagationTime)
-        return;
-    m_configOutdatedSince = now;
-    logEvent(LogLevel::Warning, "config.behind", {{"version", own}, {"peers_version", newest}});
-    m_configWatcher->refresh();
-}
-
 /*!
     Logs the difference between the common time of the nodes and this machine's clock when it
     changes, so that log lines of several nodes can be ordered.
--- a/Source/Serving/servingnode.h
+++ b/Source/Serving/servingnode.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "Core/followpolicy.h"
 #include "Http/listener.h"
 #include "Serving/dutycoordinator.h"
 #include "Serving/nodeexchange.h"
 #include "Serving/scalingduty.h"
 #include "Serving/servingstate.h"
+#include "Serving/stateexchange.h"
 #include "Serving/storewatcher.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -60,16 +62,21 @@
     void serveReadiness(const CallerConnection &connection, const RequestMessage &request);
     void serveMetrics(const CallerConnection &connection, const RequestMessage &request);
     bool isReady() const;
-    std::unique_ptr<StoreWatcher> makeConfigWatcher();
-    std::unique_ptr<StoreWatcher> makeEngineWatcher();
-    void applyConfig(const StoredObject &object);
-    void applyEngineChange(const StoredObject &object, std::optional<Timestamp> graceEnd);
+    std::unique_ptr<StoreWatcher>
+    makeWatcher(const std::string &kind, std::chrono::milliseconds wait, ObjectReplica &replica,
+                std::function<void(std::span<const ReplicaObject>)> apply);
+    void applyConfig(std::span<const ReplicaObject> objects);
+    void applyEngines(std::span<const ReplicaObject> objects);
+    void applyEngine(const ReplicaObject &object);
+    std::chrono::milliseconds configWatchWait() const;
+    std::chrono::milliseconds maxStoreRetryDelay() const;
+    bool isStoreFollower() const;
+    void updateFollowing();
     void registerNode();
     void refreshNodeList();
     void removeStaleNodeRecords(const std::vector<StoredObject> &listed);
     void scheduleTick();
     void tick();
-    void refreshOutdatedConfig();
     void logClockOffset();
     void waitForSignals();
     void beginShutdown();
@@ -78,7 +85,9 @@
     asio::io_context &m_context;
     ServingEnvironment m_environment;
     ServingState m_state;
+    StateExchange m_stateExchange;
     NodeExchange m_exchange;
+    FollowPolicy m_followPolicy;
     Listener m_entryListener;
     Listener m_directoryListener;
     Listener m_readinessListener;
@@ -88,8 +97,6 @@
     std::unique_ptr<StoreWatcher> m_engineWatcher;
     DutyCoordinator m_dutyCoordinator;
     ScalingDuty m_scalingDuty;
-    //! Time since which a peer has had a newer configuration.
-    std::optional<Timestamp> m_configOutdatedSince;
     std::int64_t m_loggedClockOffset = 0; //!< Last logged clock offset in milliseconds.
     asio::signal_set m_signals;
     asio::steady_timer m_tickTimer;
@@ -99,7 +106,8 @@
     Timestamp m_stopStartTime;
     //! Listed nodes that send no reports, with the time since when this is so.
     std::map<std::string, Timestamp> m_silentSince;
-    bool m_isRegistered = false; //!< The object store lists this node.
+    bool m_isRegistered = false; //!< The object store has this node's record.
+    bool m_isListed = false; //!< A list of the nodes has contained this node.
     bool m_registrationPending = false; //!< A write of this node's record is in progress.
     bool m_isEntryClosed = false; //!< The entry no longer accepts connections.
 };
--- a/Source/Serving/servingsettings.h
+++ b/Source/Serving/servingsettings.h
@@ -4,6 +4,7 @@
 #include "Http/httptypes.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,10 @@
     Milliseconds resendWindow {10000}; //!< Window in which requests and resends are counted.
     double resendSlack = 0.0; //!< Resends of all nodes that are allowed beyond the ratio.
     std::size_t descriptorLimit = 1024; //!< Limit of open file descriptors of the process.
+    int capacityMillicores = 1000; //!< Processor share of the machine, in thousandths of a core.
+    //! Time after which a node that cannot know whether an account key was revoked refuses it;
+    //! unset if keys stay valid until the node learns of a revocation.
+    std::optional<Milliseconds> revocationLimit {};
 };
 
 } // namespace sesame
--- a/Source/Serving/servingstate.cpp
+++ b/Source/Serving/servingstate.cpp
@@ -10,6 +10,18 @@
 //! Share of a quota's burst that is available after a restart. The node does not know how much its
 //! previous incarnation consumed, and the peers account only for an equal share.
 constexpr double restartQuotaShare = 0.25;
+//! Part of the time after which a revoked key must be refused that covers the transit of messages
+//! and the differences between clocks.
+constexpr Duration revocationMargin = std::chrono::milliseconds(500);
+
+wire::Member selfMember(const ServingSettings &settings)
+{
+    wire::Member member;
+    member.node = settings.node;
+    member.entryAddress = settings.entryAddressText;
+    member.capacity = settings.capacityMillicores;
+    return member;
+}
 
 } // namespace
 
@@ -19,7 +31,8 @@
       connectionPool(ioContext), resendBudget({.ratio = nodeSettings.resendRatio,
                                                .slack = nodeSettings.resendSlack,
                                                .window = nodeSettings.resendWindow}),
-      trueTime(wallNow(), bootMillis())
+      usage(nodeSettings.zone), trueTime(wallNow(), bootMillis()),
+      peers(selfMember(nodeSettings), nodeSettings.zone), tally(peers)
 {
 }
 
@@ -45,7 +58,7 @@
 {
     const Timestamp now = steadyNow();
     QuotaBucket &bucket = quotas[account.name];
-    bucket.refill(now, peers.silentQuotaShare(now), peers.silenceLimit());
+    bucket.refill(now, quotaShares.silentShare(), peers.silenceLimit());
     return bucket;
 }
 
@@ -59,6 +72,23 @@
     return trueTime.now(bootMillis()) / settings.usageWindow.count();
 }
 
+bool ServingState::acceptsKeys() const
+{
+    if (!settings.revocationLimit)
+        return true;
+    const std::optional<Duration> age = configReplica.age(bootNow());
+    return age && *age + revocationMargin <= *settings.revocationLimit;
+}
+
+void ServingState::refreshPeerState()
+{
+    const Timestamp now = steadyNow();
+    engines.setPeerLoads(tally.peerLoads(now));
+    for (const auto &[fingerprint, count] : tally.peerCrashCounts(now))
+        crashes.setPeerCount(fingerprint, count, now);
+    quotaShares = tally.quotaShares(now);
+}
+
 std::string ServingState::reporterName() const
 {
     return settings.node + "#" + std::to_string(incarnation);
--- a/Source/Serving/servingstate.h
+++ b/Source/Serving/servingstate.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "Core/crashtable.h"
+#include "Core/deploymenttally.h"
 #include "Core/enginechooser.h"
 #include "Core/enginedirectory.h"
-#include "Core/peertable.h"
+#include "Core/objectreplica.h"
+#include "Core/peerdirectory.h"
 #include "Core/quotabucket.h"
 #include "Core/refusalmeter.h"
 #include "Core/resendbudget.h"
@@ -50,6 +52,17 @@
     */
     std::int64_t currentWindow() const;
 
+    /*!
+        Returns whether this node may still accept account keys: it knows the current configuration,
+        or did so recently enough that a key revoked since then may still be used.
+    */
+    bool acceptsKeys() const;
+
+    /*!
+        Takes over what the peers have in progress, have crashed and hold of the quotas.
+    */
+    void refreshPeerState();
+
     /*!
         Returns the name under which this incarnation of the node counts usage.
     */
@@ -68,11 +81,15 @@
     CrashTable crashes;
     UsageLedger usage;
     TrueTime trueTime;
-    PeerTable peers;
+    PeerDirectory peers;
+    DeploymentTally tally;
+    //! Shares of the quotas, updated with each report from a peer and at each tick.
+    QuotaShares quotaShares;
+    ObjectReplica configReplica;
+    ObjectReplica engineReplica;
     RefusalMeter refusals;
     ServingMetrics metrics;
     bool leaving = false; //!< The node is shutting down.
-    bool enginesListed = false; //!< The engines have been listed at least once.
     std::minstd_rand random {std::random_device {}()};
 };
 
--- a/Source/Serving/storewatcher.cpp
+++ b/Source/Serving/storewatcher.cpp
@@ -11,8 +11,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto minRetryDelay = 60ms;
-constexpr auto maxRetryDelay = 400ms;
+constexpr std::chrono::milliseconds minRetryDelay = 60ms;
+//! Limit of the exponent of the retry delay.
+constexpr int maxDoublings = 7;
 //! Minimum length of an outage in which entries may have lapsed. Entries lapse after three missed
 //! heartbeats, so a shorter outage cannot be the cause of a missing entry.
 constexpr auto minLapsingOutage = 1500ms;
@@ -25,14 +26,32 @@
 
 StoreWatcher::StoreWatcher(boost::asio::io_context &context,
                            std::unique_ptr<ObjectStoreClient> store, std::string kind,
-                           WatchWaitProvider watchWait, StoreWatchHandlers handlers)
-    : m_timer(context), m_store(std::move(store)), m_kind(std::move(kind)),
-      m_watchWait(std::move(watchWait)), m_handlers(std::move(handlers))
+                           std::chrono::milliseconds watchWait, DurationProvider maxRetryDelay,
+                           StoreWatchHandlers handlers)
+    : m_timer(context), m_store(std::move(store)), m_kind(std::move(kind)), m_watchWait(watchWait),
+      m_maxRetryDelay(std::move(maxRetryDelay)), m_handlers(std::move(handlers))
 {
 }
 
+void StoreWatcher::start()
+{
+    if (m_isStarted)
+        return;
+    m_isStarted = true;
+    m_mustRelist = true;
+    relist();
+}
+
+void StoreWatcher::stop()
+{
+    m_isStarted = false;
+    ++m_callNumber;
+    m_timer.cancel();
+}
+
 void StoreWatcher::relist()
 {
+    m_callStart = bootNow();
     m_store->list(m_kind, false, [this, call = ++m_callNumber](const StoreReadResult &result) {
         if (isCurrentCall(call))
             onListed(result);
@@ -41,22 +60,14 @@
 
 void StoreWatcher::watch()
 {
-    m_store->watch(m_kind, m_revision, m_watchWait(),
+    m_callStart = bootNow();
+    m_store->watch(m_kind, m_revision, m_watchWait,
                    [this, call = ++m_callNumber](const StoreReadResult &result) {
                        if (isCurrentCall(call))
                            onWatched(result);
                    });
 }
 
-void StoreWatcher::refresh()
-{
-    // After a failure, another call is already in progress or scheduled.
-    if (m_failureCount > 0 || m_mustRelist)
-        return;
-    m_mustRelist = true;
-    relist();
-}
-
 void StoreWatcher::onListed(const StoreReadResult &result)
 {
     if (result.status != StoreCallStatus::Ok) {
@@ -66,7 +77,7 @@
     onSuccess();
     m_mustRelist = false;
     m_revision = result.revision;
-    m_handlers.listed(result.objects, graceEnd());
+    m_handlers.listed(result.objects, readContext(m_callStart));
     watch();
 }
 
@@ -83,14 +94,16 @@
     }
     onSuccess();
     m_revision = std::max(m_revision, result.revision);
-    for (const StoredObject &object : result.objects)
-        m_handlers.changed(object, graceEnd());
+    // Without changes, the store has answered only after the whole wait.
+    const Timestamp waitEnd = m_callStart + m_watchWait;
+    const bool hasWaited = result.objects.empty() && bootNow() >= waitEnd;
+    m_handlers.changed(result.objects, readContext(hasWaited ? waitEnd : m_callStart));
     watch();
 }
 
 void StoreWatcher::onFailure()
 {
-    const auto now = steadyNow();
+    const auto now = bootNow();
     if (m_failureCount++ == 0)
         m_outageStart = now;
     if (m_isReachable && m_failureCount > 1) {
@@ -99,13 +112,13 @@
         if (m_handlers.reachabilityChanged)
             m_handlers.reachabilityChanged(false);
     }
-    const auto retryDelay = std::min(minRetryDelay * (1 << std::min(m_failureCount - 1, 4)),
-                                     maxRetryDelay);
+    const auto retryDelay = std::min(
+            minRetryDelay * (1 << std::min(m_failureCount - 1, maxDoublings)), m_maxRetryDelay());
     std::uniform_real_distribution<double> jitter(0.7, 1.3);
     m_timer.expires_after(
             std::chrono::duration_cast<std::chrono::milliseconds>(retryDelay * jitter(m_random)));
-    m_timer.async_wait([this](const boost::system::error_code &ec) {
-        if (ec)
+    m_timer.async_wait([this, call = m_callNumber](const boost::system::error_code &ec) {
+        if (ec || !isCurrentCall(call))
             return;
         if (m_mustRelist)
             relist();
@@ -118,7 +131,7 @@
 {
     if (m_failureCount == 0)
         return;
-    const auto now = steadyNow();
+    const auto now = bootNow();
     if (now - m_outageStart >= minLapsingOutage) {
         m_lastOutageEnd = now;
     }
@@ -131,11 +144,12 @@
         m_handlers.reachabilityChanged(true);
 }
 
-std::optional<Timestamp> StoreWatcher::graceEnd() const
+StoreReadContext StoreWatcher::readContext(Timestamp knownAt) const
 {
-    if (!m_lastOutageEnd || steadyNow() >= *m_lastOutageEnd + lapseGrace)
-        return std::nullopt;
-    return *m_lastOutageEnd + lapseGrace;
+    StoreReadContext context {.revision = m_revision, .knownAt = knownAt};
+    if (m_lastOutageEnd && bootNow() < *m_lastOutageEnd + lapseGrace)
+        context.graceEnd = *m_lastOutageEnd + lapseGrace;
+    return context;
 }
 
 } // namespace sesame
--- a/Source/Serving/storewatcher.h
+++ b/Source/Serving/storewatcher.h
@@ -10,17 +10,28 @@
 
 namespace sesame {
 
+/*!
+    What a StoreWatcher knows of the call that returned some objects. Times are those of the clock
+    that also advances while the machine is suspended.
+*/
+struct StoreReadContext
+{
+    std::uint64_t revision = 0; //!< Revision of the store that the state reflects after the call.
+    Timestamp knownAt; //!< The state was the current one at this time or later.
+    //! Set shortly after an outage of the store: until then, a missing object may be one that
+    //! lapsed during the outage and will return.
+    std::optional<Timestamp> graceEnd {};
+};
+
 /*!
     Handlers for the notifications of a StoreWatcher.
 */
 struct StoreWatchHandlers
 {
-    //! Receives all objects of the kind. Shortly after an outage of the store, \a graceEnd is set:
-    //! until then, a missing object may be one that lapsed during the outage and will return.
-    std::function<void(const std::vector<StoredObject> &, std::optional<Timestamp> graceEnd)>
-            listed;
-    //! Receives a changed or removed object; \a graceEnd is as above.
-    std::function<void(const StoredObject &, std::optional<Timestamp> graceEnd)> changed;
+    //! Receives all objects of the kind.
+    std::function<void(const std::vector<StoredObject> &, const StoreReadContext &)> listed;
+    //! Receives the changed and removed objects of one call, which may be none.
+    std::function<void(const std::vector<StoredObject> &, const StoreReadContext &)> changed;
     //! Receives whether the store can be reached, when that changes.
     std::function<void(bool reachable)> reachabilityChanged;
 };
@@ -34,27 +45,28 @@
 class StoreWatcher
 {
 public:
-    using WatchWaitProvider = std::function<std::chrono::milliseconds()>;
+    using DurationProvider = std::function<std::chrono::milliseconds()>;
 
     /*!
-        \a watchWait returns how long the next watch may wait for a change.
+        A watch waits up to \a watchWait for a change. \a maxRetryDelay returns the longest delay
+        after a failed call.
     */
     StoreWatcher(boost::asio::io_context &context, std::unique_ptr<ObjectStoreClient> store,
-                 std::string kind, WatchWaitProvider watchWait, StoreWatchHandlers handlers);
+                 std::string kind, std::chrono::milliseconds watchWait,
+                 DurationProvider maxRetryDelay, StoreWatchHandlers handlers);
 
     /*!
-        Starts with listing the objects.
+        Starts with listing the objects. Has no effect if the watcher has started already.
     */
-    void start() { relist(); }
+    void start();
 
     /*!
-        Lists the objects again without waiting for the current watch to end. Called when peers have
-        a change that this watcher has not seen.
+        Ignores the call in progress and sends no further ones.
     */
-    void refresh();
+    void stop();
+
+    bool isStarted() const { return m_isStarted; }
 
-    //! Returns the latest revision of the store that the watcher has seen.
-    std::uint64_t revision() const { return m_revision; }
     //! Returns whether the store can be reached.
     bool isReachable() const { return m_isReachable; }
 
@@ -66,18 +78,21 @@
     void onWatched(const StoreReadResult &result);
     void onFailure();
     void onSuccess();
-    std::optional<Timestamp> graceEnd() const;
+    StoreReadContext readContext(Timestamp knownAt) const;
 
     boost::asio::steady_timer m_timer;
     std::unique_ptr<ObjectStoreClient> m_store;
     std::string m_kind;
-    WatchWaitProvider m_watchWait;
+    std::chrono::milliseconds m_watchWait;
+    DurationProvider m_maxRetryDelay;
     StoreWatchHandlers m_handlers;
     //! Number of the latest call. Results of earlier calls are discarded.
     std::uint64_t m_callNumber = 0;
     std::uint64_t m_revision = 0;
     bool m_isReachable = true;
     bool m_mustRelist = true;
+    bool m_isStarted = false;
+    Timestamp m_callStart {}; //!< Start of the call in progress.
     int m_failureCount = 0; //!< Consecutive failures.
     Timestamp m_outageStart {};
     //! End of the last outage in which entries may have lapsed.
--- a/Tests/enginedirectorytest.cpp
+++ b/Tests/enginedirectorytest.cpp
@@ -18,7 +18,8 @@
 Test(enginedirectory, drainingEngineIsNotUsable)
 {
     EngineDirectory directory;
-    directory.replaceAll({makeEntry("a"), makeEntry("b")}, std::nullopt);
+    directory.update(makeEntry("a"));
+    directory.update(makeEntry("b"));
     EngineEntry leaving = makeEntry("a");
     leaving.draining = true;
     directory.update(leaving);
@@ -26,33 +27,6 @@
     cr_expect_str_eq(directory.findUsable("s")[0]->entry.id.c_str(), "b");
 }
 
-// Guards against an engine that stays in use after it left the list while the store is available.
-Test(enginedirectory, missingEngineIsRemovedAtOnce)
-{
-    EngineDirectory directory;
-    directory.replaceAll({makeEntry("a"), makeEntry("b")}, std::nullopt);
-    directory.replaceAll({makeEntry("b")}, std::nullopt);
-    cr_expect_eq(directory.findUsable("s").size(), 1U);
-}
-
-// Guards against removing all engines whose entries expired during an outage of the store, and
-// against keeping engines whose entries never return.
-Test(enginedirectory, lapsedEntriesAreKeptForAShortTime)
-{
-    EngineDirectory directory;
-    const Timestamp now {1h};
-    directory.replaceAll({makeEntry("a"), makeEntry("b")}, std::nullopt);
-    directory.replaceAll({}, now + 2s);
-    // A later list must not extend the grace time.
-    directory.replaceAll({}, now + 3s);
-    directory.removeExpired(now + 1900ms);
-    cr_expect_eq(directory.findUsable("s").size(), 2U);
-    directory.update(makeEntry("a"));
-    directory.removeExpired(now + 2s);
-    cr_assert_eq(directory.findUsable("s").size(), 1U);
-    cr_expect_str_eq(directory.findUsable("s")[0]->entry.id.c_str(), "a");
-}
-
 // Guards against load that is lost or counted forever when an engine leaves with open requests.
 Test(enginedirectory, engineThatLeftIsForgottenAfterItsLastRequest)
 {
--- a/Tests/quotabuckettest.cpp
+++ b/Tests/quotabuckettest.cpp
@@ -1,5 +1,4 @@
 #include "Core/quotabucket.h"
-#include "Core/peertable.h"
 #include "support/seededrun.h"
 
 #include <criterion/criterion.h>
@@ -18,6 +17,8 @@
 constexpr double rate = 50000.0;
 constexpr double burst = 50000.0;
 constexpr std::size_t nodes = 7;
+//! Time without a report after which a node counts as silent.
+constexpr Duration silenceLimit {std::chrono::milliseconds(500)};
 
 struct Grant
 {
@@ -70,7 +71,7 @@
     double silentShare(std::size_t n) const
     {
         // Missing reports are detected only after a delay.
-        if (m_now - m_partitionedSince < PeerTableOptions().silenceLimit)
+        if (m_now - m_partitionedSince < silenceLimit)
             return 0.0;
         std::size_t silent = 0;
         for (std::size_t other = 0; other < nodes; ++other)
@@ -82,7 +83,7 @@
     {
         std::uniform_real_distribution<double> cost(200.0, 12000.0);
         QuotaBucket &bucket = m_buckets[n];
-        bucket.refill(m_now, silentShare(n), PeerTableOptions().silenceLimit);
+        bucket.refill(m_now, silentShare(n), silenceLimit);
         const double units = cost(m_random);
         if (!bucket.tryTake(units))
             return;
@@ -98,7 +99,7 @@
         std::erase_if(m_reports, [this](const Report &report) {
             if (report.due > m_now || areSeparated(report.from, report.to))
                 return false;
-            m_buckets[report.to].chargePeerUsage(report.cost);
+            m_buckets[report.to].chargePeerUsage(report.cost, m_now);
             return true;
         });
     }
--- a/Tests/servingtablestest.cpp
+++ b/Tests/servingtablestest.cpp
@@ -1,28 +1,84 @@
 #include "Core/crashtable.h"
+#include "Core/deploymenttally.h"
 #include "Core/eventsplitter.h"
-#include "Core/peertable.h"
+#include "Core/followpolicy.h"
+#include "Core/peerdirectory.h"
 #include "Core/truetime.h"
 #include "Core/usageledger.h"
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace sesame;
 using namespace std::chrono_literals;
 
 namespace {
 
-wire::NodeReport makeReport(const std::string &node, std::int64_t sequence, double consumed)
+wire::Sender makeSender(const std::string &node, const std::string &zone, std::int64_t sequence,
+                        std::int64_t incarnation = 1)
+{
+    wire::Sender sender;
+    sender.member.node = node;
+    sender.member.entryAddress = "10.0.0.1:80";
+    sender.member.ready = true;
+    sender.zone = zone;
+    sender.incarnation = incarnation;
+    sender.sequence = sequence;
+    return sender;
+}
+
+wire::Tally makeTally(double consumed)
+{
+    wire::Tally tally;
+    tally.consumed["account"] = consumed;
+    return tally;
+}
+
+wire::MemberReport makeReport(double consumed)
 {
-    wire::NodeReport report;
-    report.node = node;
-    report.incarnation = 1;
-    report.sequence = sequence;
-    report.entryAddress = "10.0.0.1:80";
-    report.ready = true;
-    report.consumed["account"] = consumed;
+    wire::MemberReport report;
+    report.tally = makeTally(consumed);
     return report;
 }
 
+wire::ZoneReport makeZoneReport(double consumed, int nodes, int silent)
+{
+    wire::ZoneReport report;
+    report.tally = makeTally(consumed);
+    report.nodes = nodes;
+    report.silent = silent;
+    return report;
+}
+
+PeerDirectory makeDirectory()
+{
+    return PeerDirectory(makeSender("self", "z", 1).member, "z");
+}
+
+//! An aggregator with its view of the other nodes.
+struct Aggregator
+{
+    Aggregator() { tally.setAggregator(true); }
+
+    TallyGrowth recordMember(const wire::Sender &sender, const wire::MemberReport &report,
+                             Timestamp now)
+    {
+        peers.recordSender(sender, now);
+        return tally.recordMember(sender, report, now);
+    }
+
+    TallyGrowth recordZone(const wire::Sender &sender, const wire::ZoneReport &report,
+                           Timestamp now)
+    {
+        peers.recordSender(sender, now);
+        return tally.recordZone(sender, report, now);
+    }
+
+    PeerDirectory peers = makeDirectory();
+    DeploymentTally tally {peers};
+};
+
 } // namespace
 
 // Guards against refusing a harmless request that ran on the same engines as a crashing one.
@@ -70,12 +126,20 @@
 // sources.
 Test(usageledger, mergeIsIdempotent)
 {
-    UsageLedger ledger;
+    UsageLedger ledger("z");
     ledger.count(7, "a#1", "account");
-    ledger.merge(7, "b#1", {{"account", 5}});
-    ledger.merge(7, "b#1", {{"account", 5}});
-    ledger.merge(7, "b#1", {{"account", 3}});
+    ledger.mergeNode(7, "b#1", {{"account", 5}});
+    ledger.mergeNode(7, "b#1", {{"account", 5}});
+    ledger.mergeNode(7, "b#1", {{"account", 3}});
     cr_expect_eq(ledger.total(7)["account"], 6);
+    ledger.mergeZone(7, "other", {{"account", 4}});
+    ledger.mergeZone(7, "other", {{"account", 2}});
+    cr_expect_eq(ledger.total(7)["account"], 10);
+    // A sum of the own zone that another node has reported contains the same nodes.
+    ledger.mergeZone(7, "z", {{"account", 5}});
+    cr_expect_eq(ledger.total(7)["account"], 10);
+    ledger.mergeZone(7, "z", {{"account", 8}});
+    cr_expect_eq(ledger.total(7)["account"], 12);
     ledger.removeBefore(8);
     cr_expect(ledger.total(7).empty());
 }
@@ -91,43 +155,181 @@
 }
 
 // Guards against a peer's consumption that is charged twice or not at all.
-Test(peertable, reportsAreChargedOnce)
+Test(deploymenttally, reportsAreChargedOnce)
 {
-    PeerTable table;
+    Aggregator node;
     const Timestamp now {1h};
-    cr_expect(table.recordReport(makeReport("b", 1, 100.0), now).empty());
-    cr_expect_eq(table.recordReport(makeReport("b", 3, 130.0), now)["account"], 30.0);
+    cr_expect(node.recordMember(makeSender("b", "z", 1), makeReport(100.0), now).consumed.empty());
+    cr_expect_eq(
+            node.recordMember(makeSender("b", "z", 3), makeReport(130.0), now).consumed["account"],
+            30.0);
     // Datagrams may arrive out of order.
-    cr_expect(table.recordReport(makeReport("b", 2, 120.0), now).empty());
-    wire::NodeReport restarted = makeReport("b", 1, 20.0);
-    restarted.incarnation = 2;
-    cr_expect_eq(table.recordReport(restarted, now)["account"], 20.0);
+    cr_expect(node.recordMember(makeSender("b", "z", 2), makeReport(120.0), now).consumed.empty());
+    cr_expect_eq(node.recordMember(makeSender("b", "z", 1, 2), makeReport(20.0), now)
+                         .consumed["account"],
+                 20.0);
+}
+
+// Guards against counting the sum of a zone twice, because both of its aggregators report it, and
+// against losing a part of it when one takes over from the other.
+Test(deploymenttally, oneAggregatorOfAZoneCounts)
+{
+    Aggregator node;
+    Timestamp now {1h};
+    node.recordZone(makeSender("a", "other", 1), makeZoneReport(100.0, 2, 0), now);
+    node.recordZone(makeSender("b", "other", 1), makeZoneReport(50.0, 2, 0), now);
+    const auto sum = [](TallyGrowth growth) {
+        return growth.consumed["account"] + growth.late["account"];
+    };
+    double charged = 0.0;
+    charged += sum(node.recordZone(makeSender("a", "other", 2), makeZoneReport(110.0, 2, 0), now));
+    charged += sum(node.recordZone(makeSender("b", "other", 2), makeZoneReport(60.0, 2, 0), now));
+    cr_expect_eq(charged, 10.0);
+    now += 600ms;
+    charged += sum(node.recordZone(makeSender("b", "other", 3), makeZoneReport(75.0, 2, 0), now));
+    cr_expect_eq(charged, 25.0);
+}
+
+// Guards against a node that is charged for its own requests when a digest returns them.
+Test(deploymenttally, ownPartOfADigestIsNotCharged)
+{
+    PeerDirectory peers = makeDirectory();
+    DeploymentTally tally(peers);
+    const Timestamp now {1h};
+    tally.recordOwnReport(1, makeTally(10.0));
+    tally.recordOwnReport(2, makeTally(15.0));
+    wire::Digest digest;
+    digest.acknowledged = 1;
+    digest.consumed["account"] = 100.0;
+    digest.counted = true;
+    cr_expect(tally.recordDigest(makeSender("a", "z", 1), digest, now).consumed.empty());
+    digest.acknowledged = 2;
+    digest.consumed["account"] = 112.0;
+    cr_expect_eq(tally.recordDigest(makeSender("a", "z", 2), digest, now).consumed["account"], 7.0);
+    // A repeated digest adds nothing.
+    cr_expect(tally.recordDigest(makeSender("a", "z", 2), digest, now).consumed.empty());
+}
+
+// Guards against a load that a node counts twice because the digest contains its own requests.
+Test(deploymenttally, ownLoadIsTakenOutOfADigest)
+{
+    PeerDirectory peers = makeDirectory();
+    DeploymentTally tally(peers);
+    const Timestamp now {1h};
+    wire::Tally own;
+    own.engines["engine"].requests = 2;
+    own.engines["engine"].tokens = 20;
+    tally.recordOwnReport(1, own);
+    wire::Digest digest;
+    digest.acknowledged = 1;
+    digest.engines["engine"].requests = 5;
+    digest.engines["engine"].tokens = 50;
+    tally.recordDigest(makeSender("a", "z", 1), digest, now);
+    const auto loads = tally.peerLoads(now);
+    cr_expect_eq(loads.at("engine").requests, 3);
+    cr_expect_eq(loads.at("engine").tokens, 30);
+}
+
+// Guards against a network partition in which both sides grant the whole quota.
+Test(deploymenttally, silentNodesKeepTheirShare)
+{
+    Aggregator node;
+    const Timestamp now {1h};
+    node.recordMember(makeSender("b", "z", 1), makeReport(0.0), now);
+    node.recordZone(makeSender("c", "other", 1), makeZoneReport(0.0, 4, 1), now + 1s);
+    const QuotaShares shares = node.tally.quotaShares(now + 1s);
+    cr_expect_eq(shares.nodes, 6);
+    cr_expect_eq(shares.silent, 2);
+    // Without the other zone, all of its nodes are silent.
+    const QuotaShares alone = node.tally.quotaShares(now + 2s);
+    cr_expect_eq(alone.silent, 5);
+}
+
+// Guards against a node that grants from the whole quota although an aggregator of its zone does
+// not receive its reports, so that other zones do not count what it grants.
+Test(deploymenttally, uncountedNodeKeepsToItsOwnShare)
+{
+    PeerDirectory peers = makeDirectory();
+    DeploymentTally tally(peers);
+    const Timestamp now {1h};
+    wire::Digest digest;
+    digest.nodes = 8;
+    digest.counted = true;
+    tally.recordDigest(makeSender("a", "z", 1), digest, now);
+    cr_expect_eq(tally.quotaShares(now).silent, 0);
+    digest.counted = false;
+    tally.recordDigest(makeSender("a", "z", 2), digest, now);
+    cr_expect_eq(tally.quotaShares(now).silent, 7);
+    cr_expect_eq(tally.quotaShares(now + 2s).silent, 7);
 }
 
 // Guards against directing callers to a node that is silent, leaving or long gone.
-Test(peertable, directoryListsAliveNodes)
+Test(peerdirectory, directoryListsRunningNodes)
 {
-    PeerTable table;
+    PeerDirectory peers = makeDirectory();
     Timestamp now {1h};
-    table.addListedNode("old", "10.0.0.9:80", "z", now);
-    cr_expect(table.entryAddresses(now, false).empty());
-    cr_expect_eq(table.entryAddresses(now, true).size(), 1U);
-    table.recordReport(makeReport("b", 1, 0.0), now);
-    cr_expect_eq(table.entryAddresses(now, false).size(), 1U);
-    wire::NodeReport leaving = makeReport("b", 2, 0.0);
-    leaving.leaving = true;
-    table.recordReport(leaving, now);
-    cr_expect(table.entryAddresses(now, false).empty());
+    peers.addListedNode(makeSender("old", "z", 1).member, "z", now);
+    cr_expect(peers.entryAddresses(now, false).empty());
+    cr_expect_eq(peers.entryAddresses(now, true).size(), 1U);
+    peers.recordSender(makeSender("b", "z", 1), now);
+    cr_expect_eq(peers.entryAddresses(now, false).size(), 1U);
+    wire::Sender leaving = makeSender("b", "z", 2);
+    leaving.member.leaving = true;
+    peers.recordSender(leaving, now);
+    cr_expect(peers.entryAddresses(now, false).empty());
     now += 15s;
-    cr_expect_eq(table.removeExpired(now).size(), 2U);
+    cr_expect_eq(peers.removeExpired(now).size(), 2U);
 }
 
-// Guards against a network partition in which both sides grant the whole quota.
-Test(peertable, silentPeersKeepTheirShare)
+// Guards against directing callers to a node that its aggregator no longer lists.
+Test(peerdirectory, droppedFromTheListMeansGone)
+{
+    PeerDirectory peers = makeDirectory();
+    const Timestamp now {1h};
+    const std::vector<wire::Member> both {makeSender("b", "other", 1).member,
+                                          makeSender("c", "other", 1).member};
+    peers.recordMembers("a", "other", both, now);
+    cr_expect_eq(peers.entryAddresses(now, false).size(), 2U);
+    peers.recordMembers("a", "other", std::span(both).first(1), now + 200ms);
+    cr_expect_eq(peers.entryAddresses(now + 200ms, false).size(), 1U);
+    cr_expect(peers.entryAddresses(now + 3s, false).empty());
+}
+
+// Guards against aggregators on the smallest machines, and against waiting for one that is silent.
+Test(peerdirectory, largestRunningNodesAggregate)
 {
-    PeerTable table;
+    PeerDirectory peers = makeDirectory();
     const Timestamp now {1h};
-    table.recordReport(makeReport("b", 1, 0.0), now);
-    table.recordReport(makeReport("c", 1, 0.0), now + 1s);
-    cr_expect_float_eq(table.silentQuotaShare(now + 1s), 1.0 / 3.0, 1e-9);
+    for (const std::string name : {"b", "c", "d"}) {
+        wire::Sender sender = makeSender(name, "z", 1);
+        sender.member.capacity = name == "b" ? 100 : 500;
+        peers.recordSender(sender, now);
+    }
+    std::vector<std::string> chosen = peers.aggregators("z", now);
+    std::sort(chosen.begin(), chosen.end());
+    cr_expect(chosen == std::vector<std::string>({"c", "d"}));
+    peers.suspect("c", now);
+    cr_expect(peers.aggregators("z", now) == std::vector<std::string>({"d", "b"}));
+}
+
+// Guards against all nodes calling the store, and against nobody following it.
+Test(followpolicy, turnsToTheStoreWhenKnowledgeIsOld)
+{
+    FollowPolicy policy(0.0);
+    Timestamp now {1h};
+    FollowInputs inputs {.hearsPeers = true, .age = 500ms, .peerAge = 500ms};
+    cr_expect_not(policy.update(inputs, now));
+    inputs.age = 4s;
+    inputs.peerAge = 4s;
+    cr_expect(policy.update(inputs, now));
+    inputs.age = 100ms;
+    cr_expect(policy.update(inputs, now + 1s));
+    inputs.peerAge = 100ms;
+    cr_expect(policy.update(inputs, now + 2s));
+    cr_expect_not(policy.update(inputs, now + 5s));
+    inputs.hearsPeers = false;
+    cr_expect(policy.update(inputs, now + 6s));
+    FollowPolicy follower(0.0);
+    cr_expect(follower.update({.isFollower = true, .hearsPeers = true, .age = 0s, .peerAge = 0s},
+                              now));
 }
--- a/Tests/support/fuzztargets.cpp
+++ b/Tests/support/fuzztargets.cpp
@@ -1,7 +1,7 @@
 #include "support/fuzztargets.h"
 
 #include "Core/eventsplitter.h"
-#include "Core/peertable.h"
+#include "Core/reportexchange.h"
 #include "Core/wireformat.h"
 #include "Http/clientconnection.h"
 #include "Http/listener.h"
@@ -84,17 +84,31 @@
 
 void feedReport(std::string_view bytes)
 {
-    const auto report = decodeWire<wire::NodeReport>(bytes);
-    if (!report)
+    const auto datagram = decodeWire<wire::Datagram>(bytes);
+    if (!datagram)
         return;
-    PeerTable peers;
+    wire::Member self;
+    self.node = "fuzzed-node";
+    PeerDirectory peers(self, "z");
+    DeploymentTally tally(peers);
+    ReportExchange exchange(peers, tally, 1);
     const Timestamp now {1h};
-    peers.recordReport(*report, now);
-    for (const auto &[account, growth] : peers.recordReport(*report, now))
-        require(growth == 0.0, "a repeated report adds no consumption");
-    peers.engineLoads(now);
+    if (!exchange.isAcceptable(*datagram))
+        return;
+    exchange.apply(*datagram, now);
+    const TallyGrowth repeated = exchange.apply(*datagram, now);
+    require(repeated.consumed.empty() && repeated.refused.empty(),
+            "a repeated report adds no consumption");
+    const QuotaShares shares = tally.quotaShares(now);
+    require(shares.nodes >= 1 && shares.silent >= 0 && shares.silent < shares.nodes,
+            "a node holds a part of the quotas");
+    ReportInputs inputs;
+    inputs.sender.member = self;
+    inputs.sender.zone = "z";
+    exchange.makeDatagrams(inputs, now);
+    tally.peerLoads(now);
+    tally.peerCrashCounts(now);
     peers.entryAddresses(now, true);
-    peers.crashCounts();
 }
 
 /*!
