Close the connections over which state is fetched

Cause: an idle connection stayed open until the server's timeout, so that an aggregator of 33 nodes ran out of connections and the others turned to the store.

--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -182,10 +182,10 @@
     return std::nullopt;
 }
 
-std::unique_ptr<StoreWatcher>
-ServingNode::makeWatcher(const std::string &kind, std::chrono::milliseconds wait,
-                         ObjectReplica &replica,
-                         std::function<void(std::span<const ReplicaObject>)> apply)
+std::unique_ptr<StoreWatcher> ServingNode::makeWatcher(const std::string &kind,
+                                                       std::chrono::milliseconds wait,
+                                                       ObjectReplica &replica,
+                                                       const StateExchange::ChangeHandler &apply)
 {
     StoreWatchHandlers handlers;
     handlers.listed = [this, kind, &replica, apply](const std::vector<StoredObject> &objects,
--- a/Source/Serving/servingnode.h
+++ b/Source/Serving/servingnode.h
@@ -62,9 +62,10 @@
     void serveReadiness(const CallerConnection &connection, const RequestMessage &request);
     void serveMetrics(const CallerConnection &connection, const RequestMessage &request);
     bool isReady() const;
-    std::unique_ptr<StoreWatcher>
-    makeWatcher(const std::string &kind, std::chrono::milliseconds wait, ObjectReplica &replica,
-                std::function<void(std::span<const ReplicaObject>)> apply);
+    std::unique_ptr<StoreWatcher> makeWatcher(const std::string &kind,
+                                              std::chrono::milliseconds wait,
+                                              ObjectReplica &replica,
+                                              const StateExchange::ChangeHandler &apply);
     void applyConfig(std::span<const ReplicaObject> objects);
     void applyEngines(std::span<const ReplicaObject> objects);
     void applyEngine(const ReplicaObject &object);
--- a/Source/Serving/stateexchange.cpp
+++ b/Source/Serving/stateexchange.cpp
@@ -127,8 +127,11 @@
     const std::string target = std::string(pathPrefix) + name + std::string(sinceParameter)
             + std::to_string(since);
     const Timestamp start = bootNow();
+    HttpFields fields;
+    // Sources change, so an idle connection would only take a place at the source.
+    fields.set("Connection", "close");
     caller->call(
-            "GET", target, {}, "", fetchTimeout,
+            "GET", target, fields, "", fetchTimeout,
             [this, caller, name, start, peer = source.member.node](const CallResponse &response) {
                 Kind &fetched = m_kinds[name];
                 fetched.isFetching = false;
