Bound the bytes of engines that never finish an answer

Cause: an engine may send bytes without end that are no answer, in a header or a body. A stream's incomplete event and the responses before the awaited one were kept or skipped without a limit, and a stream that sent a byte now and then counted as making progress until the deadline.

Change: bounds on skipped responses (1 MiB), on bytes without an event that has an id (256 KiB) and on responses of the store and of peers (8 MiB); such an engine is avoided for some time. Only whole events count as progress.

Tests: endless headers, informational and stray responses (httpconnectiontest), endless and trickling streams with emulated engines (platformprocesstest), the splitter's limit (servingtablestest).

--- a/Emulator/emulatedengine.cpp
+++ b/Emulator/emulatedengine.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::size_t maxConnections = 256;
 constexpr int eventsBeforeBreak = 2;
+constexpr std::size_t endlessPieceBytes = 16384;
 
 } // namespace
 
@@ -82,6 +83,15 @@
         fields.erase("Sesameproxy-Response-Seal");
     if (fault == Fault::Encoded)
         fields.set("Content-Encoding", "gzip");
+    if (fault == Fault::EndlessBody || fault == Fault::Trickle) {
+        fields.set("Content-Type", "text/event-stream");
+        connection->beginStream(200, fields);
+        if (fault == Fault::EndlessBody)
+            sendEndless(connection);
+        else
+            sendTrickle(connection);
+        return;
+    }
     const bool isStream = toStd(request.target()).find("/stream/") != std::string_view::npos;
     if (!isStream) {
         connection->sendResponse(fault == Fault::Error ? 500 : 200, fields,
@@ -97,6 +107,26 @@
                fault == Fault::BrokenStream);
 }
 
+void EmulatedEngine::sendEndless(const ConnectionPtr &connection)
+{
+    connection->setDrainedHandler([weak = std::weak_ptr(connection)] {
+        if (const ConnectionPtr open = weak.lock())
+            open->sendChunk(std::string(endlessPieceBytes, 'x'));
+    });
+    connection->sendChunk(std::string(endlessPieceBytes, 'x'));
+}
+
+void EmulatedEngine::sendTrickle(const ConnectionPtr &connection)
+{
+    connection->sendChunk(":");
+    const auto timer = std::make_shared<asio::steady_timer>(m_context, m_trickleInterval);
+    timer->async_wait([this, timer, weak = std::weak_ptr(connection)](const auto &ec) {
+        const ConnectionPtr open = weak.lock();
+        if (!ec && open)
+            sendTrickle(open);
+    });
+}
+
 void EmulatedEngine::sendEvents(const ConnectionPtr &connection, const std::string &attempt,
                                 int next, bool breaksOff)
 {
--- a/Emulator/emulatedengine.h
+++ b/Emulator/emulatedengine.h
@@ -23,7 +23,9 @@
         NoAnswer, //!< Executes the request and never answers.
         Error, //!< Executes the request and answers with status 500.
         Unsigned, //!< Answers without the response signature.
-        Encoded //!< Declares a content encoding of the body.
+        Encoded, //!< Declares a content encoding of the body.
+        EndlessBody, //!< Sends bytes that are no events until the connection is closed.
+        Trickle //!< Sends a byte now and then, but no event.
     };
 
     EmulatedEngine(asio::io_context &context, std::string id, const Tcp::endpoint &address);
@@ -51,6 +53,8 @@
     void serve(const ConnectionPtr &connection, RequestMessage &&request);
     void sendEvents(const ConnectionPtr &connection, const std::string &attempt, int next,
                     bool breaksOff);
+    void sendEndless(const ConnectionPtr &connection);
+    void sendTrickle(const ConnectionPtr &connection);
     HttpFields answerFields(const std::string &attempt) const;
 
     asio::io_context &m_context;
@@ -60,6 +64,7 @@
     int m_faultyRequests = 0;
     int m_eventCount = 5;
     std::chrono::milliseconds m_eventInterval {5};
+    std::chrono::milliseconds m_trickleInterval {50};
     std::map<std::string, int> m_runCounts;
     int m_totalRunCount = 0;
     int m_cancelledCount = 0;
--- a/Source/Core/eventsplitter.cpp
+++ b/Source/Core/eventsplitter.cpp
@@ -4,8 +4,16 @@
 
 namespace sesame {
 
+namespace {
+
+//! Events of a model engine have an id and a few hundred bytes.
+constexpr std::size_t maxBytesWithoutId = 256U << 10U;
+
+} // namespace
+
 std::string EventSplitter::append(std::string_view bytes)
 {
+    m_bytesSinceId += bytes.size();
     m_partial.append(bytes);
     // Events are delimited by their lines alone, however their bytes are split on arrival.
     std::size_t complete = 0;
@@ -27,8 +35,14 @@
     return events;
 }
 
+bool EventSplitter::isOverrun() const
+{
+    return m_bytesSinceId > maxBytesWithoutId;
+}
+
 void EventSplitter::dropPartial()
 {
+    m_bytesSinceId = 0;
     m_partial.clear();
     m_lineStart = 0;
     m_hasLines = false;
@@ -51,8 +65,10 @@
     if (!std::exchange(m_hasLines, false))
         return;
     ++m_eventCount;
-    if (m_pendingId)
-        m_lastId = *std::exchange(m_pendingId, std::nullopt);
+    if (!m_pendingId)
+        return;
+    m_lastId = *std::exchange(m_pendingId, std::nullopt);
+    m_bytesSinceId = m_partial.size() - m_lineStart;
 }
 
 } // namespace sesame
--- a/Source/Core/eventsplitter.h
+++ b/Source/Core/eventsplitter.h
@@ -33,6 +33,12 @@
     */
     const std::string &lastId() const { return m_lastId; }
 
+    /*!
+        Returns whether so many bytes have arrived without the end of an event that has an id that
+       they are no stream of events.
+    */
+    bool isOverrun() const;
+
     /*!
         Returns the number of complete events.
     */
@@ -48,6 +54,7 @@
     std::optional<std::string> m_pendingId; //!< Id of the incomplete event.
     std::string m_lastId;
     std::size_t m_eventCount = 0;
+    std::size_t m_bytesSinceId = 0; //!< Bytes since the last complete event with an id.
 };
 
 } // namespace sesame
--- a/Source/Http/clientconnection.cpp
+++ b/Source/Http/clientconnection.cpp
@@ -17,6 +17,9 @@
 
 constexpr std::size_t readChunkBytes = 16384;
 constexpr std::uint32_t responseHeaderLimitBytes = 65536;
+//! Bytes of informational responses, and of responses to other requests, that may come before the
+//! awaited response.
+constexpr std::size_t maxSkippedBytes = 1U << 20U;
 //! Idle timeout that is assumed for a server that sends no Keep-Alive field with a timeout.
 constexpr auto defaultServerIdleTimeout = 4000ms;
 //! A persistent connection is not reused when less than this is left of the server's idle timeout.
@@ -93,6 +96,8 @@
     m_exchanging = true;
     m_requestWritten = false;
     m_keptAlive = false;
+    m_skipping = false;
+    m_skippedBytes = 0;
     m_parser.reset();
     asio::async_write(
             m_socket, asio::buffer(m_output),
@@ -165,6 +170,12 @@
         }
         if (m_parser->is_header_done() && !processHead())
             return;
+        if (m_skipping)
+            m_skippedBytes += n;
+        if (m_skippedBytes > maxSkippedBytes) {
+            failExchange(ExchangeFailure::Malformed);
+            return;
+        }
         forwardBody();
         if (!m_open || !m_exchanging)
             return;
--- a/Source/Http/clientconnection.h
+++ b/Source/Http/clientconnection.h
@@ -125,6 +125,7 @@
     bool m_isHead = false;
     bool m_headProcessed = false;
     bool m_skipping = false;
+    std::size_t m_skippedBytes = 0; //!< Bytes of skipped responses in the current exchange.
     bool m_requestWritten = false;
     bool m_reading = false;
     bool m_paused = false;
--- a/Source/Http/httpcaller.cpp
+++ b/Source/Http/httpcaller.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+//! Values of the store have up to a megabyte, and its lists a little more.
+constexpr std::size_t maxResponseBytes = 8U << 20U;
+
 //! A call in progress. It finishes exactly once: with a response, a failure or the timeout.
 struct PendingCall : std::enable_shared_from_this<PendingCall>
 {
@@ -33,6 +36,10 @@
         };
         sink.body = [self](std::string_view piece) {
             self->response.body.append(piece);
+            if (self->response.body.size() <= maxResponseBytes)
+                return;
+            self->connection->close();
+            self->finish({});
         };
         sink.done = [self, idle] {
             if (self->connection->isReusable(ClientConnection::Clock::now()))
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -325,13 +325,29 @@
 void ProxiedRequest::onResponseBody(std::string_view piece)
 {
     if (isSuccessStatus(m_responseStatus) && m_responseInfo.isEventStream) {
-        restartStallTimer();
-        relayEvents(m_eventSplitter.append(piece));
+        const std::string events = m_eventSplitter.append(piece);
+        // Bytes that do not add up to an event are no sign that the engine makes progress.
+        if (!events.empty())
+            restartStallTimer();
+        if (m_eventSplitter.isOverrun())
+            abandonEngine("bytes without end that are no events");
+        else
+            relayEvents(events);
         return;
     }
     m_responseBody.append(piece);
-    if (m_responseBody.size() <= maxBufferedResponseBytes)
-        return;
+    if (m_responseBody.size() > maxBufferedResponseBytes)
+        abandonEngine("body without end");
+}
+
+/*!
+    Ends the exchange with an engine whose bytes are no answer, and avoids the engine for some time.
+*/
+void ProxiedRequest::abandonEngine(std::string_view reason)
+{
+    logEvent(LogLevel::Warning, "engine.exchange_failed",
+             {{"request", m_requestInfo.id}, {"engine", m_engineId}, {"reason", reason}});
+    m_state.engines.recordConnectFailure(m_engineId, steadyNow());
     m_connection->close();
     handleUnsuccessfulSend(SendOutcome::Unknown);
 }
@@ -412,6 +428,8 @@
                std::chrono::duration<double, std::milli>(steadyNow() - m_sendStartTime).count()}});
     if (failure == ExchangeFailure::Closed)
         checkForCrash();
+    else
+        m_state.engines.recordConnectFailure(m_engineId, steadyNow());
     handleUnsuccessfulSend(SendOutcome::Unknown);
 }
 
--- a/Source/Serving/proxiedrequest.h
+++ b/Source/Serving/proxiedrequest.h
@@ -48,6 +48,7 @@
     ResponseSink makeResponseSink();
     ResponseSink::Verdict onResponseHead(const ResponseHead &head);
     void onResponseBody(std::string_view piece);
+    void abandonEngine(std::string_view reason);
     void onResponseComplete();
     void onExchangeFailed(ExchangeFailure failure);
     void relayEvents(const std::string &events);
--- a/Tests/httpconnectiontest.cpp
+++ b/Tests/httpconnectiontest.cpp
@@ -158,6 +158,27 @@
 
 } // namespace
 
+// Guards against an engine that sends a header, or responses that belong to no request, without
+// end.
+Test(clientconnection, endlessBytesBeforeTheResponseEndTheExchange)
+{
+    std::string header = "HTTP/1.1 200 OK\r\n";
+    for (int i = 0; i < 20000; ++i)
+        header += "X-Field: value\r\n";
+    const ExchangeResult headerResult = ::exchange(header, ScriptedServer::End::Keep);
+    cr_expect(headerResult.failure == ExchangeFailure::Malformed);
+    std::string skipped;
+    while (skipped.size() < (2U << 20U))
+        skipped += "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nother";
+    const ExchangeResult skippedResult = ::exchange(skipped, ScriptedServer::End::Keep);
+    cr_expect(skippedResult.failure == ExchangeFailure::Malformed);
+    std::string informational;
+    while (informational.size() < (2U << 20U))
+        informational += "HTTP/1.1 100 Continue\r\n\r\n";
+    const ExchangeResult informationalResult = ::exchange(informational, ScriptedServer::End::Keep);
+    cr_expect(informationalResult.failure == ExchangeFailure::Malformed);
+}
+
 // Guards against a truncated response that is treated as complete.
 Test(clientconnection, truncatedResponsesAreNotComplete)
 {
--- a/Tests/platformprocesstest.cpp
+++ b/Tests/platformprocesstest.cpp
@@ -278,3 +278,34 @@
     cr_assert(answer.has_value());
     cr_expect(answer->body == formatEvents(1, 5), "%s", answer->body.c_str());
 }
+
+// Guards against engines that send bytes without end which are no answer, and against streams that
+// make no progress but send a byte now and then. The caller is served by another engine where the
+// route allows it, and gets no partial answer that looks complete otherwise.
+Test(platform, enginesThatNeverFinishAreLeft)
+{
+    using Fault = EmulatedEngine::Fault;
+    PlatformDeployment deployment(21700, 1);
+    for (const auto fault : {Fault::EndlessBody, Fault::Trickle}) {
+        const std::string name = fault == Fault::EndlessBody ? "endless-" : "trickle-";
+        deployment.setFault(Fault::None, 0);
+        deployment.platform.engines[0]->setFault(fault, 1);
+        deployment.platform.engines[1]->setFault(fault, 1);
+        int resent = 0;
+        for (int i = 0; i < 6; ++i) {
+            const std::string id = name + std::to_string(i);
+            const auto start = std::chrono::steady_clock::now();
+            const CallResponse answer = deployment.sendRequest(1, "POST", "/stream/again/x", id);
+            cr_expect_lt((std::chrono::steady_clock::now() - start) / 1ms, 2500);
+            if (answer.status == 200)
+                cr_expect(answer.body == formatEvents(1, 5), "%s", answer.body.c_str());
+            resent += deployment.executionCount(id) == 2 ? 1 : 0;
+            cr_expect_leq(deployment.executionCount(id), 2);
+        }
+        cr_expect_geq(resent, 1);
+    }
+    // A booking must not be repeated. Its buffered answer is bounded too.
+    deployment.setFault(Fault::EndlessBody, 1);
+    cr_expect_eq(deployment.sendRequest(1, "POST", "/book/x", "b-1").status, 502U);
+    cr_expect_eq(deployment.executionCount("b-1"), 1);
+}
--- a/Tests/servingtablestest.cpp
+++ b/Tests/servingtablestest.cpp
@@ -122,6 +122,27 @@
     cr_expect_str_eq(splitter.lastId().c_str(), "3");
 }
 
+// Guards against memory that grows without limit when an engine sends bytes that are no events,
+// with and without empty lines between them.
+Test(eventsplitter, bytesWithoutEventsAreAnOverrun)
+{
+    const std::string piece(16384, 'x');
+    for (const std::string end : {"", "\n\n"}) {
+        EventSplitter splitter;
+        splitter.append("id: 1\ndata: a\n\n");
+        std::size_t n = 0;
+        while (!splitter.isOverrun() && n < 1000) {
+            splitter.append(piece + end);
+            ++n;
+        }
+        cr_expect_lt(n, 100U);
+    }
+    EventSplitter splitter;
+    for (int i = 0; i < 1000; ++i)
+        splitter.append("id: " + std::to_string(i) + "\ndata: " + piece + "\n\n");
+    cr_expect_not(splitter.isOverrun());
+}
+
 // Guards against counting usage twice if a datagram is repeated or the counts come from two
 // sources.
 Test(usageledger, mergeIsIdempotent)
