Plan as many requests for engines with few slots

Cause: the plan gave each engine 0.18 of its slots, 2.9 requests with 16 slots and 8.6 with 48, though an engine takes the same time for a prompt whatever its slots.

Change: an engine is planned to have 6 requests in progress at least, up to half of its slots. The test failed before.

--- a/Source/Core/engineplanner.cpp
+++ b/Source/Core/engineplanner.cpp
@@ -147,7 +147,7 @@
     const int present = std::max(spot, static_cast<int>(engines.size()) - spot);
     if (m_initialEngines == 0)
         m_initialEngines = present;
-    const double loadPerEngine = m_slotsPerEngine * m_options.targetUtilization;
+    const double loadPerEngine = plannedLoadPerEngine();
     int need = static_cast<int>(
             std::ceil(m_averageLoad / loadPerEngine * m_options.zoneLossFactor));
     // Requests accumulate while engines start. Limiting the growth keeps the plan from treating
@@ -167,6 +167,16 @@
     return m_recentNeeds.front().second;
 }
 
+/*!
+    Returns the requests that are planned to be in progress at one engine.
+*/
+double EnginePlanner::plannedLoadPerEngine() const
+{
+    const double load = std::max(m_slotsPerEngine * m_options.targetUtilization,
+                                 m_options.minLoadPerEngine);
+    return std::min(load, m_slotsPerEngine * m_options.maxUtilization);
+}
+
 /*!
     Distributes \a total engines evenly over the zones, with at least \a minPerZone in each. The
     remainder goes to the cheapest zones.
--- a/Source/Core/engineplanner.h
+++ b/Source/Core/engineplanner.h
@@ -34,6 +34,10 @@
     //! Share of an engine's slots that is planned to be in use. The rest keeps the time to the
     //! first event short while the engine prefills long prompts.
     double targetUtilization = 0.18;
+    //! Requests that an engine with few slots is planned to have in progress. The time that prompts
+    //! take does not depend on the number of slots.
+    double minLoadPerEngine = 6.0;
+    double maxUtilization = 0.5; //!< Limit of the share of the slots for minLoadPerEngine.
     //! Factor on the needed engines that covers the loss of one of four availability zones.
     double zoneLossFactor = 1.34;
     //! Limit for the planned engines, as a multiple of the present engines.
@@ -115,6 +119,7 @@
 
     int estimateNeededEngines(const ScalingSpec &scaling, const std::vector<EngineState *> &engines,
                               double refusedPerSecond, Timestamp now);
+    double plannedLoadPerEngine() const;
     int planOnDemandEngines(int spot, int onDemand, int unplacedSpot) const;
     int moveFromZonesWithoutSpot(const ScalingSpec &scaling,
                                  const std::map<std::string, EngineCounts> &countsByZone,
--- a/Tests/engineplannertest.cpp
+++ b/Tests/engineplannertest.cpp
@@ -79,6 +79,7 @@
     Timestamp now {1h};
     std::map<std::pair<std::string, bool>, int> engineCounts;
     int load = 0;
+    int slotsPerEngine = 48;
     double refusedPerSecond = 0.0;
     int orders = 0;
     std::set<std::string> zonesWithoutSpot; //!< Zones that refuse orders of spot engines.
@@ -92,7 +93,10 @@
         for (const auto &[key, n] : engineCounts) {
             for (int i = 0; i < n; ++i) {
                 EngineState state;
-                state.entry = {.id = key.first, .zone = key.first, .slots = 48, .spot = key.second};
+                state.entry = {.id = key.first,
+                               .zone = key.first,
+                               .slots = slotsPerEngine,
+                               .spot = key.second};
                 states.push_back(state);
             }
         }
@@ -134,6 +138,18 @@
     cr_expect_geq(service.count(true), 13);
 }
 
+// Guards against three times the engines that are needed, because an engine with few slots is
+// planned to have few requests although it processes each of them as fast as others.
+Test(engineplanner, enginesWithFewSlotsCarryAsManyRequests)
+{
+    ScaledService service;
+    service.slotsPerEngine = 16;
+    service.load = 60;
+    service.run(60s, true);
+    cr_expect_leq(service.count(true), 14);
+    cr_expect_geq(service.count(true), 10);
+}
+
 // Guards against a service that is left without engines while no spot engines are available.
 Test(engineplanner, onDemandEnginesReplaceLostSpotEngines)
 {
