Keep the need of engines in the duties' record

Change: the holder writes the planned engines of each service into the record; the next holder counts them as a need of that moment.

--- a/Source/Core/engineplanner.cpp
+++ b/Source/Core/engineplanner.cpp
@@ -19,6 +19,13 @@
     return true;
 }
 
+void EnginePlanner::adoptNeed(int engines, Timestamp now)
+{
+    while (!m_recentNeeds.empty() && m_recentNeeds.back().second <= engines)
+        m_recentNeeds.pop_back();
+    m_recentNeeds.emplace_back(now, engines);
+}
+
 void EnginePlanner::clearOrders()
 {
     m_placedOrders.clear();
--- a/Source/Core/engineplanner.h
+++ b/Source/Core/engineplanner.h
@@ -81,6 +81,12 @@
     bool observeDemand(const ServiceSpec &service, const std::vector<EngineState *> &engines,
                        double refusedPerSecond, Timestamp now);
 
+    /*!
+        Takes over that an earlier holder of the duty needed \a engines engines until \a now, so
+       that a node which knows no demand of before does not release them.
+    */
+    void adoptNeed(int engines, Timestamp now);
+
     /*!
         Forgets all previous orders. Another node may have placed newer ones.
     */
--- a/Source/Serving/dutycoordinator.cpp
+++ b/Source/Serving/dutycoordinator.cpp
@@ -189,6 +189,11 @@
     m_decidedWindow = jsonInteger(content, "decidedWindow");
     m_decidedCounts = readCounts(json_object_get(content, "decidedCounts"));
     m_isDecisionStored = m_decidedWindow != 0;
+    const char *service = nullptr;
+    json_t *engines = nullptr;
+    json_object_foreach(json_object_get(content, "neededEngines"), service, engines)
+            m_state.neededEngines[service]
+            = static_cast<int>(json_integer_value(engines));
     const char *window = nullptr;
     json_t *zones = nullptr;
     json_object_foreach(json_object_get(content, "began"), window, zones)
@@ -216,6 +221,10 @@
     // Makes every write change the object. The store keeps the revision if a write changes nothing,
     // and the term would then appear to have lapsed.
     set("renewedAt", json_integer(bootMillis()));
+    json_t *needed = json_object();
+    for (const auto &[service, engines] : m_state.neededEngines)
+        json_object_set_new(needed, service.c_str(), json_integer(engines));
+    set("neededEngines", needed);
     json_t *began = json_object();
     const std::int64_t lastWindow = m_state.usage.lastWindow();
     const std::int64_t firstWindow = std::max(m_reportedThrough + 1, lastWindow - retainedWindows);
--- a/Source/Serving/scalingduty.cpp
+++ b/Source/Serving/scalingduty.cpp
@@ -42,8 +42,12 @@
         m_term = m_duties.term();
         for (auto &[name, planner] : m_planners)
             planner.clearOrders();
+        for (const auto &[name, engines] : m_state.neededEngines)
+            m_planners[name].adoptNeed(engines, steadyNow());
     }
     sendNextOrder();
+    for (const auto &[name, planner] : m_planners)
+        m_state.neededEngines[name] = planner.plannedEngines();
 }
 
 void ScalingDuty::observeDemand()
--- a/Source/Serving/servingstate.h
+++ b/Source/Serving/servingstate.h
@@ -88,6 +88,8 @@
     ObjectReplica configReplica;
     ObjectReplica engineReplica;
     RefusalMeter refusals;
+    //! Engines that the holder of the duties needs of each service, as its record tells.
+    std::map<std::string, int> neededEngines;
     ServingMetrics metrics;
     bool leaving = false; //!< The node is shutting down.
     std::minstd_rand random {std::random_device {}()};
--- a/Tests/engineplannertest.cpp
+++ b/Tests/engineplannertest.cpp
@@ -228,3 +228,20 @@
     service.run(200ms, true);
     cr_expect_geq(service.count(true), 13);
 }
+
+// Guards against a process that takes over the duty right after its start, knows no demand of
+// before and releases engines that are needed.
+Test(engineplanner, takeoverKeepsWhatTheLastHolderNeeded)
+{
+    ScaledService service;
+    service.load = 120;
+    service.run(30s, true);
+    const int before = service.count(true);
+    service.planner = EnginePlanner();
+    service.load = 10;
+    service.planner.adoptNeed(before, service.now);
+    service.run(10s, true);
+    cr_expect_eq(service.count(true), before);
+    service.run(30s, true);
+    cr_expect_lt(service.count(true), before);
+}
