Let second aggregators follow the store where there are few zones

Cause: a deployment in one zone had a single follower of the store. If its watch of the configuration fell silent, nobody else knew a newer version for three seconds.

Change: the followers are the first aggregators of the zones and then the second ones, four in all.

Tests: peerdirectory fewZonesHaveSeveralFollowers; keys are refused by processes that cannot know of a revocation (platformprocesstest). In enginesThatNeverFinishAreLeft, the faults now meet the requests whatever engine is chosen (it failed once when no request met one), and the limit of an answer's time is the caller's deadline of 3 s: with no attempt left, the route waits for its engine until then.

--- a/Emulator/emulatedplatform.cpp
+++ b/Emulator/emulatedplatform.cpp
@@ -96,6 +96,9 @@
     const auto format = [](const Tcp::endpoint &address) {
         return "\"" + address.address().to_string() + ":" + std::to_string(address.port()) + "\"\n";
     };
+    const std::string revocation = m_revocationLimit ? "  revokeFailClosed: true\n  revokeMs: "
+                    + std::to_string(m_revocationLimit->count()) + "\n"
+                                                     : "";
     const int exchange = m_firstPort + firstNodePortOffset + 3;
     return "nodeName: \"node-" + std::to_string(index) + "\"\nzone: \"z\"\nlisten:\n  frontend: "
             + format(entryAddress(index)) + "  readiness: " + format(readinessAddress(index))
@@ -103,9 +106,10 @@
             + std::to_string(exchange) + ", " + std::to_string(exchange + 1)
             + "]\nbootstrap: " + (isFirstStart ? "true" : "false")
             + "\nlimits:\n  fileDescriptors: 1000\nbounds:\n  leaseMs: 1500\n  graceS: 3\n"
-              "  reportWindowS: 1\n  retrySlack: 54\nplatform:\n  address: "
-            + format(endpoint(m_firstPort)) + "cloud:\n  address: "
-            + format(endpoint(m_firstPort + 1)) + "  duties: [\"metering\", \"autoscale\"]\n";
+              "  reportWindowS: 1\n  retrySlack: 54\n"
+            + revocation + "platform:\n  address: " + format(endpoint(m_firstPort))
+            + "cloud:\n  address: " + format(endpoint(m_firstPort + 1))
+            + "  duties: [\"metering\", \"autoscale\"]\n";
 }
 
 } // namespace sesame
--- a/Emulator/emulatedplatform.h
+++ b/Emulator/emulatedplatform.h
@@ -4,7 +4,9 @@
 #include "emulatedengine.h"
 #include "emulatedstore.h"
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,6 +60,12 @@
 
     Tcp::endpoint engineEndpoint(std::size_t index) const;
 
+    /*!
+        Makes formatSettings() demand that keys are refused \a limit after a node may have missed
+       their revocation.
+    */
+    void setRevocationLimit(std::chrono::milliseconds limit) { m_revocationLimit = limit; }
+
     EmulatedStore store;
     EmulatedDuties duties;
     std::vector<std::unique_ptr<EmulatedEngine>> engines; //!< The model engines come first.
@@ -69,6 +77,7 @@
 
     int m_firstPort;
     EngineCapacity m_engineCapacity;
+    std::optional<std::chrono::milliseconds> m_revocationLimit;
 };
 
 } // namespace sesame
--- a/Source/Core/peerdirectory.cpp
+++ b/Source/Core/peerdirectory.cpp
@@ -135,17 +135,18 @@
 
 std::vector<std::string> PeerDirectory::storeFollowers(Timestamp now) const
 {
-    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    // The first aggregators of all zones come before the second ones.
+    std::vector<std::tuple<std::size_t, std::uint64_t, std::string>> ranked;
     for (const std::string &zone : zones()) {
         const std::vector<std::string> nodes = aggregators(zone, now);
-        if (!nodes.empty())
-            ranked.emplace_back(XXH3_64bits(zone.data(), zone.size()), nodes.front());
+        for (std::size_t place = 0; place < nodes.size(); ++place)
+            ranked.emplace_back(place, XXH3_64bits(zone.data(), zone.size()), nodes[place]);
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<std::string> followers;
-    for (const auto &[hash, node] : ranked) {
+    for (const auto &item : ranked) {
         if (followers.size() < m_options.storeFollowers)
-            followers.push_back(node);
+            followers.push_back(std::get<std::string>(item));
     }
     return followers;
 }
--- a/Source/Core/peerdirectory.h
+++ b/Source/Core/peerdirectory.h
@@ -110,8 +110,8 @@
     std::vector<std::string> usualAggregators(const std::string &zone) const;
 
     /*!
-        Returns the nodes that follow the store for the others: first aggregators of different
-       zones.
+        Returns the nodes that follow the store for the others: the first aggregators of different
+        zones, and second ones if there are few zones.
     */
     std::vector<std::string> storeFollowers(Timestamp now) const;
 
--- a/Tests/platformprocesstest.cpp
+++ b/Tests/platformprocesstest.cpp
@@ -288,15 +288,17 @@
     PlatformDeployment deployment(21700, 1);
     for (const auto fault : {Fault::EndlessBody, Fault::Trickle}) {
         const std::string name = fault == Fault::EndlessBody ? "endless-" : "trickle-";
-        deployment.setFault(Fault::None, 0);
-        deployment.platform.engines[0]->setFault(fault, 1);
-        deployment.platform.engines[1]->setFault(fault, 1);
+        // Two attempts of the first request meet the fault, and so does the first one of the
+        // second.
+        for (std::size_t i = 0; i < EmulatedPlatform::modelEngineCount; ++i)
+            deployment.platform.engines[i]->setFault(fault, 1);
         int resent = 0;
         for (int i = 0; i < 6; ++i) {
             const std::string id = name + std::to_string(i);
             const auto start = std::chrono::steady_clock::now();
             const CallResponse answer = deployment.sendRequest(1, "POST", "/stream/again/x", id);
-            cr_expect_lt((std::chrono::steady_clock::now() - start) / 1ms, 2500);
+            // With no attempt left, the engine has until the caller's deadline of three seconds.
+            cr_expect_lt((std::chrono::steady_clock::now() - start) / 1ms, 3500);
             if (answer.status == 200)
                 cr_expect(answer.body == formatEvents(1, 5), "%s", answer.body.c_str());
             resent += deployment.executionCount(id) == 2 ? 1 : 0;
@@ -309,3 +311,29 @@
     cr_expect_eq(deployment.sendRequest(1, "POST", "/book/x", "b-1").status, 502U);
     cr_expect_eq(deployment.executionCount("b-1"), 1);
 }
+
+// Guards against a node that accepts a revoked key because it cannot know of the revocation, and
+// against refusing keys for longer than that.
+Test(platform, keysAreRefusedWhileARevocationMayHaveBeenMissed)
+{
+    constexpr auto limit = 3000ms;
+    PlatformDeployment deployment(21750, 2, limit);
+    cr_expect_eq(deployment.sendRequest(1, "GET", "/read/x", "k-1").status, 200U);
+    deployment.platform.store.setFault(EmulatedStore::Fault::NoAnswer);
+    const auto start = std::chrono::steady_clock::now();
+    const auto isRefused = [&] {
+        return deployment.sendRequest(1, "GET", "/read/x", "k-2").status == 503
+                && deployment.sendRequest(2, "GET", "/read/x", "k-3").status == 503;
+    };
+    cr_expect(deployment.runUntil(isRefused, limit));
+    cr_expect_gt(std::chrono::steady_clock::now() - start, 500ms, "keys are refused too early");
+    cr_expect_not(deployment.isReady(1));
+    cr_expect_eq(deployment.sendRequest(1, "GET", "/open/x", "o-1", "").status, 200U);
+    deployment.platform.store.setFault(EmulatedStore::Fault::None);
+    cr_expect(deployment.runUntil(
+            [&] {
+                return deployment.sendRequest(1, "GET", "/read/x", "k-4").status == 200
+                        && deployment.sendRequest(2, "GET", "/read/x", "k-5").status == 200;
+            },
+            3s));
+}
--- a/Tests/servingtablestest.cpp
+++ b/Tests/servingtablestest.cpp
@@ -9,6 +9,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <set>
 
 using namespace sesame;
 using namespace std::chrono_literals;
@@ -333,6 +334,28 @@
     cr_expect(peers.aggregators("z", now) == std::vector<std::string>({"d", "b"}));
 }
 
+// Guards against a deployment in one zone with a single follower, whose hanging watch nobody
+// notices.
+Test(peerdirectory, fewZonesHaveSeveralFollowers)
+{
+    PeerDirectory peers = makeDirectory();
+    const Timestamp now {1h};
+    for (const std::string name : {"b", "c", "d"})
+        peers.recordSender(makeSender(name, "z", 1), now);
+    cr_expect_eq(peers.storeFollowers(now).size(), 2U);
+    for (int zone = 0; zone < 6; ++zone)
+        peers.recordSender(makeSender("n" + std::to_string(zone), "z" + std::to_string(zone), 1),
+                           now);
+    const std::vector<std::string> followers = peers.storeFollowers(now);
+    cr_expect_eq(followers.size(), 4U);
+    std::set<std::string> zones;
+    for (const std::string &name : followers) {
+        const PeerNode *peer = peers.find(name);
+        zones.insert(peer ? peer->zone : "z");
+    }
+    cr_expect_eq(zones.size(), 4U);
+}
+
 // Guards against all nodes calling the store, and against nobody following it.
 Test(followpolicy, turnsToTheStoreWhenKnowledgeIsOld)
 {
--- a/Tests/support/platformdeployment.h
+++ b/Tests/support/platformdeployment.h
@@ -27,10 +27,16 @@
 {
 public:
     /*!
-        Starts \a nodes nodes on ports from \a firstPort and waits until they are ready.
+        Starts \a nodes nodes on ports from \a firstPort and waits until they are ready. If
+        \a revocationLimit is set, the nodes refuse keys that long after they may have missed a
+        revocation.
     */
-    PlatformDeployment(std::uint16_t firstPort, int nodes) : platform(context, firstPort)
+    PlatformDeployment(std::uint16_t firstPort, int nodes,
+                       std::optional<std::chrono::milliseconds> revocationLimit = {})
+        : platform(context, firstPort)
     {
+        if (revocationLimit)
+            platform.setRevocationLimit(*revocationLimit);
         std::string pattern = (std::filesystem::temp_directory_path() / "platformtest.XXXXXX");
         cr_assert_not_null(mkdtemp(pattern.data()));
         m_directory = pattern;
