Accept reports of a restarted node whose clock was set back

Cause: a process with an earlier start time than the one before it, as after a clock that was set back, counted as an old datagram. With the aggregators the node stayed heard, so that its consumption was ignored for good.

Change: an earlier start time counts as a new process once the last one is silent. The test failed before: nothing was charged for the restarted node.

--- a/Source/Core/deploymenttally.cpp
+++ b/Source/Core/deploymenttally.cpp
@@ -76,7 +76,8 @@
                                           const wire::MemberReport &report, Timestamp now)
 {
     MemberEntry &member = m_members[sender.member.node];
-    if (isLate(member.counters, sender))
+    const Counters &known = member.counters;
+    if (isLate(known.incarnation, known.sequence, member.receivedAt, sender, now))
         return {};
     const bool wasSilent = !isFresh(member.receivedAt, now);
     const TallyGrowth growth = update(member.counters, sender, report.tally, wasSilent);
@@ -94,7 +95,8 @@
 {
     ZoneEntry &zone = m_zones[sender.zone];
     ZoneSource &source = zone.sources[sender.member.node];
-    if (isLate(source.counters, sender))
+    const Counters &known = source.counters;
+    if (isLate(known.incarnation, known.sequence, source.receivedAt, sender, now))
         return {};
     const bool wasSilent = !isFresh(source.receivedAt, now);
     const TallyGrowth growth = update(source.counters, sender, report.tally, wasSilent);
@@ -114,8 +116,7 @@
 {
     const std::string &node = sender.member.node;
     DigestSource &source = m_digestSources[node];
-    if (sender.incarnation < source.incarnation
-        || (sender.incarnation == source.incarnation && sender.sequence <= source.sequence))
+    if (isLate(source.incarnation, source.sequence, source.receivedAt, sender, now))
         return {};
     const bool isCurrentFresh = isFresh(m_digestAt, now);
     if (!isCurrentFresh || m_currentDigestSource.empty())
@@ -346,10 +347,17 @@
     return time != Timestamp {} && now - time < m_peers.silenceLimit();
 }
 
-bool DeploymentTally::isLate(const Counters &counters, const wire::Sender &sender)
+/*!
+    Returns whether a datagram from \a sender is older than the last one from that node, of
+    \a incarnation and \a sequence. A process may have an earlier start time than the one before it
+   if the machine's clock was set back; it counts as the newer one once that is silent.
+*/
+bool DeploymentTally::isLate(std::int64_t incarnation, std::int64_t sequence, Timestamp receivedAt,
+                             const wire::Sender &sender, Timestamp now) const
 {
-    return sender.incarnation < counters.incarnation
-            || (sender.incarnation == counters.incarnation && sender.sequence <= counters.sequence);
+    if (sender.incarnation == incarnation)
+        return sender.sequence <= sequence;
+    return sender.incarnation < incarnation && isFresh(receivedAt, now);
 }
 
 /*!
--- a/Source/Core/deploymenttally.h
+++ b/Source/Core/deploymenttally.h
@@ -180,7 +180,8 @@
     static TallyGrowth update(Counters &counters, const wire::Sender &sender,
                               const wire::Tally &tally, bool wasSilent);
     void addToTotal(const TallyGrowth &growth);
-    static bool isLate(const Counters &counters, const wire::Sender &sender);
+    bool isLate(std::int64_t incarnation, std::int64_t sequence, Timestamp receivedAt,
+                const wire::Sender &sender, Timestamp now) const;
     const ZoneSource *currentSource(const ZoneEntry &zone) const;
     const wire::Tally *ownReport(std::int64_t sequence) const;
     int silentInZone(const std::string &zone, Timestamp now) const;
--- a/Tests/servingtablestest.cpp
+++ b/Tests/servingtablestest.cpp
@@ -192,6 +192,21 @@
                  20.0);
 }
 
+// Guards against ignoring a restarted node for good because its machine's clock was set back.
+Test(deploymenttally, restartWithAnEarlierClockIsTakenOver)
+{
+    Aggregator node;
+    const Timestamp now {1h};
+    node.recordMember(makeSender("b", "z", 5, 100), makeReport(10.0), now);
+    // A datagram of the process before may still be under way.
+    node.recordMember(makeSender("b", "z", 9, 90), makeReport(50.0), now + 100ms);
+    node.recordMember(makeSender("b", "z", 6, 100), makeReport(15.0), now + 120ms);
+    TallyGrowth growth = node.recordMember(makeSender("b", "z", 1, 90), makeReport(7.0), now + 2s);
+    cr_expect_eq(growth.late["account"], 7.0);
+    growth = node.recordMember(makeSender("b", "z", 2, 90), makeReport(9.0), now + 2100ms);
+    cr_expect_eq(growth.consumed["account"], 2.0);
+}
+
 // Guards against counting the sum of a zone twice, because both of its aggregators report it, and
 // against losing a part of it when one takes over from the other.
 Test(deploymenttally, oneAggregatorOfAZoneCounts)
