--- a/Source/Serving/storewatcher.h
+++ b/Source/Serving/storewatcher.h
@@ -40,7 +40,7 @@
     Follows all objects of one kind in the object store: lists them, then watches for changes.
 
     A connection may stop delivering data without an error. A watch on it ends at the time limit of
-    the call, or when refresh() is called.
+    the call.
 */
 class StoreWatcher
 {
