Keep a suspect's engine and repeat unconfirmed updates of suspects

Two faults were found by reading and are shown by tests: EngineSelector chose the engine of a suspect anew at each try, and each other choice started the wait of 2 s again; an update for a peer that did not answer within 200 ms was never sent again, so that the peer kept an engine reserved, or did not know of a crash.

--- a/Bench/simulation.cpp
+++ b/Bench/simulation.cpp
@@ -461,7 +461,10 @@
 void Simulation::exchangeSuspectUpdates()
 {
     for (std::size_t n = 0; n < m_nodes.size(); ++n) {
-        const auto updates = m_nodes[n].suspects.takeUpdates(m_now);
+        SuspectTable &suspects = m_nodes[n].suspects;
+        suspects.update(m_now);
+        const auto updates = suspects.updatesSince(m_nodes[n].sentSuspectSequence);
+        m_nodes[n].sentSuspectSequence = suspects.sequence();
         for (std::size_t to = 0; to < m_nodes.size(); ++to) {
             if (!updates.empty() && to != n && m_rules.sharedSuspects)
                 m_suspectUpdates.emplace_back(m_now + Duration(m_random() % 980000), to, updates);
--- a/Bench/simulation.h
+++ b/Bench/simulation.h
@@ -114,6 +114,7 @@
         sesame::AdmissionController admission;
         sesame::EngineRouter router;
         sesame::SuspectTable suspects;
+        std::uint64_t sentSuspectSequence = 0; //!< Changes up to this one were sent to the peers.
         sesame::RetryBudget budget;
         std::vector<EngineRecord> engines;
         std::map<std::uint64_t, std::size_t> tickets;
--- a/Source/Core/suspecttable.cpp
+++ b/Source/Core/suspecttable.cpp
@@ -33,7 +33,7 @@
 SuspectTable::Record &SuspectTable::markChanged(Fingerprint fingerprint, Timestamp now)
 {
     Record &record = m_records[fingerprint];
-    record.changed = true;
+    record.sequence = ++m_sequence;
     record.lastChangedAt = now;
     return record;
 }
@@ -47,7 +47,7 @@
     own.engine = engine;
     own.announcedAt = now;
     own.running = false;
-    record.changed = true;
+    record.sequence = ++m_sequence;
 }
 
 void SuspectTable::recordCrash(std::string_view engine, std::string_view zone,
@@ -97,7 +97,7 @@
         clearZoneCrashes(record);
         record.quarantined = record.quarantined
                 || countUnclearedCrashes(record) >= crashesToQuarantine;
-        record.changed = true;
+        record.sequence = ++m_sequence;
         record.lastChangedAt = now;
     }
 }
@@ -260,16 +260,15 @@
 {
     return SuspectUpdate {.fingerprint = fingerprint,
                           .holder = m_node,
-                          .sequence = m_sequence,
+                          .sequence = record.sequence,
                           .crashedOn = {record.crashedOn.begin(), record.crashedOn.end()},
                           .cleared = {record.cleared.begin(), record.cleared.end()},
                           .engine = announcedEngine(fingerprint),
                           .quarantined = record.quarantined};
 }
 
-std::vector<SuspectUpdate> SuspectTable::makeAllUpdates()
+std::vector<SuspectUpdate> SuspectTable::makeAllUpdates() const
 {
-    ++m_sequence;
     std::vector<SuspectUpdate> updates;
     updates.reserve(m_records.size());
     for (const auto &[fingerprint, record] : m_records)
@@ -277,17 +276,18 @@
     return updates;
 }
 
-std::vector<SuspectUpdate> SuspectTable::takeUpdates(Timestamp now)
+void SuspectTable::update(Timestamp now)
 {
     decideDueSuspects(now);
     removeExpired(now);
+}
+
+std::vector<SuspectUpdate> SuspectTable::updatesSince(std::uint64_t sequence) const
+{
     std::vector<SuspectUpdate> updates;
-    for (auto &[fingerprint, record] : m_records) {
-        if (!record.changed)
-            continue;
-        ++m_sequence;
-        updates.push_back(makeUpdate(fingerprint, record));
-        record.changed = false;
+    for (const auto &[fingerprint, record] : m_records) {
+        if (record.sequence > sequence)
+            updates.push_back(makeUpdate(fingerprint, record));
     }
     return updates;
 }
--- a/Source/Core/suspecttable.h
+++ b/Source/Core/suspecttable.h
@@ -131,15 +131,26 @@
     void forgetHolders(std::string_view prefix, std::string_view kept = {});
 
     /*!
-        Makes the quarantine decisions that are due, and returns the updates since the last call.
-        Call it at least every 100 ms and send the result to all peers.
+        Makes the quarantine decisions that are due. Call it at least every 100 ms.
     */
-    std::vector<SuspectUpdate> takeUpdates(Timestamp now);
+    void update(Timestamp now);
+
+    /*!
+        Returns the number of the latest change that this node made.
+    */
+    std::uint64_t sequence() const { return m_sequence; }
+
+    /*!
+        Returns the records that this node changed after its change \a sequence. A peer must get
+        them until it has confirmed them: a peer that misses the end of a run would keep the run's
+        engine from its own suspects.
+    */
+    std::vector<SuspectUpdate> updatesSince(std::uint64_t sequence) const;
 
     /*!
         Returns updates for all records of this table, for a node that has just joined.
     */
-    std::vector<SuspectUpdate> makeAllUpdates();
+    std::vector<SuspectUpdate> makeAllUpdates() const;
 
     /*!
         Merges \a updates from peers into this table.
@@ -163,7 +174,7 @@
         std::set<std::string> cleared;
         std::map<std::string, Announcement> announcements; //!< The key is the holder.
         bool quarantined = false;
-        bool changed = false; //!< True if changes were not sent to the peers yet.
+        std::uint64_t sequence = 0; //!< Number of this node's latest change of the record.
         Timestamp decisionDueAt {Timestamp::max()}; //!< Time at which crashes lead to quarantine.
         Timestamp lastChangedAt {};
     };
--- a/Source/Node/engineselector.cpp
+++ b/Source/Node/engineselector.cpp
@@ -92,6 +92,42 @@
     const Timestamp now = m_context.clock.now();
     const auto engines = m_context.backends.lock()->usableEngines(model->name,
                                                                   model->backendClasses, now);
+    auto index = findAnnouncedEngine(stream, engines, excluded);
+    if (!index)
+        index = routeToEngine(stream, engines, excluded);
+    if (!index)
+        return std::nullopt;
+    const BackendView &engine = engines[*index];
+    if (!canRunOn(stream, engine))
+        return std::nullopt;
+    if (!m_context.backends.lock()->beginCall(engine.id, engine.incarnation, now))
+        return std::nullopt;
+    m_context.router.lock()->recordSend(engine.id, stream.promptBlocks(), now);
+    return engine;
+}
+
+/*!
+    Returns the index of the engine that this node has announced for the suspect \a stream. A
+   suspect must stay with it while it is usable: each change of the engine starts the wait for the
+   peers' announcements again, and two nodes could evade each other for ever.
+*/
+std::optional<std::size_t>
+EngineSelector::findAnnouncedEngine(const ModelStream &stream,
+                                    const std::vector<BackendView> &engines,
+                                    const std::set<std::string> &excluded)
+{
+    const std::string announced = m_context.suspects.lock()->announcedEngine(stream.fingerprint());
+    for (std::size_t i = 0; !announced.empty() && i < engines.size(); ++i) {
+        if (formatIncarnation(engines[i]) == announced && !excluded.contains(engines[i].id))
+            return i;
+    }
+    return std::nullopt;
+}
+
+std::optional<std::size_t> EngineSelector::routeToEngine(ModelStream &stream,
+                                                         const std::vector<BackendView> &engines,
+                                                         const std::set<std::string> &excluded)
+{
     const std::vector<EngineView> views = makeEngineViews(engines);
     std::vector<std::string> excludedIds(excluded.begin(), excluded.end());
     excludeTakenEngines(stream, engines, excludedIds);
@@ -104,16 +140,10 @@
     query.liveNodes = m_context.countLiveNodes();
     query.tieBreak = stream.fingerprint();
     query.excluded = excludedIds;
-    const auto choice = m_context.router.lock()->choose(query, views, now);
+    const auto choice = m_context.router.lock()->choose(query, views, m_context.clock.now());
     if (!choice)
         return std::nullopt;
-    const BackendView &engine = engines[choice->engine];
-    if (!canRunOn(stream, engine))
-        return std::nullopt;
-    if (!m_context.backends.lock()->beginCall(engine.id, engine.incarnation, now))
-        return std::nullopt;
-    m_context.router.lock()->recordSend(engine.id, stream.promptBlocks(), now);
-    return engine;
+    return choice->engine;
 }
 
 void EngineSelector::excludeTakenEngines(const ModelStream &stream,
--- a/Source/Node/engineselector.h
+++ b/Source/Node/engineselector.h
@@ -40,6 +40,12 @@
     PoolCapacity measureCapacity(const std::vector<BackendView> &engines);
 
 private:
+    std::optional<std::size_t> findAnnouncedEngine(const ModelStream &stream,
+                                                   const std::vector<BackendView> &engines,
+                                                   const std::set<std::string> &excluded);
+    std::optional<std::size_t> routeToEngine(ModelStream &stream,
+                                             const std::vector<BackendView> &engines,
+                                             const std::set<std::string> &excluded);
     void excludeTakenEngines(const ModelStream &stream, const std::vector<BackendView> &engines,
                              std::vector<std::string> &excluded);
     bool canRunOn(const ModelStream &stream, const BackendView &engine);
--- a/Source/Node/peerexchange.cpp
+++ b/Source/Node/peerexchange.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t maxRumoursPerMessage = 12;
+constexpr Duration suspectRepeatDelay = std::chrono::milliseconds(100);
 
 wire::SuspectRumour toWire(const SuspectUpdate &rumour)
 {
@@ -57,7 +58,7 @@
         m_context.controlWorkers.submit([this, action] {
             sendProbe(action);
         });
-    sendSuspectRumours();
+    sendSuspectRumours(now);
 }
 
 wire::PeerRequest PeerExchange::makeRequest(std::string_view receiver)
@@ -97,28 +98,58 @@
         m_context.membership.lock()->recordAck(action.sequence);
 }
 
-void PeerExchange::sendSuspectRumours()
+void PeerExchange::sendSuspectRumours(Timestamp now)
 {
-    const auto rumours = m_context.suspects.lock()->takeUpdates(m_context.clock.now());
-    if (rumours.empty())
-        return;
-    for (const Peer &peer : m_context.membership.lock()->liveNodes()) {
+    std::uint64_t sequence = 0;
+    {
+        auto suspects = m_context.suspects.lock();
+        suspects->update(now);
+        sequence = suspects->sequence();
+    }
+    const std::vector<Peer> peers = m_context.membership.lock()->liveNodes();
+    auto deliveries = m_suspectDeliveries.lock();
+    for (const Peer &peer : peers) {
         if (peer.node == m_context.settings.node)
             continue;
-        m_context.controlWorkers.submit([this, peer, rumours] {
-            wire::PeerRequest request = makeRequest(peer.node);
-            request.suspects.reserve(rumours.size());
-            for (const SuspectUpdate &rumour : rumours)
-                request.suspects.push_back(toWire(rumour));
-            request.__set_ping(wire::Ping());
-            const auto reply = m_client.exchange({.address = peer.address, .node = peer.node},
-                                                 request);
-            if (reply)
-                applyAnswer(*reply);
+        SuspectDelivery &delivery = (*deliveries)[peer.node];
+        if (delivery.isSending || delivery.confirmed >= sequence || now < delivery.repeatAt)
+            continue;
+        delivery.isSending = true;
+        m_context.controlWorkers.submit([this, peer, confirmed = delivery.confirmed] {
+            sendSuspectRumours(peer, confirmed);
         });
     }
 }
 
+/*!
+    Sends \a peer the changes after \a confirmed. If it does not answer, tick() repeats them.
+*/
+void PeerExchange::sendSuspectRumours(const Peer &peer, std::uint64_t confirmed)
+{
+    wire::PeerRequest request = makeRequest(peer.node);
+    std::uint64_t sequence = 0;
+    {
+        auto suspects = m_context.suspects.lock();
+        sequence = suspects->sequence();
+        for (const SuspectUpdate &rumour : suspects->updatesSince(confirmed))
+            request.suspects.push_back(toWire(rumour));
+    }
+    request.__set_ping(wire::Ping());
+    const auto reply = m_client.exchange({.address = peer.address, .node = peer.node}, request);
+    {
+        auto deliveries = m_suspectDeliveries.lock();
+        SuspectDelivery &delivery = (*deliveries)[peer.node];
+        delivery.isSending = false;
+        // A peer that restarted meanwhile has lost what it confirmed.
+        if (reply && delivery.confirmed == confirmed)
+            delivery.confirmed = sequence;
+        if (!reply)
+            delivery.repeatAt = m_context.clock.now() + suspectRepeatDelay;
+    }
+    if (reply)
+        applyAnswer(*reply);
+}
+
 wire::PeerAnswer PeerExchange::handleRequest(const wire::PeerRequest &request,
                                              std::string_view sender)
 {
@@ -184,6 +215,12 @@
             return;
         incarnations->insert_or_assign(std::string(peer), incarnation);
     }
+    {
+        auto deliveries = m_suspectDeliveries.lock();
+        const auto it = deliveries->find(peer);
+        if (it != deliveries->end())
+            it->second.confirmed = 0;
+    }
     m_context.suspects.lock()->forgetHolders(std::string(peer) + "#",
                                              makeSuspectHolder(peer, incarnation));
 }
--- a/Source/Node/peerexchange.h
+++ b/Source/Node/peerexchange.h
@@ -46,7 +46,8 @@
 private:
     wire::PeerRequest makeRequest(std::string_view receiver);
     void sendProbe(const MembershipMessage &action);
-    void sendSuspectRumours();
+    void sendSuspectRumours(Timestamp now);
+    void sendSuspectRumours(const Peer &peer, std::uint64_t confirmed);
     bool probePeer(std::string_view target, std::int64_t sequence);
     void applyRumours(std::span<const wire::Rumour> rumours);
     void applySuspectRumours(const std::vector<wire::SuspectRumour> &rumours);
@@ -55,12 +56,24 @@
     void recordPeer(std::string_view peer, const Message &message);
     void recordIncarnation(std::string_view peer, std::int64_t incarnation);
 
+    /*!
+        What a peer has confirmed of this node's changes to the suspects.
+    */
+    struct SuspectDelivery
+    {
+        std::uint64_t confirmed = 0; //!< See SuspectTable::sequence().
+        bool isSending = false;
+        Timestamp repeatAt {};
+    };
+
     NodeContext &m_context;
     ModelService &m_models;
     HandoverService &m_handovers;
     PeerClient m_client;
     Guarded<std::map<std::string, std::int64_t, std::less<>>>
             m_incarnations; //!< The key is the peer.
+    Guarded<std::map<std::string, SuspectDelivery, std::less<>>>
+            m_suspectDeliveries; //!< The key is the peer.
 };
 
 } // namespace sesame
--- a/Tests/crashingrequestprocesstest.cpp
+++ b/Tests/crashingrequestprocesstest.cpp
@@ -1,4 +1,5 @@
 #include "Adapter/json.h"
+#include "support/printfigure.h"
 #include "support/testdeployment.h"
 
 #include <criterion/criterion.h>
@@ -49,3 +50,37 @@
     cr_expect_eq(jsonInteger(json_object_get(report.get(), "outcomes"), "complete"), 36, "%s",
                  text.c_str());
 }
+
+// Guards against requests from a crashed engine that never run again, because a node changes the
+// engine that it announced for them with each change of the load.
+Test(crashingrequest, suspectsRunAgainUnderChangingLoad)
+{
+    TestDeployment deployment(
+            {.nodes = 3, .engines = 5, .applications = 1, .tokenMillis = 20.0, .slots = 8});
+    const std::string changingLog = deployment.logFile("changing");
+    const pid_t changing = deployment.processes().start(
+            deployment.callerCommand("chat",
+                                     {"--model=loft-assessment", "--max_tokens=10", "--rate=40",
+                                      "--duration=15", "--concurrency=24", "--json"}),
+            changingLog);
+    const std::string log = deployment.logFile("load");
+    const pid_t load = deployment.processes().start(
+            deployment.callerCommand("chat",
+                                     {"--model=loft-assessment", "--max_tokens=200",
+                                      "--concurrency=10", "--requests=10", "--json"}),
+            log);
+    sleepMillis(1500);
+    deployment.processes().kill(deployment.engines().front().pid);
+    cr_expect_eq(deployment.processes().waitForExit(load, 90'000), 0, "%s", readFile(log).c_str());
+    const std::string text = readFile(log);
+    const JsonPtr report = parseJson(text.substr(std::min(text.find('{'), text.size())));
+    cr_expect_eq(jsonInteger(json_object_get(report.get(), "outcomes"), "complete"), 10, "%s",
+                 text.c_str());
+    // Twice the longest gossip delay for each of two suspects in turn, and the time of one run.
+    const double longestGap = json_real_value(
+            json_object_get(json_object_get(report.get(), "gap_ms"), "max"));
+    printFigure("longest gap %.0f ms", longestGap);
+    cr_expect_leq(longestGap, 8000.0, "%s", text.c_str());
+    cr_expect_eq(deployment.processes().waitForExit(changing, 30'000), 0, "%s",
+                 readFile(changingLog).c_str());
+}
--- a/Tests/suspecttabletest.cpp
+++ b/Tests/suspecttabletest.cpp
@@ -40,7 +40,7 @@
     cr_expect_not(table.isSuspect(2));
     table.recordCrash("e2", "z1", std::span(running).first(1), start + 4s);
     cr_expect_not(table.tryRunOn(1, "e4", start + 4s));
-    table.takeUpdates(start + 6s);
+    table.update(start + 6s);
     cr_expect(table.isQuarantined(1));
     cr_expect_not(table.isQuarantined(2));
 }
@@ -53,7 +53,7 @@
     table.recordCrash("e1", "z1", running, start);
     table.recordCrash("e2", "z2", running, start + 10s);
     table.recordCrash("e3", "z2", {}, start + 10500ms);
-    table.takeUpdates(start + 12s);
+    table.update(start + 12s);
     cr_expect_not(table.isQuarantined(1));
     cr_expect(table.isSuspect(1));
 }
@@ -67,7 +67,7 @@
     const std::vector<Fingerprint> running {1};
     first.recordCrash("e1", "z1", running, start);
     first.tryRunOn(1, "e2", start);
-    second.applyUpdates(first.takeUpdates(start), start + 500ms);
+    second.applyUpdates(first.updatesSince(0), start + 500ms);
     cr_expect(second.isSuspect(1));
     cr_expect(second.isHeldByPeer(1));
     cr_expect_not(second.tryRunOn(1, "e3", start + 5s));
@@ -85,6 +85,14 @@
 constexpr Fingerprint crashingRequest = 1;
 constexpr Duration tick = 10ms;
 
+struct CrashRunOptions
+{
+    bool shareUpdates = true;
+    bool resendsEarly = false; //!< Whether the caller sends before the nodes know of the crash.
+    unsigned lossPercent = 0; //!< Share of the messages between nodes that are lost.
+    int engines = 20;
+};
+
 /*!
     Simulates seven nodes, twenty engines and one request that crashes every engine that runs it.
     Its caller sends it again through the next node if it gets no answer. Updates between nodes
@@ -93,21 +101,20 @@
 class CrashRun
 {
 public:
-    CrashRun(std::uint64_t seed, bool shareUpdates, bool resendsEarly = false)
-        : m_random(seed), m_shareUpdates(shareUpdates), m_resendsEarly(resendsEarly)
+    CrashRun(std::uint64_t seed, CrashRunOptions options) : m_random(seed), m_options(options)
     {
         for (int i = 0; i < 7; ++i)
             m_nodes.emplace_back("n" + std::to_string(i));
-        for (int i = 0; i < 20; ++i)
+        for (int i = 0; i < m_options.engines; ++i)
             m_engines.push_back("e" + std::to_string(i));
     }
 
     std::string run(int steps)
     {
         // The request crashes an engine within 600 ms, and all nodes know of it 1 s later. Unless
-        // m_resendsEarly is set, the caller sends the request again after that time.
-        m_resendDelay = Duration(m_resendsEarly ? 0ms : 1700ms)
-                + Duration(m_random() % (m_resendsEarly ? 800000 : 6000000));
+        // m_options.resendsEarly is set, the caller sends the request again after that time.
+        m_resendDelay = Duration(m_options.resendsEarly ? 0ms : 1700ms)
+                + Duration(m_random() % (m_options.resendsEarly ? 800000 : 6000000));
         for (int i = 0; i < steps; ++i) {
             m_now += tick;
             step(i < steps - 1500);
@@ -124,6 +131,13 @@
         Timestamp endsAt {};
         bool suspect = false; //!< Whether it was a suspect when it was dispatched.
     };
+    //! What one node has told another one.
+    struct Link
+    {
+        std::uint64_t confirmed = 0;
+        int losses = 0; //!< In a row.
+        Timestamp repeatAt {};
+    };
     struct Message
     {
         std::size_t to = 0;
@@ -159,12 +173,10 @@
     void exchangeUpdates()
     {
         for (std::size_t n = 0; n < m_nodes.size(); ++n) {
-            const auto updates = m_nodes[n].takeUpdates(m_now);
+            m_nodes[n].update(m_now);
             for (std::size_t to = 0; to < m_nodes.size(); ++to) {
-                if (to != n && !updates.empty() && m_shareUpdates)
-                    m_messages.push_back({.to = to,
-                                          .at = m_now + Duration(m_random() % 980000),
-                                          .updates = updates});
+                if (to != n && m_options.shareUpdates)
+                    sendUpdates(n, to);
             }
         }
         std::erase_if(m_messages, [&](const Message &message) {
@@ -175,6 +187,25 @@
         });
     }
 
+    void sendUpdates(std::size_t from, std::size_t to)
+    {
+        Link &link = m_links[{from, to}];
+        const std::uint64_t sequence = m_nodes[from].sequence();
+        if (sequence == link.confirmed || m_now < link.repeatAt)
+            return;
+        // Three losses in a row and the last message take less than the longest gossip delay.
+        if (link.losses < 3 && m_random() % 100 < m_options.lossPercent) {
+            ++link.losses;
+            link.repeatAt = m_now + 300ms;
+            return;
+        }
+        const auto maxDelay = m_options.lossPercent > 0 ? 80000 : 980000;
+        m_messages.push_back({.to = to,
+                              .at = m_now + Duration(m_random() % maxDelay),
+                              .updates = m_nodes[from].updatesSince(link.confirmed)});
+        link = {.confirmed = sequence};
+    }
+
     void dispatch(Request &request)
     {
         SuspectTable &table = m_nodes[request.node];
@@ -243,7 +274,7 @@
         if (m_isEngineShared)
             return "two suspects ran on one engine";
         // A caller that resends early may reach every node before the first update does.
-        if (m_crashedEngines.size() > (m_resendsEarly ? m_nodes.size() + 1 : 2))
+        if (m_crashedEngines.size() > (m_options.resendsEarly ? m_nodes.size() + 1 : 2))
             return std::to_string(m_crashedEngines.size()) + " engines lost";
         if (m_crashedEngines.size() < 2 || !m_refused.contains(crashingRequest))
             return "the crashing request was not quarantined";
@@ -257,8 +288,7 @@
     }
 
     std::mt19937_64 m_random;
-    bool m_shareUpdates;
-    bool m_resendsEarly;
+    CrashRunOptions m_options;
     bool m_isEngineShared = false;
     Timestamp m_now = start;
     Timestamp m_nextSend = start;
@@ -268,6 +298,7 @@
     std::vector<SuspectTable> m_nodes;
     std::vector<std::string> m_engines;
     std::vector<Request> m_requests;
+    std::map<std::pair<std::size_t, std::size_t>, Link> m_links; //!< By sender and receiver.
     std::vector<Message> m_messages;
     std::set<std::string> m_crashedEngines;
     std::set<Fingerprint> m_refused;
@@ -280,7 +311,7 @@
 Test(suspectTable, crashingRequestIsBoundedInRandomRuns)
 {
     const auto run = [](std::uint64_t seed) {
-        return CrashRun(seed, true).run(6000);
+        return CrashRun(seed, {}).run(6000);
     };
     cr_expect_eq(runSeeds({31, 32, 33, 34, 35, 36, 37, 38}, run), 0);
 }
@@ -290,16 +321,26 @@
 Test(suspectTable, earlyResendsHarmNoOtherRequest)
 {
     const auto run = [](std::uint64_t seed) {
-        return CrashRun(seed, true, true).run(6000);
+        return CrashRun(seed, {.resendsEarly = true}).run(6000);
     };
     cr_expect_eq(runSeeds({61, 62, 63, 64}, run), 0);
 }
 
+// Guards against requests that wait for ever because a peer never received the end of another
+// suspect's run.
+Test(suspectTable, lostUpdatesAreRepeated)
+{
+    const auto run = [](std::uint64_t seed) {
+        return CrashRun(seed, {.resendsEarly = true, .lossPercent = 30, .engines = 10}).run(6000);
+    };
+    cr_expect_eq(runSeeds({81, 82, 83, 84}, run), 0);
+}
+
 // Checks that the simulation can fail: it must exceed the bound if nodes do not share updates.
 Test(suspectTable, unsharedTablesExceedTheBound)
 {
     int broken = 0;
     for (std::uint64_t seed = 1; seed <= 5; ++seed)
-        broken += CrashRun(seed, false).run(6000).empty() ? 0 : 1;
+        broken += CrashRun(seed, {.shareUpdates = false}).run(6000).empty() ? 0 : 1;
     cr_expect_gt(broken, 0);
 }
