Accept no stream that a stopping node could cut

Cause: a node accepts requests for 5.5 s of a stop grace of 8 s, because callers may use an old directory response, and ends its process after 7.6 s. Change: streams are refused with 503 and a Retry-After after 35% of the grace (2.8 s of 8 s); short requests are accepted as before. Measured: stoppingNodeAcceptsNoStreamThatItCouldCut failed before (a stream begun 5.4 s after SIGTERM was cut) and passes after.

--- a/Emulator/emulatedplatform.h
+++ b/Emulator/emulatedplatform.h
@@ -66,6 +66,12 @@
     */
     void setRevocationLimit(std::chrono::milliseconds limit) { m_revocationLimit = limit; }
 
+    /*!
+        Sets the time that nodes have from SIGTERM to their end. Applies to settings formatted
+        afterwards.
+    */
+    void setStopGrace(std::chrono::seconds grace) { m_stopGrace = grace; }
+
     EmulatedStore store;
     EmulatedDuties duties;
     std::vector<std::unique_ptr<EmulatedEngine>> engines; //!< The model engines come first.
@@ -78,6 +84,7 @@
     int m_firstPort;
     EngineCapacity m_engineCapacity;
     std::optional<std::chrono::milliseconds> m_revocationLimit;
+    std::chrono::seconds m_stopGrace {3};
 };
 
 } // namespace sesame
--- a/Source/Serving/requestadmission.cpp
+++ b/Source/Serving/requestadmission.cpp
@@ -52,6 +52,8 @@
             info.path, admitted.account ? admitted.account->name : info.host, body);
     if (m_state.crashes.isRefused(admitted.fingerprint))
         return refuse({unavailable, "this request has brought engines down", defaultRetryAfter});
+    if (admitted.route->kind == RouteKind::Streaming && steadyNow() >= m_state.streamsUntil)
+        return refuse({unavailable, "this node is shutting down", minRetryAfter});
     return chargeQuota(info, admitted);
 }
 
--- a/Source/Serving/requestadmission.h
+++ b/Source/Serving/requestadmission.h
@@ -30,7 +30,8 @@
 
 /*!
     Decides whether a request may be sent to an engine. Checks that it has a route and a known
-    account, that it has not crashed engines, and that the account has quota left, in this order.
+    account, that it has not crashed engines, that a stopping node can complete it, and that the
+    account has quota left, in this order.
 */
 class RequestAdmission
 {
--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -27,6 +27,8 @@
 constexpr Duration directoryDrainTime = 6s;
 //! Part of the stop grace that remains for open requests when the entry closes.
 constexpr Duration drainReserve = 2500ms;
+//! Share of the stop grace in which streams are accepted. The rest remains for their responses.
+constexpr double streamAcceptanceShare = 0.35;
 //! Part of the stop grace that is reserved for the exit of the process.
 constexpr Duration exitReserve = 400ms;
 //! A node that has just started knows its peers only from the object store. After this time, it has
@@ -527,8 +529,9 @@
 
 /*!
     Starts the shutdown: withdraws this node from the directory and from the duties. The node
-    accepts requests while callers may still use an old directory response, then closes the entry,
-    and stops after the last response.
+    accepts requests while callers may still use an old directory response, but streams only as long
+    as these can be expected to end in time, then closes the entry, and stops after the last
+    response.
 */
 void ServingNode::beginShutdown()
 {
@@ -536,6 +539,9 @@
         return;
     m_state.leaving = true;
     m_stopStartTime = steadyNow();
+    m_state.streamsUntil = m_stopStartTime
+            + std::chrono::duration_cast<Duration>(streamAcceptanceShare
+                                                   * m_state.settings.stopGrace);
     m_dutyCoordinator.withdraw();
     m_exchange.setReady(false);
     m_exchange.sendReports();
--- a/Source/Serving/servingstate.h
+++ b/Source/Serving/servingstate.h
@@ -92,6 +92,7 @@
     std::map<std::string, int> neededEngines;
     ServingMetrics metrics;
     bool leaving = false; //!< The node is shutting down.
+    Timestamp streamsUntil {Timestamp::max()}; //!< Time from which no stream is accepted.
     std::minstd_rand random {std::random_device {}()};
 };
 
--- a/Tests/platformprocesstest.cpp
+++ b/Tests/platformprocesstest.cpp
@@ -279,6 +279,52 @@
     cr_expect(answer->body == formatEvents(1, 5), "%s", answer->body.c_str());
 }
 
+// Guards against a stopping node that accepts a stream which it will have to cut, because the rest
+// of the stop grace is too short for it.
+Test(platform, stoppingNodeAcceptsNoStreamThatItCouldCut)
+{
+    PlatformDeployment deployment(21800, 2, {.stopGrace = 8s});
+    for (const auto &engine : deployment.platform.engines)
+        engine->setEventInterval(580ms);
+    std::map<std::string, std::optional<CallResponse>> answers;
+    HttpCaller caller(deployment.context, deployment.platform.entryAddress(1));
+    const auto send = [&](const std::string &id) {
+        caller.call("POST", "/stream/x", PlatformDeployment::requestFields(id, "key-large"), "p",
+                    8s, [&answers, id](CallResponse result) {
+                        answers[id] = std::move(result);
+                    });
+    };
+    const auto stopped = std::chrono::steady_clock::now();
+    deployment.signalNode(1, SIGTERM);
+    for (const int tenths : {2, 10, 20, 30, 40, 54}) {
+        deployment.runUntil(
+                [&] {
+                    return std::chrono::steady_clock::now() >= stopped + 100ms * tenths;
+                },
+                2s);
+        send("late-" + std::to_string(tenths));
+    }
+    cr_expect(deployment.runUntil(
+            [&] {
+                return deployment.hasExited(1);
+            },
+            8s));
+    int complete = 0;
+    for (const auto &[id, answer] : answers) {
+        cr_assert(answer.has_value());
+        if (answer->status == 200) {
+            cr_expect(answer->body == formatEvents(1, 5), "%s: %s", id.c_str(),
+                      answer->body.c_str());
+            ++complete;
+        } else {
+            cr_expect_eq(answer->status, 503U, "%s: %u", id.c_str(), answer->status);
+            cr_expect_eq(deployment.executionCount(id), 0);
+        }
+    }
+    cr_expect_eq(answers.size(), 6U);
+    cr_expect_geq(complete, 2);
+}
+
 // Guards against engines that send bytes without end which are no answer, and against streams that
 // make no progress but send a byte now and then. The caller is served by another engine where the
 // route allows it, and gets no partial answer that looks complete otherwise.
@@ -317,7 +363,7 @@
 Test(platform, keysAreRefusedWhileARevocationMayHaveBeenMissed)
 {
     constexpr auto limit = 3000ms;
-    PlatformDeployment deployment(21750, 2, limit);
+    PlatformDeployment deployment(21750, 2, {.revocationLimit = limit});
     cr_expect_eq(deployment.sendRequest(1, "GET", "/read/x", "k-1").status, 200U);
     deployment.platform.store.setFault(EmulatedStore::Fault::NoAnswer);
     const auto start = std::chrono::steady_clock::now();
--- a/Tests/support/platformdeployment.h
+++ b/Tests/support/platformdeployment.h
@@ -19,6 +19,13 @@
 
 using namespace std::chrono_literals;
 
+struct PlatformDeploymentOptions
+{
+    //! Time after which nodes that may have missed a revocation refuse keys; unset for never.
+    std::optional<std::chrono::milliseconds> revocationLimit {};
+    std::chrono::seconds stopGrace {3};
+};
+
 /*!
     A deployment of node processes on an emulated platform. The test runs the event loop of the
     emulator.
@@ -27,16 +34,15 @@
 {
 public:
     /*!
-        Starts \a nodes nodes on ports from \a firstPort and waits until they are ready. If
-        \a revocationLimit is set, the nodes refuse keys that long after they may have missed a
-        revocation.
+        Starts \a nodes nodes on ports from \a firstPort and waits until they are ready.
     */
     PlatformDeployment(std::uint16_t firstPort, int nodes,
-                       std::optional<std::chrono::milliseconds> revocationLimit = {})
+                       const PlatformDeploymentOptions &options = {})
         : platform(context, firstPort)
     {
-        if (revocationLimit)
-            platform.setRevocationLimit(*revocationLimit);
+        if (options.revocationLimit)
+            platform.setRevocationLimit(*options.revocationLimit);
+        platform.setStopGrace(options.stopGrace);
         std::string pattern = (std::filesystem::temp_directory_path() / "platformtest.XXXXXX");
         cr_assert_not_null(mkdtemp(pattern.data()));
         m_directory = pattern;
