Let on-demand engines make room for spot engines

Change: the plan is limited to what the zones allow; on-demand engines follow the largest need of the last 8 s instead of 20 s, are released one by one, and in full zones down to the need without reserve; spot orders are limited to the room of the zone.

--- a/Emulator/emulatedplatform.cpp
+++ b/Emulator/emulatedplatform.cpp
@@ -106,8 +106,7 @@
             + std::to_string(exchange) + ", " + std::to_string(exchange + 1)
             + "]\nbootstrap: " + (isFirstStart ? "true" : "false")
             + "\nlimits:\n  fileDescriptors: 1000\nbounds:\n  leaseMs: 1500\n  graceS: "
-            + std::to_string(m_stopGrace.count())
-            + "\n  reportWindowS: 1\n  retrySlack: 54\n"
+            + std::to_string(m_stopGrace.count()) + "\n  reportWindowS: 1\n  retrySlack: 54\n"
             + revocation + "platform:\n  address: " + format(endpoint(m_firstPort))
             + "cloud:\n  address: " + format(endpoint(m_firstPort + 1))
             + "  duties: [\"metering\", \"autoscale\"]\n";
--- a/Source/Core/engineplanner.cpp
+++ b/Source/Core/engineplanner.cpp
@@ -53,24 +53,24 @@
     std::map<std::string, int> wantedSpot = distributeOverZones(
             scaling, useSpot ? m_plannedEngines : 0, scaling.min);
     const int unplacedSpot = moveFromZonesWithoutSpot(scaling, countsByZone, wantedSpot);
-    const int onDemandTotal = useSpot ? planOnDemandEngines(spot, onDemand, unplacedSpot)
-                                      : m_plannedEngines;
-    const std::map<std::string, int> wantedOnDemand = distributeOverZones(scaling, onDemandTotal,
-                                                                          0);
+    const std::map<std::string, int> wantedOnDemand = useSpot
+            ? placeOnDemandEngines(scaling, countsByZone,
+                                   planOnDemandEngines(scaling, spot, onDemand, unplacedSpot))
+            : distributeOverZones(scaling, m_plannedEngines, 0);
     for (const auto &[zone, desiredSpot] : wantedSpot) {
+        const EngineCounts &present = countsByZone[zone];
+        // The limit of a zone applies to both kinds together.
+        const int room = std::max(scaling.max - present.onDemand, 0);
         if (useSpot)
-            addOrderIfDue(
-                    orders,
-                    {.service = service.name, .zone = zone, .desired = desiredSpot, .spot = true},
-                    countsByZone[zone].spot, now);
-        // On-demand engines are released only all at once, so that the plan does not move them
-        // between zones.
-        const int present = countsByZone[zone].onDemand;
-        const int wanted = onDemandTotal == 0 || !useSpot
-                ? wantedOnDemand.at(zone)
-                : std::max(present, wantedOnDemand.at(zone));
-        addOrderIfDue(orders, {.service = service.name, .zone = zone, .desired = wanted}, present,
-                      now);
+            addOrderIfDue(orders,
+                          {.service = service.name,
+                           .zone = zone,
+                           .desired = std::min(desiredSpot, room),
+                           .spot = true},
+                          present.spot, now);
+        addOrderIfDue(orders,
+                      {.service = service.name, .zone = zone, .desired = wantedOnDemand.at(zone)},
+                      present.onDemand, now);
     }
     return orders;
 }
@@ -81,18 +81,54 @@
     \a unplacedSpot of the spot engines, on-demand engines replace them as far as the recent demand
     requires.
 */
-int EnginePlanner::planOnDemandEngines(int spot, int onDemand, int unplacedSpot) const
+int EnginePlanner::planOnDemandEngines(const ScalingSpec &scaling, int spot, int onDemand,
+                                       int unplacedSpot) const
 {
-    if (spot >= m_plannedEngines)
-        return 0;
-    const auto needed = static_cast<int>(std::ceil(m_plannedEngines / m_options.zoneLossFactor));
-    const int missingEngines = std::min(unplacedSpot, std::max(0, needed - spot));
+    const auto needed = static_cast<int>(std::ceil(m_onDemandNeed / m_options.zoneLossFactor));
     // On-demand engines are not kept if the spot engines cover the demand without the reserve for
     // the loss of a zone.
-    const int keptOnDemand = spot >= needed ? 0 : onDemand;
+    if (spot >= needed)
+        return 0;
+    const int missingEngines = std::min(unplacedSpot, needed - spot);
+    // Spot engines can replace on-demand engines in full zones only if some of these leave first.
+    const bool isFull = spot + onDemand
+            >= scaling.max * static_cast<int>(scaling.zonePrices.size());
+    const int keptOnDemand = std::min(onDemand, (isFull ? needed : m_onDemandNeed) - spot);
     return std::max(missingEngines, keptOnDemand);
 }
 
+/*!
+    Distributes \a total on-demand engines over the zones. Existing ones are not moved to another
+    zone: if there are too many, the zones with the most of them release some.
+*/
+std::map<std::string, int>
+EnginePlanner::placeOnDemandEngines(const ScalingSpec &scaling,
+                                    const std::map<std::string, EngineCounts> &countsByZone,
+                                    int total)
+{
+    const auto present = [&](const std::string &zone) {
+        const auto counts = countsByZone.find(zone);
+        return counts == countsByZone.end() ? 0 : counts->second.onDemand;
+    };
+    std::map<std::string, int> wanted = distributeOverZones(scaling, total, 0);
+    int sum = 0;
+    for (auto &[zone, engines] : wanted) {
+        engines = std::max(engines, present(zone));
+        sum += engines;
+    }
+    for (; sum > total; --sum) {
+        const auto surplus = [&](const std::pair<const std::string, int> &zone) {
+            return std::pair(zone.second - present(zone.first), zone.second);
+        };
+        const auto largest = std::max_element(wanted.begin(), wanted.end(),
+                                              [&](const auto &a, const auto &b) {
+                                                  return surplus(a) < surplus(b);
+                                              });
+        --largest->second;
+    }
+    return wanted;
+}
+
 /*!
     Distributes the shortfall of the zones in which no spot engines are available over the other
     zones in \a wanted, in rounds of one engine per zone that start with the cheapest zone. Returns
@@ -163,6 +199,7 @@
     need = std::min(
             need,
             std::max(floor, static_cast<int>(std::ceil(present * m_options.maxGrowthFactor))));
+    need = std::min(need, scaling.max * static_cast<int>(scaling.zonePrices.size()));
     // The present engines are kept until there has been any load to estimate the demand from.
     if (!m_hasSeenLoad)
         need = std::max(need, m_initialEngines);
@@ -171,9 +208,22 @@
     m_recentNeeds.emplace_back(now, need);
     while (now - m_recentNeeds.front().first > m_options.demandWindow)
         m_recentNeeds.pop_front();
+    m_onDemandNeed = largestNeed(m_options.onDemandWindow, now);
     return m_recentNeeds.front().second;
 }
 
+/*!
+    Returns the largest need within \a window, which must not be longer than the demand window.
+*/
+int EnginePlanner::largestNeed(Duration window, Timestamp now) const
+{
+    const auto found = std::find_if(m_recentNeeds.begin(), m_recentNeeds.end(),
+                                    [&](const auto &need) {
+                                        return now - need.first <= window;
+                                    });
+    return found == m_recentNeeds.end() ? 0 : found->second;
+}
+
 /*!
     Returns the requests that are planned to be in progress at one engine.
 */
--- a/Source/Core/engineplanner.h
+++ b/Source/Core/engineplanner.h
@@ -49,6 +49,8 @@
     //! The largest demand within this time determines the plan. It is longer than the start of an
     //! engine, so that a short pause does not stop engines that are needed again at once.
     Duration demandWindow {std::chrono::seconds(20)};
+    //! Replaces demandWindow for on-demand engines, which cost several times as much.
+    Duration onDemandWindow {std::chrono::seconds(8)};
     //! Time from the first call of observeDemand() to the first plan. Engines register one by one
     //! after they start, and an earlier plan would not count all of them.
     Duration registrationTime {std::chrono::seconds(3)};
@@ -66,7 +68,8 @@
     Decides how many engines of one service to order in each availability zone. The plan covers the
     recent demand and the loss of one zone, and uses spot engines where they are offered.
 
-    On-demand engines that already run are kept until enough spot engines are ready.
+    On-demand engines that already run are kept until enough spot engines are ready, or until the
+    demand has fallen for some seconds.
 */
 class EnginePlanner
 {
@@ -126,7 +129,12 @@
     int estimateNeededEngines(const ScalingSpec &scaling, const std::vector<EngineState *> &engines,
                               double refusedPerSecond, Timestamp now);
     double plannedLoadPerEngine() const;
-    int planOnDemandEngines(int spot, int onDemand, int unplacedSpot) const;
+    int planOnDemandEngines(const ScalingSpec &scaling, int spot, int onDemand,
+                            int unplacedSpot) const;
+    int largestNeed(Duration window, Timestamp now) const;
+    static std::map<std::string, int>
+    placeOnDemandEngines(const ScalingSpec &scaling,
+                         const std::map<std::string, EngineCounts> &countsByZone, int total);
     int moveFromZonesWithoutSpot(const ScalingSpec &scaling,
                                  const std::map<std::string, EngineCounts> &countsByZone,
                                  std::map<std::string, int> &wanted);
@@ -145,6 +153,7 @@
     Timestamp m_firstObservedAt;
     Timestamp m_lastEstimateAt;
     int m_plannedEngines = 0;
+    int m_onDemandNeed = 0; //!< Largest need within EnginePlannerOptions::onDemandWindow.
     std::map<OrderKey, PlacedOrder> m_placedOrders;
     std::map<OrderKey, Timestamp> m_retryAt;
     //! Zones that refused an order of spot engines and have had too few of them since.
--- a/Tests/engineplannertest.cpp
+++ b/Tests/engineplannertest.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <set>
 
 using namespace sesame;
@@ -10,7 +11,8 @@
 namespace {
 
 /*!
-    Simulates a service in two zones whose orders are carried out at once.
+    Simulates a service in two zones whose orders are carried out at once. The limit of a zone
+    applies to its spot and on-demand engines together.
 */
 class ScaledService
 {
@@ -19,7 +21,7 @@
     {
         spec.name = "s";
         spec.scaling = ScalingSpec {
-                .min = 1, .max = 10, .spotPrice = 0.2, .zonePrices = {{"a", 1.0}, {"b", 0.8}}};
+                .min = 1, .max = 20, .spotPrice = 0.2, .zonePrices = {{"a", 1.0}, {"b", 0.8}}};
         engineCounts[{"a", false}] = 4;
         engineCounts[{"b", false}] = 4;
     }
@@ -44,7 +46,9 @@
                                                         : OrderResult::NoneAvailable;
                 planner.recordResult(order, result, now);
                 if (result == OrderResult::Accepted)
-                    engineCounts[{order.zone, order.spot}] = order.desired;
+                    engineCounts[{order.zone, order.spot}] = std::min(
+                            order.desired,
+                            spec.scaling->max - engineCounts[{order.zone, !order.spot}]);
             }
         }
     }
@@ -165,6 +169,39 @@
     cr_expect_eq(service.count(false), 0);
 }
 
+// Guards against on-demand engines that stay for ever because they fill the zones, so that no spot
+// engine can replace them.
+Test(engineplanner, onDemandEnginesMakeRoomForSpotEngines)
+{
+    ScaledService service;
+    service.spec.scaling->max = 6;
+    service.load = 200;
+    service.run(30s, true);
+    service.engineCounts.clear();
+    service.run(15s, false);
+    cr_expect_geq(service.count(false), 9);
+    // The load stays high.
+    service.run(20s, true);
+    cr_expect_eq(service.count(false), 0);
+    cr_expect_eq(service.count(true), 12);
+}
+
+// Guards against on-demand engines that are kept for as long as spot engines after the load has
+// fallen, although they cost several times as much.
+Test(engineplanner, onDemandEnginesFollowTheLoadSooner)
+{
+    ScaledService service;
+    service.load = 120;
+    service.run(30s, true);
+    service.engineCounts.clear();
+    service.run(10s, false);
+    cr_expect_geq(service.count(false), 13);
+    service.load = 30;
+    service.run(16s, false);
+    cr_expect_leq(service.count(false), 6);
+    cr_expect_geq(service.count(false), 4);
+}
+
 // Guards against a service that stays without engines because no request is in progress.
 Test(engineplanner, refusedRequestsAreDemand)
 {
