Compare few engines in large deployments

Cause: 195 nodes choose the engine with the least cost by loads that are up to 0.6 s old. Change: beyond 16 nodes a node compares four engines drawn at random and the two that the prompt prefers, and all engines only if these have no room or are avoided. Small deployments choose as before.

--- a/Source/Core/enginechooser.cpp
+++ b/Source/Core/enginechooser.cpp
@@ -3,6 +3,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
+#include <random>
 #include <utility>
 
 namespace sesame {
@@ -19,20 +21,48 @@
 } // namespace
 
 EngineChoice EngineChooser::choose(std::span<EngineState *const> candidates,
-                                   const RequestSize &work, std::int64_t memoryTokens,
-                                   std::string_view zone, std::span<const std::string> tried,
-                                   Timestamp now) const
+                                   const RequestSize &work, const ChoiceConditions &conditions,
+                                   std::span<const std::string> tried, Timestamp now) const
+{
+    const std::vector<EngineState *> preferredEngines = findPreferredEngines(candidates, work);
+    if (conditions.nodes > m_options.maxNodesForAllEngines
+        && candidates.size() > m_options.comparedEngines) {
+        std::vector<EngineState *> compared = sampleEngines(candidates, conditions.random);
+        compared.insert(compared.end(), preferredEngines.begin(), preferredEngines.end());
+        const EngineChoice choice = chooseOf(compared, preferredEngines, work, conditions, tried,
+                                             now);
+        if (choice.engine && choice.engine->avoidUntil <= now)
+            return choice;
+    }
+    return chooseOf(candidates, preferredEngines, work, conditions, tried, now);
+}
+
+/*!
+    Returns some engines of \a candidates, chosen by \a random.
+*/
+std::vector<EngineState *> EngineChooser::sampleEngines(std::span<EngineState *const> candidates,
+                                                        std::uint64_t random) const
+{
+    std::minstd_rand generator(static_cast<std::minstd_rand::result_type>(random));
+    std::vector<EngineState *> sample;
+    std::sample(candidates.begin(), candidates.end(), std::back_inserter(sample),
+                m_options.comparedEngines, generator);
+    return sample;
+}
+
+EngineChoice EngineChooser::chooseOf(std::span<EngineState *const> candidates,
+                                     std::span<EngineState *const> preferredEngines,
+                                     const RequestSize &work, const ChoiceConditions &conditions,
+                                     std::span<const std::string> tried, Timestamp now) const
 {
     EngineChoice best;
     best.failure = EngineChoiceFailure::NoEngine;
-    const std::vector<const EngineState *> preferredEngines = findPreferredEngines(candidates,
-                                                                                   work);
     const std::int64_t unsharedTokens = work.parts.empty() ? 0 : work.parts.back().tokens;
     bool isBestAvoided = true;
     for (EngineState *engine : candidates) {
         if (std::find(tried.begin(), tried.end(), engine->entry.id) != tried.end())
             continue;
-        if (!hasRoom(*engine, work, memoryTokens)) {
+        if (!hasRoom(*engine, work, conditions.memoryTokens)) {
             if (!best.engine)
                 best.failure = EngineChoiceFailure::NoRoom;
             continue;
@@ -46,7 +76,7 @@
         double cost = static_cast<double>(tokensToPrefill) / m_options.prefillTokensPerMs;
         cost += m_options.msPerRequest * requests
                 + m_options.msPerThousandTokens * heldTokens / 1000.0;
-        cost += engine->entry.zone == zone ? 0.0 : m_options.zoneCrossingMs;
+        cost += engine->entry.zone == conditions.zone ? 0.0 : m_options.zoneCrossingMs;
         cost += m_options.failurePenaltyMs * engine->failureRate;
         cost += static_cast<double>(
                         std::min<std::int64_t>(engine->entry.warmupMs, maxCountedWarmupMs))
@@ -61,7 +91,7 @@
     return best;
 }
 
-std::vector<const EngineState *>
+std::vector<EngineState *>
 EngineChooser::findPreferredEngines(std::span<EngineState *const> candidates,
                                     const RequestSize &work) const
 {
@@ -70,16 +100,16 @@
     if (work.parts.size() < 2)
         return {};
     const std::uint64_t prefix = work.parts[work.parts.size() - 2].id;
-    std::vector<std::pair<std::uint64_t, const EngineState *>> ranked;
+    std::vector<std::pair<std::uint64_t, EngineState *>> ranked;
     ranked.reserve(candidates.size());
-    for (const EngineState *engine : candidates) {
+    for (EngineState *engine : candidates) {
         const std::string &id = engine->entry.id;
         ranked.emplace_back(XXH3_64bits_withSeed(id.data(), id.size(), prefix), engine);
     }
     const std::size_t n = std::min(m_options.preferredEnginesPerPrefix, ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n), ranked.end(),
                       std::greater<>());
-    std::vector<const EngineState *> preferredEngines;
+    std::vector<EngineState *> preferredEngines;
     for (std::size_t i = 0; i < n; ++i)
         preferredEngines.push_back(ranked[i].second);
     return preferredEngines;
--- a/Source/Core/enginechooser.h
+++ b/Source/Core/enginechooser.h
@@ -44,6 +44,21 @@
     //! Requests that may wait at an engine, as a share of its slots.
     double queueShare = 0.5;
     double memoryShare = 0.9; //!< Share of an engine's memory that is planned for its requests.
+    //! Number of nodes beyond which a node compares only some engines. The reports of many nodes
+    //! are older than the time between two requests, so all nodes would choose the same engine.
+    int maxNodesForAllEngines = 16;
+    std::size_t comparedEngines = 4; //!< Engines that a node of a larger deployment compares.
+};
+
+/*!
+    What a choice depends on besides the request and the engines.
+*/
+struct ChoiceConditions
+{
+    std::int64_t memoryTokens = 0; //!< Memory of each engine in tokens; 0 if it is not limited.
+    std::string_view zone {}; //!< Zone of this node.
+    int nodes = 1; //!< Nodes that send to the engines, with this one.
+    std::uint64_t random = 0; //!< Random number of this choice.
 };
 
 enum class EngineChoiceFailure {
@@ -71,17 +86,22 @@
     explicit EngineChooser(EngineChooserOptions options = {}) : m_options(options) { }
 
     /*!
-        Returns the best engine of \a candidates for \a work. \a memoryTokens is the memory of
-        each engine in tokens, or 0 if memory is not limited. \a zone is the zone of this node.
-        \a tried contains the ids of engines that must not be chosen again.
+        Returns the best engine of \a candidates for \a work under \a conditions. \a tried contains
+        the ids of engines that must not be chosen again.
     */
     EngineChoice choose(std::span<EngineState *const> candidates, const RequestSize &work,
-                        std::int64_t memoryTokens, std::string_view zone,
-                        std::span<const std::string> tried, Timestamp now) const;
+                        const ChoiceConditions &conditions, std::span<const std::string> tried,
+                        Timestamp now) const;
 
 private:
-    std::vector<const EngineState *> findPreferredEngines(std::span<EngineState *const> candidates,
-                                                          const RequestSize &work) const;
+    EngineChoice chooseOf(std::span<EngineState *const> candidates,
+                          std::span<EngineState *const> preferredEngines, const RequestSize &work,
+                          const ChoiceConditions &conditions, std::span<const std::string> tried,
+                          Timestamp now) const;
+    std::vector<EngineState *> sampleEngines(std::span<EngineState *const> candidates,
+                                             std::uint64_t random) const;
+    std::vector<EngineState *> findPreferredEngines(std::span<EngineState *const> candidates,
+                                                    const RequestSize &work) const;
     bool hasRoom(const EngineState &engine, const RequestSize &work,
                  std::int64_t memoryTokens) const;
 
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -140,11 +140,15 @@
     const std::string &name = selectService();
     const ServiceSpec *service = m_config->findService(name);
     const std::vector<EngineState *> candidates = m_state.engines.findUsable(name);
-    const std::int64_t cacheTokens = service && service->isModel ? service->memoryTokens : 0;
+    const ChoiceConditions conditions {
+            .memoryTokens = service && service->isModel ? service->memoryTokens : 0,
+            .zone = m_state.settings.zone,
+            .nodes = m_state.quotaShares.nodes,
+            .random = m_state.random()};
     EngineChoice choice;
     while (service) {
-        choice = m_state.chooser.choose(candidates, m_requestInfo.work, cacheTokens,
-                                        m_state.settings.zone, m_triedEngines, steadyNow());
+        choice = m_state.chooser.choose(candidates, m_requestInfo.work, conditions, m_triedEngines,
+                                        steadyNow());
         if (!choice.engine)
             break;
         if (reserveEngine(choice, *service))
--- a/Tests/enginechoosertest.cpp
+++ b/Tests/enginechoosertest.cpp
@@ -44,7 +44,7 @@
     const EngineChooser chooser;
     std::map<std::string, int> used;
     for (int i = 0; i < 40; ++i)
-        ++used[chooser.choose(engines.pointers, makeWork(7), 0, "z", {}, Timestamp {1h})
+        ++used[chooser.choose(engines.pointers, makeWork(7), {.zone = "z"}, {}, Timestamp {1h})
                        .engine->entry.id];
     cr_expect_leq(used.size(), 2U);
 }
@@ -57,7 +57,8 @@
     const Timestamp now {1h};
     std::map<std::string, int> used;
     for (int i = 0; i < 60; ++i) {
-        EngineState *engine = chooser.choose(engines.pointers, makeWork(7), 0, "z", {}, now).engine;
+        EngineState *engine = chooser.choose(engines.pointers, makeWork(7), {.zone = "z"}, {}, now)
+                                      .engine;
         cr_assert_not_null(engine);
         ++engine->ownLoad.requests;
         engine->ownLoad.tokens += 6100;
@@ -74,14 +75,14 @@
     const EngineChooser chooser;
     const Timestamp now {1h};
     const std::vector<std::string> tried {"engine-0"};
-    EngineChoice choice = chooser.choose(engines.pointers, {}, 0, "z", tried, now);
+    EngineChoice choice = chooser.choose(engines.pointers, {}, {.zone = "z"}, tried, now);
     cr_assert_not_null(choice.engine);
     cr_expect_str_eq(choice.engine->entry.id.c_str(), "engine-1");
     engines.states[1].peerLoad.requests = 12;
-    choice = chooser.choose(engines.pointers, {}, 0, "z", tried, now);
+    choice = chooser.choose(engines.pointers, {}, {.zone = "z"}, tried, now);
     cr_expect_null(choice.engine);
     cr_expect_eq(choice.failure, EngineChoiceFailure::NoRoom);
-    choice = chooser.choose({}, {}, 0, "z", tried, now);
+    choice = chooser.choose({}, {}, {.zone = "z"}, tried, now);
     cr_expect_eq(choice.failure, EngineChoiceFailure::NoEngine);
 }
 
@@ -93,9 +94,40 @@
     const Timestamp now {1h};
     engines.states[0].avoidUntil = now + 1s;
     engines.states[1].ownLoad.requests = 7;
-    EngineChoice choice = chooser.choose(engines.pointers, {}, 0, "z", {}, now);
+    EngineChoice choice = chooser.choose(engines.pointers, {}, {.zone = "z"}, {}, now);
     cr_expect_str_eq(choice.engine->entry.id.c_str(), "engine-1");
     engines.states[1].avoidUntil = now + 1s;
-    choice = chooser.choose(engines.pointers, {}, 0, "z", {}, now);
+    choice = chooser.choose(engines.pointers, {}, {.zone = "z"}, {}, now);
     cr_expect_str_eq(choice.engine->entry.id.c_str(), "engine-0");
 }
+
+// Guards against many nodes that all send to the engine which had the least load in their last
+// report.
+Test(enginechooser, manyNodesDoNotChooseTheSameEngine)
+{
+    constexpr int nodes = 200;
+    constexpr int engineCount = 74;
+    Engines reported(engineCount);
+    for (int i = 0; i < engineCount; ++i)
+        reported.states[static_cast<std::size_t>(i)].peerLoad.requests = 2 + i % 3;
+    const EngineChooser chooser;
+    std::map<std::string, int> used;
+    for (int node = 0; node < nodes; ++node) {
+        const ChoiceConditions conditions {
+                .zone = "z", .nodes = nodes, .random = static_cast<std::uint64_t>(node) * 7919};
+        ++used[chooser.choose(reported.pointers, {}, conditions, {}, Timestamp {1h})
+                       .engine->entry.id];
+    }
+    int most = 0;
+    int idle = 0;
+    for (const auto &[engine, n] : used)
+        most = std::max(most, n);
+    // Engines with the least load get most of the requests, but none of them much more than 200
+    // requests on 25 engines would be.
+    cr_expect_leq(most, 20);
+    for (std::size_t i = 0; i < reported.states.size(); ++i) {
+        if (reported.states[i].peerLoad.requests == 2)
+            idle += used[reported.states[i].entry.id];
+    }
+    cr_expect_geq(idle, nodes / 2);
+}
