Plan at most 6 requests for an engine

Cause: engines with 64 slots were planned to have 11.5 requests. Their prompts are read one after the other, so the number of slots says little about what an engine carries. Change: the planned load of an engine is limited to 6 requests.

--- a/Source/Core/engineplanner.cpp
+++ b/Source/Core/engineplanner.cpp
@@ -232,7 +232,8 @@
 {
     const double load = std::max(m_slotsPerEngine * m_options.targetUtilization,
                                  m_options.minLoadPerEngine);
-    return std::min(load, m_slotsPerEngine * m_options.maxUtilization);
+    return std::min(
+            {load, m_options.maxLoadPerEngine, m_slotsPerEngine * m_options.maxUtilization});
 }
 
 /*!
--- a/Tests/engineplannertest.cpp
+++ b/Tests/engineplannertest.cpp
@@ -162,6 +162,20 @@
     cr_expect_lt(service.count(true), 0.8 * service.load / slotShare * options.zoneLossFactor);
 }
 
+// Guards against too few engines because an engine with many slots is planned to have many
+// requests, whose prompts it reads one after the other.
+Test(engineplanner, enginesWithManySlotsCarryNoMoreRequests)
+{
+    ScaledService service;
+    service.slotsPerEngine = 64;
+    service.load = 60;
+    service.run(60s, true);
+    const EnginePlannerOptions options;
+    const int planned = static_cast<int>(
+            std::ceil(service.load / options.maxLoadPerEngine * options.zoneLossFactor));
+    cr_expect_leq(std::abs(service.count(true) - planned), 1);
+}
+
 // Guards against a service that is left without engines while no spot engines are available.
 Test(engineplanner, onDemandEnginesReplaceLostSpotEngines)
 {
@@ -206,8 +220,11 @@
     cr_expect_geq(service.count(false), 13);
     service.load = 30;
     service.run(16s, false);
-    cr_expect_leq(service.count(false), 6);
-    cr_expect_geq(service.count(false), 4);
+    const EnginePlannerOptions options;
+    const double needed = service.load / options.maxLoadPerEngine;
+    cr_expect_leq(service.count(false),
+                  static_cast<int>(std::ceil(needed * options.zoneLossFactor)));
+    cr_expect_geq(service.count(false), static_cast<int>(std::ceil(needed)));
 }
 
 // Guards against an order of less than no engines in a zone without on-demand engines, while
