--- a/Tests/commandprocesstest.cpp
+++ b/Tests/commandprocesstest.cpp
@@ -166,6 +166,26 @@
     expectRun("apply --help", 0, "--wait_seconds");
 }
 
+// Guards against platform settings that make a node fail later, such as a usage window of no
+// length, by which it divides.
+Test(command, checkFindsPlatformSettingsOutOfRange)
+{
+    const std::string file = std::filesystem::temp_directory_path()
+            / ("sesamecheck" + std::to_string(getpid()) + ".yaml");
+    std::ofstream(file)
+            << "nodeName: \"n\"\nzone: \"z\"\nlisten:\n  frontend: \"127.0.0.1:1\"\n"
+               "  readiness: \"127.0.0.1:2\"\n  directory: \"127.0.0.1:3\"\ninternalPorts: [4, 5]\n"
+               "bounds:\n  reportWindowS: 0\n  graceS: .nan\n  leaseMs: -5\n"
+               "  retryBudgetRatio: -0.1\nplatform:\n  address: \"127.0.0.1:6\"\n"
+               "cloud:\n  address: \"127.0.0.1:7\"\n";
+    expectRun("check " + file, 2, "bounds.reportWindowS: found 0");
+    expectRun("check " + file, 2, "bounds.graceS: found nan");
+    expectRun("check " + file, 2, "bounds.leaseMs: found -5");
+    expectRun("check " + file, 2, "bounds.retryBudgetRatio: found -0.1");
+    expectRun("check " + file, 2, "errors in platform settings: 4");
+    std::filesystem::remove(file);
+}
+
 // Guards against a file that check accepts but serve or apply rejects, and the reverse.
 Test(command, checkPrintsEveryError)
 {
