--- a/Source/Core/enginedirectory.cpp
+++ b/Source/Core/enginedirectory.cpp
@@ -14,7 +14,7 @@
 //! batch.
 constexpr Duration noCapacityAvoidTime = 40ms;
 //! Time for which the load that an engine stated is newer than the reports of other nodes.
-constexpr Duration toldLoadLifetime = 500ms;
+constexpr Duration statedLoadLifetime = 500ms;
 //! Weight of the newest request in the moving averages.
 constexpr double newestSampleWeight = 0.1;
 
@@ -62,16 +62,16 @@
 int EngineState::requests(Timestamp now) const
 {
     const int counted = ownLoad.requests + peerLoad.requests;
-    return toldAt != Timestamp {} && now - toldAt < toldLoadLifetime
-            ? std::max(counted, toldRequests)
+    return statedAt != Timestamp {} && now - statedAt < statedLoadLifetime
+            ? std::max(counted, statedRequests)
             : counted;
 }
 
-void EngineDirectory::recordToldLoad(const std::string &id, int requests, Timestamp now)
+void EngineDirectory::recordStatedLoad(const std::string &id, int requests, Timestamp now)
 {
     if (EngineState *engine = find(id)) {
-        engine->toldRequests = requests;
-        engine->toldAt = now;
+        engine->statedRequests = requests;
+        engine->statedAt = now;
     }
 }
 
--- a/Source/Core/enginedirectory.h
+++ b/Source/Core/enginedirectory.h
@@ -35,13 +35,13 @@
     double firstByteMs = 0.0; //!< Moving average of the time to the first byte.
     EngineLoad ownLoad; //!< Load that this node causes.
     EngineLoad peerLoad; //!< Load that the other nodes reported.
-    int toldRequests = 0; //!< Requests that the engine itself stated in a response at toldAt.
-    Timestamp toldAt {};
+    int statedRequests = 0; //!< Requests that the engine itself stated in a response at statedAt.
+    Timestamp statedAt {}; //!< Zero if the engine has stated nothing.
 
     /*!
-        Returns the number of requests at the engine at \a now as far as it is known. What the
-        engine stated counts while it is newer than the reports of the other nodes, which may not
-        reach this node.
+        Returns the number of requests at the engine at \a now. If the engine has recently stated
+        more than the nodes have counted, that number is used: reports of other nodes may be
+        missing.
     */
     int requests(Timestamp now) const;
 };
@@ -99,7 +99,7 @@
     /*!
         Records that the engine \a id stated that it has \a requests requests.
     */
-    void recordToldLoad(const std::string &id, int requests, Timestamp now);
+    void recordStatedLoad(const std::string &id, int requests, Timestamp now);
 
     /*!
         Avoids the engine \a id for a short time after it refused a request for lack of capacity.
--- a/Source/Core/engineplanner.h
+++ b/Source/Core/engineplanner.h
@@ -37,7 +37,8 @@
     //! Requests that an engine with few slots is planned to have in progress. The time that prompts
     //! take does not depend on the number of slots.
     double minLoadPerEngine = 4.5;
-    //! Limit for engines with many slots, whose prompts wait for each other as well.
+    //! Largest number of requests that an engine is planned to have in progress, however many slots
+    //! it has, because it reads prompts one after the other.
     double maxLoadPerEngine = 6.0;
     double maxUtilization = 0.5; //!< Limit of the share of the slots for minLoadPerEngine.
     //! Factor on the needed engines that covers the loss of one of four availability zones.
--- a/Source/Node/engineselector.cpp
+++ b/Source/Node/engineselector.cpp
@@ -107,9 +107,9 @@
 }
 
 /*!
-    Returns the index of the engine that this node has announced for the suspect \a stream. A
-   suspect must stay with it while it is usable: each change of the engine starts the wait for the
-   peers' announcements again, and two nodes could evade each other for ever.
+    Returns the index of the engine that this node has announced for the suspect \a stream, if it
+    is usable. A suspect must stay with it: each change of the engine starts the wait for the peers'
+    announcements again, and two nodes could evade each other for ever.
 */
 std::optional<std::size_t>
 EngineSelector::findAnnouncedEngine(const ModelStream &stream,
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -317,7 +317,7 @@
     m_responseStatus = head.result_int();
     m_state.metrics.recordFirstByte(selectService(), steadyNow() - m_sendStartTime);
     if (info.engineRequests)
-        m_state.engines.recordToldLoad(m_engineId, *info.engineRequests, steadyNow());
+        m_state.engines.recordStatedLoad(m_engineId, *info.engineRequests, steadyNow());
     const bool isInvalid = isSuccessStatus(m_responseStatus)
             && (info.id.empty() || !info.isSigned || info.isEncoded);
     if (isInvalid
--- a/Tests/enginechoosertest.cpp
+++ b/Tests/enginechoosertest.cpp
@@ -103,13 +103,13 @@
 
 // Guards against sending more to an engine that has stated a high load, because the nodes that
 // cause it are cut off, and against believing it for long.
-Test(enginechooser, toldLoadCountsWhileItIsNew)
+Test(enginechooser, statedLoadCountsWhileItIsNew)
 {
     Engines engines(2);
     const EngineChooser chooser;
     const Timestamp now {1h};
-    engines.states[0].toldRequests = 7;
-    engines.states[0].toldAt = now;
+    engines.states[0].statedRequests = 7;
+    engines.states[0].statedAt = now;
     engines.states[1].ownLoad.requests = 1;
     EngineChoice choice = chooser.choose(engines.pointers, {}, {.zone = "z"}, {}, now + 100ms);
     cr_expect_str_eq(choice.engine->entry.id.c_str(), "engine-1");
