Allow a refused connection after the entry of a stopping node closes

The last request of stoppingNodeAcceptsNoStreamThatItCouldCut is sent 100 ms before the entry closes; on a busy machine it can be late. The check that it has not run stays.

--- a/Tests/platformprocesstest.cpp
+++ b/Tests/platformprocesstest.cpp
@@ -317,7 +317,10 @@
                       answer->body.c_str());
             ++complete;
         } else {
-            cr_expect_eq(answer->status, 503U, "%s: %u", id.c_str(), answer->status);
+            // The entry closes 5.5 s after SIGTERM, so the last connection may be refused.
+            const bool isRefused = answer->status == 503
+                    || (id == "late-54" && answer->status == 0);
+            cr_expect(isRefused, "%s: %u", id.c_str(), answer->status);
             cr_expect_eq(deployment.executionCount(id), 0);
         }
     }
