--- a/Tests/enginechoosertest.cpp
+++ b/Tests/enginechoosertest.cpp
@@ -141,9 +141,9 @@
     // Engines with the least load get most of the requests, but none of them much more than 200
     // requests on 25 engines would be.
     cr_expect_leq(most, 20);
-    for (std::size_t i = 0; i < reported.states.size(); ++i) {
-        if (reported.states[i].peerLoad.requests == 2)
-            idle += used[reported.states[i].entry.id];
+    for (const EngineState &engine : reported.states) {
+        if (engine.peerLoad.requests == 2)
+            idle += used[engine.entry.id];
     }
     cr_expect_geq(idle, nodes / 2);
 }
