Log and count the checks whether an engine crashed

Cause: after the deadly prompt part, the logs could not tell whether crashes were not recognised, counted under a key that is too narrow, or lost between the nodes. Change: EngineCrashCheck takes the check out of ProxiedRequest, logs engine.crash_checked and counts sesame_engine_crash_checks_total.

--- a/Source/Core/crashtable.cpp
+++ b/Source/Core/crashtable.cpp
@@ -41,14 +41,20 @@
     entry->peers = count;
 }
 
-bool CrashTable::isRefused(std::uint64_t fingerprint) const
+CrashCount CrashTable::total(std::uint64_t fingerprint) const
 {
     const auto found = m_entries.find(fingerprint);
     if (found == m_entries.end())
-        return false;
+        return {};
     const Entry &entry = found->second;
-    return entry.own.crashes + entry.peers.crashes >= m_options.crashLimit
-            && entry.own.successes + entry.peers.successes == 0;
+    return {.crashes = entry.own.crashes + entry.peers.crashes,
+            .successes = entry.own.successes + entry.peers.successes};
+}
+
+bool CrashTable::isRefused(std::uint64_t fingerprint) const
+{
+    const CrashCount count = total(fingerprint);
+    return count.crashes >= m_options.crashLimit && count.successes == 0;
 }
 
 void CrashTable::removeExpired(Timestamp now)
--- a/Source/Core/crashtable.h
+++ b/Source/Core/crashtable.h
@@ -43,6 +43,11 @@
     */
     void setPeerCount(std::uint64_t fingerprint, CrashCount count, Timestamp now);
 
+    /*!
+        Returns what this node and its peers have counted for \a fingerprint.
+    */
+    CrashCount total(std::uint64_t fingerprint) const;
+
     /*!
         Returns whether the request \a fingerprint is refused because of its crashes.
     */
--- /dev/null
+++ b/Source/Serving/enginecrashcheck.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "Core/enginechooser.h"
+#include "Serving/servingstate.h"
+
+#include <span>
+#include <string>
+
+namespace sesame {
+
+/*!
+    A request that lost its connection to an engine.
+*/
+struct LostRequest
+{
+    std::string id; //!< Attempt of the caller.
+    std::string engine;
+    std::string service;
+    std::uint64_t fingerprint = 0; //!< Hash of path, account and body.
+    std::span<const PromptPart> parts {}; //!< Parts of the prompt, in prompt order.
+    std::size_t events = 0; //!< Events of the stream that the engine had sent.
+};
+
+/*!
+    Determines whether an engine crashed after it lost the connection of a request, and records the
+    crash for the request.
+*/
+class EngineCrashCheck
+{
+public:
+    explicit EngineCrashCheck(ServingState &state) : m_state(state) { }
+
+    /*!
+        Opens a new connection to the engine of \a lost. If that fails, the request is recorded as
+        one that the engine was running when it crashed.
+    */
+    void start(const LostRequest &lost);
+
+private:
+    ServingState &m_state;
+};
+
+} // namespace sesame
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -2,6 +2,7 @@
 
 #include "Adapter/log.h"
 #include "Serving/clocks.h"
+#include "Serving/enginecrashcheck.h"
 
 #include <xxhash.h>
 
@@ -433,7 +434,12 @@
               {"after_ms",
                std::chrono::duration<double, std::milli>(steadyNow() - m_sendStartTime).count()}});
     if (failure == ExchangeFailure::Closed)
-        checkForCrash();
+        EngineCrashCheck(m_state).start({.id = m_requestInfo.id,
+                                         .engine = m_engineId,
+                                         .service = selectService(),
+                                         .fingerprint = m_admitted.fingerprint,
+                                         .parts = m_requestInfo.work.parts,
+                                         .events = m_eventSplitter.eventCount()});
     else
         m_state.engines.recordConnectFailure(m_engineId, steadyNow());
     handleUnsuccessfulSend(SendOutcome::Unknown);
@@ -517,30 +523,6 @@
         m_state.countUsage(account()->name);
 }
 
-/*!
-    Records that the request crashed the engine if a new connection to the engine fails.
-*/
-void ProxiedRequest::checkForCrash()
-{
-    const EngineState *engine = m_state.engines.find(m_engineId);
-    const auto address = engine ? parseTcpEndpoint(engine->entry.address) : std::nullopt;
-    if (!address)
-        return;
-    m_state.connectionPool.closeIdle(m_engineId);
-    ServingState &state = m_state;
-    m_state.connectionPool.acquire(m_engineId, *address, 0, false,
-                                   [&state, id = m_engineId, fingerprint = m_admitted.fingerprint](
-                                           const boost::system::error_code &ec,
-                                           const EngineConnectionPool::Connection &connection) {
-                                       if (!ec) {
-                                           state.connectionPool.release(id, connection);
-                                           return;
-                                       }
-                                       state.crashes.recordCrash(fingerprint, steadyNow());
-                                       state.engines.recordConnectFailure(id, steadyNow());
-                                   });
-}
-
 void ProxiedRequest::releaseEngine(bool keepConnection)
 {
     m_stallTimer.cancel();
--- a/Source/Serving/proxiedrequest.h
+++ b/Source/Serving/proxiedrequest.h
@@ -59,7 +59,6 @@
     void resendOrFinish(SendOutcome outcome);
     bool canResend(SendOutcome outcome);
     void countUsageOnce();
-    void checkForCrash();
     void releaseEngine(bool keepConnection);
     void onCallerDisconnected();
     void onDeadlineExpired();
--- a/Source/Serving/servingmetrics.cpp
+++ b/Source/Serving/servingmetrics.cpp
@@ -46,6 +46,12 @@
                  + std::string(result) + "\"}"];
 }
 
+void ServingMetrics::recordCrashCheck(std::string_view service, std::string_view result)
+{
+    ++m_counters["sesame_engine_crash_checks_total{service=\"" + std::string(service)
+                 + "\",result=\"" + std::string(result) + "\"}"];
+}
+
 void ServingMetrics::recordFirstByte(std::string_view service, Duration duration)
 {
     recordLatency(m_firstByteSeconds, "service=\"" + std::string(service) + "\"", duration);
--- a/Source/Serving/servingmetrics.h
+++ b/Source/Serving/servingmetrics.h
@@ -32,6 +32,12 @@
     */
     void recordSend(std::string_view service, std::string_view result);
 
+    /*!
+        Counts a check whether an engine of \a service crashed, which a lost connection caused.
+        \a result is "crashed" or "alive".
+    */
+    void recordCrashCheck(std::string_view service, std::string_view result);
+
     /*!
         Records the \a duration from sending a request to an engine until the head of its response.
     */
