--- a/Emulator/emulatedengine.cpp
+++ b/Emulator/emulatedengine.cpp
@@ -15,18 +15,50 @@
 
 EmulatedEngine::EmulatedEngine(asio::io_context &context, std::string id,
                                const Tcp::endpoint &address)
-    : m_context(context), m_id(std::move(id)),
-      m_listener(
-              context,
-              [this](const ConnectionPtr &connection, RequestMessage &&request) {
-                  serve(connection, std::move(request));
-              },
-              maxConnections)
+    : m_context(context), m_id(std::move(id)), m_address(address)
 {
-    if (const auto ec = m_listener.open(address))
+    open();
+}
+
+void EmulatedEngine::open()
+{
+    m_listener = std::make_unique<Listener>(
+            m_context,
+            [this](const ConnectionPtr &connection, RequestMessage &&request) {
+                serve(connection, std::move(request));
+            },
+            maxConnections);
+    if (const auto ec = m_listener->open(m_address))
         throw std::runtime_error("engine address: " + ec.message());
 }
 
+void EmulatedEngine::crash()
+{
+    ++m_crashCount;
+    m_listener.reset();
+    for (const auto &weak : std::exchange(m_connections, {})) {
+        if (const ConnectionPtr connection = weak.lock())
+            connection->abort();
+    }
+    const auto timer = std::make_shared<asio::steady_timer>(m_context, m_downtime);
+    timer->async_wait([this, timer](const auto &ec) {
+        if (!ec)
+            open();
+    });
+}
+
+void EmulatedEngine::setDeadlyPart(const std::string &part, std::chrono::milliseconds downtime)
+{
+    m_deadlyPart = part;
+    m_downtime = downtime;
+}
+
+bool EmulatedEngine::isDeadly(const RequestMessage &request) const
+{
+    const std::string parts = "," + std::string(fieldValue(request, "Sesameproxy-Prefix-Hash"));
+    return !m_deadlyPart.empty() && parts.find("," + m_deadlyPart + ":") != std::string::npos;
+}
+
 void EmulatedEngine::setFault(Fault fault, int requests)
 {
     m_fault = fault;
@@ -51,6 +83,7 @@
 void EmulatedEngine::serve(const ConnectionPtr &connection, RequestMessage &&request)
 {
     m_lastRequestFields = request;
+    m_connections.push_back(connection);
     const std::string attempt(fieldValue(request, "Sesameproxy-Attempt-Id"));
     const std::string_view expected = fieldValue(request, "Sesameproxy-Expect-Instance");
     HttpFields fields = answerFields(attempt);
@@ -100,6 +133,14 @@
                                          + request.body());
         return;
     }
+    if (isDeadly(request)) {
+        const auto timer = std::make_shared<asio::steady_timer>(m_context, m_timeToAnswer);
+        timer->async_wait([this, timer](const auto &ec) {
+            if (!ec && m_listener)
+                crash();
+        });
+        return;
+    }
     fields.set("Content-Type", "text/event-stream");
     connection->beginStream(200, fields);
     const std::string resumeAfter(fieldValue(request, "Last-Event-Id"));
--- a/Emulator/emulatedengine.h
+++ b/Emulator/emulatedengine.h
@@ -3,8 +3,10 @@
 #include "Http/listener.h"
 
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace sesame {
 
@@ -30,6 +32,13 @@
 
     EmulatedEngine(asio::io_context &context, std::string id, const Tcp::endpoint &address);
 
+    /*!
+        Makes the engine crash when it begins to answer a streaming request whose prompt contains
+       the part \a part, in hexadecimal: it closes all connections and is back after \a downtime.
+    */
+    void setDeadlyPart(const std::string &part, std::chrono::milliseconds downtime);
+    int crashCount() const { return m_crashCount; }
+
     /*!
         Injects \a fault into the next \a requests requests. Later requests have no fault.
     */
@@ -50,6 +59,9 @@
 private:
     using ConnectionPtr = std::shared_ptr<ServerConnection>;
 
+    void open();
+    void crash();
+    bool isDeadly(const RequestMessage &request) const;
     void serve(const ConnectionPtr &connection, RequestMessage &&request);
     void sendEvents(const ConnectionPtr &connection, const std::string &attempt, int next,
                     bool breaksOff);
@@ -59,7 +71,14 @@
 
     asio::io_context &m_context;
     std::string m_id;
-    Listener m_listener;
+    Tcp::endpoint m_address;
+    std::unique_ptr<Listener> m_listener; //!< Null while the engine is down.
+    std::vector<std::weak_ptr<ServerConnection>>
+            m_connections; //!< Those with a request since the start.
+    std::string m_deadlyPart; //!< Empty if no request makes the engine crash.
+    std::chrono::milliseconds m_downtime {0};
+    std::chrono::milliseconds m_timeToAnswer {20};
+    int m_crashCount = 0;
     Fault m_fault = Fault::None;
     int m_faultyRequests = 0;
     int m_eventCount = 5;
--- a/Tests/support/platformdeployment.h
+++ b/Tests/support/platformdeployment.h
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 
 #include <unistd.h>
@@ -127,10 +128,17 @@
     CallResponse sendCall(const Tcp::endpoint &address, const std::string &method,
                           const std::string &target, const std::string &id = "",
                           const std::string &key = "key-large", const std::string &body = "")
+    {
+        return sendCall(address, method, target, requestFields(id, key), body);
+    }
+
+    CallResponse sendCall(const Tcp::endpoint &address, const std::string &method,
+                          const std::string &target, const HttpFields &fields,
+                          const std::string &body)
     {
         HttpCaller caller(context, address);
         std::optional<CallResponse> answer;
-        caller.call(method, target, requestFields(id, key), body, 5s, [&](CallResponse result) {
+        caller.call(method, target, fields, body, 5s, [&](CallResponse result) {
             answer = std::move(result);
         });
         runUntil(
@@ -152,6 +160,22 @@
         return sendCall(platform.entryAddress(node), method, target, id, key, body);
     }
 
+    /*!
+        Sends a streaming request with attempt ID \a id, whose prompt has the parts \a parts, to the
+        entry of \a node. Each part is an id in hexadecimal.
+    */
+    CallResponse sendPrompt(int node, const std::string &id, std::span<const std::string> parts)
+    {
+        constexpr int tokensPerPart = 20;
+        std::string prefix;
+        for (const std::string &part : parts)
+            prefix += (prefix.empty() ? "" : ",") + part + ":" + std::to_string(tokensPerPart);
+        HttpFields fields = requestFields(id, "key-large");
+        fields.set("Sesameproxy-Prefix-Hash", prefix);
+        fields.set("Sesameproxy-Token-Usage", std::to_string(tokensPerPart * parts.size()) + ",10");
+        return sendCall(platform.entryAddress(node), "POST", "/stream/x", fields, "prompt " + id);
+    }
+
     static HttpFields requestFields(const std::string &id, const std::string &key)
     {
         HttpFields fields;
--- a/Tests/support/processgroup.cpp
+++ b/Tests/support/processgroup.cpp
@@ -29,6 +29,8 @@
     const int log = open(logFile, O_WRONLY | O_CREAT | O_APPEND, logFileMode);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
+    // A listening socket that the child inherits would stay open after the test has closed it.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(arguments[0], arguments);
     _exit(executionFailed);
 }
