Ignore odd entries among those of the engines

Reported by other operators; can happen here, in two ways: - An entry with an address that cannot be parsed, such as a port out of range, was taken for an engine. A request that chose it never left the loop over candidates, because only engines with an address were noted as tried: the node hung, all requests with it. - An entry that is nested too deeply or has a number out of range made the whole list unreadable, so that the node stopped following it: a draining engine got requests.

--- a/Emulator/emulatedengine.cpp
+++ b/Emulator/emulatedengine.cpp
@@ -112,6 +112,12 @@
         connection->abort();
         return;
     }
+    if (fault == Fault::UnidentifiedRefusal) {
+        fields.erase("Sesameproxy-Attempt-Id");
+        fields.set("Sesameproxy-Not-Executed", "1");
+        connection->sendResponse(503, fields, "full\n");
+        return;
+    }
     if (fault == Fault::Unsigned)
         fields.erase("Sesameproxy-Response-Seal");
     if (fault == Fault::Encoded)
@@ -126,7 +132,7 @@
         return;
     }
     const bool isStream = toStd(request.target()).find("/stream/") != std::string_view::npos;
-    if (!isStream) {
+    if (!isStream || fault == Fault::Error || fault == Fault::PlainAnswer) {
         connection->sendResponse(fault == Fault::Error ? 500 : 200, fields,
                                  std::string(toStd(request.method_string())) + " "
                                          + std::string(toStd(request.target())) + " "
@@ -145,7 +151,7 @@
     connection->beginStream(200, fields);
     const std::string resumeAfter(fieldValue(request, "Last-Event-Id"));
     sendEvents(connection, attempt, resumeAfter.empty() ? 1 : std::atoi(resumeAfter.c_str()) + 1,
-               fault == Fault::BrokenStream);
+               fault);
 }
 
 void EmulatedEngine::sendEndless(const ConnectionPtr &connection)
@@ -169,11 +175,16 @@
 }
 
 void EmulatedEngine::sendEvents(const ConnectionPtr &connection, const std::string &attempt,
-                                int next, bool breaksOff)
+                                int next, Fault fault)
 {
     const std::string number = std::to_string(next);
+    const bool breaksOff = fault == Fault::BrokenStream || fault == Fault::EndsInsideEvent;
     if (breaksOff && next > eventsBeforeBreak) {
         connection->sendChunk("id: " + number + "\nda");
+        if (fault == Fault::EndsInsideEvent) {
+            connection->endStream();
+            return;
+        }
         connection->setDrainedHandler([weak = std::weak_ptr(connection)] {
             if (const ConnectionPtr open = weak.lock())
                 open->abort();
@@ -186,9 +197,9 @@
         return;
     }
     const auto timer = std::make_shared<asio::steady_timer>(m_context, m_eventInterval);
-    timer->async_wait([this, timer, connection, attempt, next, breaksOff](const auto &ec) {
+    timer->async_wait([this, timer, connection, attempt, next, fault](const auto &ec) {
         if (!ec)
-            sendEvents(connection, attempt, next + 1, breaksOff);
+            sendEvents(connection, attempt, next + 1, fault);
     });
 }
 
--- a/Emulator/emulatedengine.h
+++ b/Emulator/emulatedengine.h
@@ -23,7 +23,11 @@
         ResetBeforeAnswer, //!< Executes the request and resets the connection.
         BrokenStream, //!< Ends a stream in the middle of its third event.
         NoAnswer, //!< Executes the request and never answers.
+        EndsInsideEvent, //!< Ends a stream inside its third event as if it were complete.
         Error, //!< Executes the request and answers with status 500.
+        PlainAnswer, //!< Executes the request and answers a stream with a body that has no events.
+        //! Executes the request and writes a refusal that does not say which request it is for.
+        UnidentifiedRefusal,
         Unsigned, //!< Answers without the response signature.
         Encoded, //!< Declares a content encoding of the body.
         EndlessBody, //!< Sends bytes that are no events until the connection is closed.
@@ -64,7 +68,7 @@
     bool isDeadly(const RequestMessage &request) const;
     void serve(const ConnectionPtr &connection, RequestMessage &&request);
     void sendEvents(const ConnectionPtr &connection, const std::string &attempt, int next,
-                    bool breaksOff);
+                    Fault fault);
     void sendEndless(const ConnectionPtr &connection);
     void sendTrickle(const ConnectionPtr &connection);
     HttpFields answerFields(const std::string &attempt) const;
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -189,16 +189,18 @@
 bool ProxiedRequest::reserveEngine(const EngineChoice &choice, const ServiceSpec &service)
 {
     const EngineState &engine = *choice.engine;
+    m_engineId = engine.entry.id;
+    m_triedEngines.push_back(m_engineId);
     const std::optional<Tcp::endpoint> address = parseTcpEndpoint(engine.entry.address);
-    if (!address)
+    if (!address) {
+        m_engineId.clear();
         return false;
-    m_engineId = engine.entry.id;
+    }
     m_choiceInputs = {.requests = engine.ownLoad.requests + engine.peerLoad.requests,
                       .tokens = engine.ownLoad.tokens + engine.peerLoad.tokens,
                       .costMs = choice.costMs};
     m_engineLoad = {.requests = 1, .tokens = m_requestInfo.work.tokens()};
     m_state.engines.addLoad(m_engineId, m_engineLoad);
-    m_triedEngines.push_back(m_engineId);
     // Each node may use its share of the engine's connections, but at least one.
     const auto nodes = m_state.quotaShares.nodes;
     const int limit = service.maxConnections > 0 ? std::max(1, service.maxConnections / nodes) : 0;
--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -458,6 +458,8 @@
             wire::Member member;
             member.node = object.name;
             member.entryAddress = jsonString(object.content.get(), "entry");
+            if (!parseTcpEndpoint(member.entryAddress))
+                continue;
             member.ready = true;
             member.capacity = static_cast<int>(jsonInteger(object.content.get(), "capacity"));
             m_state.peers.addListedNode(member, jsonString(object.content.get(), "zone"),
--- a/Tests/platformprocesstest.cpp
+++ b/Tests/platformprocesstest.cpp
@@ -139,6 +139,50 @@
     }
 }
 
+// Guards against entries of another writer that stop the node, keep it from following the list of
+// engines, or occupy it without end.
+Test(platform, oddEngineEntriesAreIgnored)
+{
+    PlatformDeployment deployment(22050, 1);
+    constexpr int depth = 5000;
+    const std::string common = R"("service":"plain","zone":"z","state":"ready","sequence":1,)";
+    const std::string address = R"("address":"127.0.0.1:1",)";
+    // The first ones can be read, but name no address that can be used; the others make the whole
+    // list unreadable to a parser that reads it at once.
+    const std::vector<std::string> odd {
+            "{" + common + R"("address":"127.0.0.1:99999","slots":4,"born":1})",
+            "{" + common + R"("address":"127.0.0.1:0","slots":4,"born":1})",
+            "{" + common + R"("address":"host","slots":4294967300,"born":-1})",
+            "{" + common + address + R"("slots":4,"warmupLeftMs":1e300,"service":"odd"})",
+            "[[[1]]]",
+            "{" + common + address + R"("slots":1e999,"born":1})",
+            "{" + common + address + R"("slots":4,"born":123456789012345678901234567890})",
+            "{" + common + address + R"("slots":4,"more":)" + std::string(depth, '[')
+                    + std::string(depth, ']') + "}"};
+    const auto expectServed = [&](const std::string &prefix) {
+        deployment.runFor(1500ms);
+        cr_assert_not(deployment.hasExited(1));
+        for (int i = 0; i < 10; ++i)
+            cr_expect_eq(
+                    deployment.sendRequest(1, "GET", "/read/x", prefix + std::to_string(i)).status,
+                    200U);
+    };
+    for (std::size_t i = 0; i < odd.size(); ++i) {
+        deployment.platform.store.put("servers", "a-odd-" + std::to_string(i), odd[i]);
+        if (i == odd.size() / 2)
+            expectServed("first-");
+    }
+    expectServed("watched-");
+    deployment.platform.store.compact();
+    expectServed("listed-");
+    // The node still follows changes, and an odd entry replaces the one that its engine had.
+    deployment.platform.putEngine(*deployment.platform.engines[3], "draining");
+    deployment.platform.store.put("servers", "i-4", odd.back());
+    deployment.runFor(1900ms);
+    cr_expect_eq(deployment.sendRequest(1, "GET", "/read/x", "last").status, 503U);
+    cr_expect_eq(deployment.executionCount("last"), 0);
+}
+
 // Guards against an engine that continues to process a request whose caller has disconnected.
 Test(platform, callerDisconnectCancelsEngineRequest)
 {
--- a/Tests/support/platformdeployment.h
+++ b/Tests/support/platformdeployment.h
@@ -27,6 +27,16 @@
     std::chrono::seconds stopGrace {3};
 };
 
+/*!
+    What a caller received of an answer.
+*/
+struct RawAnswer
+{
+    std::string body;
+    bool isComplete = false;
+    bool isMalformed = false; //!< Bytes arrived that are no answer in the protocol.
+};
+
 /*!
     A deployment of node processes on an emulated platform. The test runs the event loop of the
     emulator.
@@ -160,6 +170,47 @@
         return sendCall(platform.entryAddress(node), method, target, id, key, body);
     }
 
+    /*!
+        Sends a streaming request with attempt ID \a id to the entry of \a node and returns what
+        arrives, also if the answer is incomplete.
+    */
+    RawAnswer readStream(int node, const std::string &target, const std::string &id)
+    {
+        RawAnswer answer;
+        bool ended = false;
+        const auto connection = std::make_shared<ClientConnection>(context);
+        connection->connect(platform.entryAddress(node), 1s, [&](const auto &ec) {
+            cr_assert_not(ec);
+            connection->send(
+                    formatRequest("POST", target, requestFields(id, "key-large"), "p"), false,
+                    {.head =
+                             [](const ResponseHead &) {
+                                 return ResponseSink::Verdict::Take;
+                             },
+                     .body =
+                             [&](std::string_view piece) {
+                                 answer.body += piece;
+                             },
+                     .done =
+                             [&] {
+                                 answer.isComplete = true;
+                                 ended = true;
+                             },
+                     .failed =
+                             [&](ExchangeFailure failure) {
+                                 answer.isMalformed = failure == ExchangeFailure::Malformed;
+                                 ended = true;
+                             }});
+        });
+        runUntil(
+                [&] {
+                    return ended;
+                },
+                5s);
+        connection->close();
+        return answer;
+    }
+
     /*!
         Sends a streaming request with attempt ID \a id, whose prompt has the parts \a parts, to the
         entry of \a node. Each part is an id in hexadecimal.
