Do not end a stream as complete that its engine broke off

Cause: the end of the response was taken for the end of the answer, whatever the event splitter still held. Change: a stream that ends inside an event, or without a length and without any event, is treated as a lost connection: checked for a crash, resumed where that is allowed, broken off otherwise. Test: both tests failed before: complete answers with partial events, and a complete empty stream.

--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -368,8 +368,7 @@
 */
 void ProxiedRequest::abandonEngine(std::string_view reason)
 {
-    logEvent(LogLevel::Warning, "engine.exchange_failed",
-             {{"request", m_requestInfo.id}, {"engine", m_engineId}, {"reason", reason}});
+    logExchangeFailure(reason);
     m_state.engines.recordConnectFailure(m_engineId, steadyNow());
     m_connection->close();
     handleUnsuccessfulSend(SendOutcome::Unknown);
@@ -402,10 +401,25 @@
     m_caller->beginStream(m_responseStatus, copyEndToEndFields(m_responseHead));
 }
 
+/*!
+    Returns whether a stream that has ended is incomplete: it ends inside an event, or it has
+   neither a length nor events.
+*/
+bool ProxiedRequest::isStreamTruncated() const
+{
+    const bool isFramed = m_responseHead.count("Transfer-Encoding") > 0
+            || m_responseHead.count("Content-Length") > 0;
+    return !m_eventSplitter.partial().empty() || (!isFramed && m_eventSplitter.eventCount() == 0);
+}
+
 void ProxiedRequest::onResponseComplete()
 {
     m_stallTimer.cancel();
     const bool isStream = isSuccessStatus(m_responseStatus) && m_responseInfo.isEventStream;
+    if (isStream && isStreamTruncated()) {
+        onStreamTruncated();
+        return;
+    }
     if (m_responseInfo.notExecuted && m_responseStatus >= firstErrorStatus) {
         handleUnsuccessfulSend(SendOutcome::NotExecuted);
         return;
@@ -425,7 +439,6 @@
         return;
     }
     beginStreamRelay();
-    m_caller->sendChunk(m_eventSplitter.partial());
     m_caller->endStream();
     finish("complete", m_responseStatus);
 }
@@ -445,24 +458,45 @@
 }
 
 void ProxiedRequest::onExchangeFailed(ExchangeFailure failure)
+{
+    logExchangeFailure(failureReason(failure));
+    if (failure == ExchangeFailure::Closed)
+        checkForCrash();
+    else
+        m_state.engines.recordConnectFailure(m_engineId, steadyNow());
+    handleUnsuccessfulSend(SendOutcome::Unknown);
+}
+
+/*!
+    Treats a stream that ended too early like one whose connection was lost. Without a length and
+    chunks, the end of the connection is the only sign that the engine broke off.
+*/
+void ProxiedRequest::onStreamTruncated()
+{
+    logExchangeFailure("stream ends too early");
+    checkForCrash();
+    handleUnsuccessfulSend(SendOutcome::Unknown);
+}
+
+void ProxiedRequest::logExchangeFailure(std::string_view reason) const
 {
     logEvent(LogLevel::Warning, "engine.exchange_failed",
              {{"request", m_requestInfo.id},
               {"engine", m_engineId},
-              {"reason", failureReason(failure)},
+              {"reason", reason},
               {"after_ms",
                std::chrono::duration<double, std::milli>(steadyNow() - m_sendStartTime).count()}});
-    if (failure == ExchangeFailure::Closed)
-        EngineCrashCheck(m_state).start({.id = m_requestInfo.id,
-                                         .engine = m_engineId,
-                                         .service = selectService(),
-                                         .fingerprint = m_admitted.fingerprint,
-                                         .parts = m_requestInfo.work.parts,
-                                         .events = m_eventSplitter.eventCount(),
-                                         .sentMillis = m_sentMillis});
-    else
-        m_state.engines.recordConnectFailure(m_engineId, steadyNow());
-    handleUnsuccessfulSend(SendOutcome::Unknown);
+}
+
+void ProxiedRequest::checkForCrash()
+{
+    EngineCrashCheck(m_state).start({.id = m_requestInfo.id,
+                                     .engine = m_engineId,
+                                     .service = selectService(),
+                                     .fingerprint = m_admitted.fingerprint,
+                                     .parts = m_requestInfo.work.parts,
+                                     .events = m_eventSplitter.eventCount(),
+                                     .sentMillis = m_sentMillis});
 }
 
 std::string_view ProxiedRequest::sendOutcomeName(SendOutcome outcome)
--- a/Source/Serving/proxiedrequest.h
+++ b/Source/Serving/proxiedrequest.h
@@ -52,6 +52,10 @@
     void abandonEngine(std::string_view reason);
     void onResponseComplete();
     void onExchangeFailed(ExchangeFailure failure);
+    bool isStreamTruncated() const;
+    void onStreamTruncated();
+    void logExchangeFailure(std::string_view reason) const;
+    void checkForCrash();
     void relayEvents(const std::string &events);
     void beginStreamRelay();
     void relayBufferedResponse();
--- a/Tests/platformprocesstest.cpp
+++ b/Tests/platformprocesstest.cpp
@@ -1,4 +1,5 @@
 #include "support/platformdeployment.h"
+#include "support/rawengine.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -139,6 +140,67 @@
     }
 }
 
+// Guards against a stream that ends inside an event and reaches the caller as a complete one.
+Test(platform, streamsThatEndInsideAnEventAreBrokenOff)
+{
+    using Fault = EmulatedEngine::Fault;
+    PlatformDeployment deployment(21900, 1);
+    deployment.platform.engines[0]->setFault(Fault::EndsInsideEvent, 1);
+    int resumed = 0;
+    for (int i = 0; i < 6; ++i) {
+        const std::string id = "again-" + std::to_string(i);
+        const CallResponse answer = deployment.sendRequest(1, "POST", "/stream/again/x", id);
+        cr_expect(answer.body == formatEvents(1, 5), "%s", answer.body.c_str());
+        resumed += deployment.executionCount(id) == 2 ? 1 : 0;
+    }
+    cr_expect_eq(resumed, 1);
+    deployment.setFault(Fault::EndsInsideEvent, 1);
+    const CallResponse answer = deployment.sendRequest(1, "POST", "/stream/x", "s-1");
+    cr_expect_eq(answer.status, 0U, "%u: %s", answer.status, answer.body.c_str());
+}
+
+// Guards against a stream without a length that its engine broke off and that reaches the caller as
+// a complete one, and against refusing those that are complete.
+Test(platform, streamsWithoutALengthEndWithTheirConnection)
+{
+    PlatformDeployment deployment(22100, 1);
+    const Tcp::endpoint address(asio::ip::make_address_v4("127.0.0.1"), 22140);
+    RawEngine engine(deployment.context, address);
+    for (int i = 0; i < EmulatedPlatform::modelEngineCount; ++i)
+        deployment.platform.putEngine(*deployment.platform.engines[static_cast<std::size_t>(i)],
+                                      "draining");
+    deployment.platform.store.put("servers", "i-raw",
+                                  R"({"service":"model","address":"127.0.0.1:22140","zone":"z",)"
+                                  R"("slots":4,"state":"ready","sequence":1,"born":1})");
+    deployment.runFor(1500ms);
+    const std::string head
+            = "HTTP/1.1 200 OK\r\nSesameproxy-Attempt-Id: ID\r\n"
+              "Sesameproxy-Response-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n";
+    struct Case
+    {
+        std::string body;
+        RawEngine::End end;
+        bool isComplete;
+    };
+    const std::vector<Case> cases {
+            {formatEvents(1, 3), RawEngine::End::Close, true},
+            {formatEvents(1, 2) + "id: 3\ndata: pie", RawEngine::End::Close, false},
+            {formatEvents(1, 2) + "id: 3\n", RawEngine::End::Close, false},
+            {"", RawEngine::End::Close, false},
+            {formatEvents(1, 2), RawEngine::End::Reset, false}};
+    for (std::size_t i = 0; i < cases.size(); ++i) {
+        engine.setAnswer(head + cases[i].body, cases[i].end);
+        const RawAnswer answer = deployment.readStream(1, "/stream/x", "u-" + std::to_string(i));
+        cr_expect_eq(answer.isComplete && answer.status == 200, cases[i].isComplete, "case %zu: %s",
+                     i, answer.body.c_str());
+        cr_expect_not(answer.isMalformed);
+        if (answer.status == 200)
+            cr_expect(formatEvents(1, 3).starts_with(answer.body), "case %zu: %s", i,
+                      answer.body.c_str());
+    }
+    cr_expect_eq(engine.requestCount(), static_cast<int>(cases.size()));
+}
+
 // Guards against entries of another writer that stop the node, keep it from following the list of
 // engines, or occupy it without end.
 Test(platform, oddEngineEntriesAreIgnored)
--- a/Tests/support/platformdeployment.h
+++ b/Tests/support/platformdeployment.h
@@ -32,6 +32,7 @@
 */
 struct RawAnswer
 {
+    unsigned status = 0; //!< 0 if no head arrived.
     std::string body;
     bool isComplete = false;
     bool isMalformed = false; //!< Bytes arrived that are no answer in the protocol.
@@ -184,7 +185,8 @@
             connection->send(
                     formatRequest("POST", target, requestFields(id, "key-large"), "p"), false,
                     {.head =
-                             [](const ResponseHead &) {
+                             [&](const ResponseHead &head) {
+                                 answer.status = head.result_int();
                                  return ResponseSink::Verdict::Take;
                              },
                      .body =
--- /dev/null
+++ b/Tests/support/rawengine.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "Http/httptypes.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace sesame::test {
+
+/*!
+    A backend server that answers each request with given bytes and then ends the connection. It
+    writes answers that an HTTP server would not.
+*/
+class RawEngine
+{
+public:
+    enum class End { Close, Reset };
+
+    RawEngine(asio::io_context &context, const Tcp::endpoint &address)
+        : m_acceptor(context, address)
+    {
+        accept();
+    }
+
+    /*!
+        Sets the bytes of the following answers, in which "ID" stands for the attempt ID of the
+        request, and how the connection ends after them.
+    */
+    void setAnswer(std::string answer, End end)
+    {
+        m_answer = std::move(answer);
+        m_end = end;
+    }
+
+    int requestCount() const { return m_requestCount; }
+
+private:
+    struct Exchange
+    {
+        explicit Exchange(Tcp::socket connection) : socket(std::move(connection)) { }
+
+        Tcp::socket socket;
+        std::string input;
+        std::string output;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code &ec, Tcp::socket socket) {
+            if (ec)
+                return;
+            serve(std::make_shared<Exchange>(std::move(socket)));
+            accept();
+        });
+    }
+
+    void serve(const std::shared_ptr<Exchange> &exchange)
+    {
+        asio::async_read_until(exchange->socket, asio::dynamic_buffer(exchange->input), "\r\n\r\n",
+                               [this, exchange](const boost::system::error_code &ec, std::size_t) {
+                                   if (!ec)
+                                       answer(exchange);
+                               });
+    }
+
+    void answer(const std::shared_ptr<Exchange> &exchange)
+    {
+        ++m_requestCount;
+        constexpr std::string_view idField = "Sesameproxy-Attempt-Id: ";
+        const std::size_t start = exchange->input.find(idField) + idField.size();
+        const std::string id = exchange->input.substr(start,
+                                                      exchange->input.find('\r', start) - start);
+        exchange->output = m_answer;
+        const std::size_t at = exchange->output.find("ID");
+        if (at != std::string::npos)
+            exchange->output.replace(at, 2, id);
+        asio::async_write(exchange->socket, asio::buffer(exchange->output),
+                          [this, exchange](const boost::system::error_code &, std::size_t) {
+                              boost::system::error_code ignored; // The socket is not used again.
+                              if (m_end == End::Reset)
+                                  exchange->socket.set_option(asio::socket_base::linger(true, 0),
+                                                              ignored);
+                              else
+                                  exchange->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+                              exchange->socket.close(ignored);
+                          });
+    }
+
+    Tcp::acceptor m_acceptor;
+    std::string m_answer;
+    End m_end = End::Close;
+    int m_requestCount = 0;
+};
+
+} // namespace sesame::test
