Continue a begun stream only with events

Callers found its whole head in the middle of their stream (MIXED). Cause: a success without events was relayed like the answer to a plain request, although the head of the stream had been sent. Change: such an answer is invalid once the caller has received events. Errors and unsigned answers of the next engine were handled already; the test covers all three. Test: answersThatAreNoEventsDoNotContinueAStream failed before (malformed bytes at the caller).

--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -335,8 +335,10 @@
     m_state.metrics.recordFirstByte(selectService(), steadyNow() - m_sendStartTime);
     if (info.engineRequests)
         m_state.engines.recordStatedLoad(m_engineId, *info.engineRequests, steadyNow());
+    // Only events can continue a stream of which the caller has received some.
     const bool isInvalid = isSuccessStatus(m_responseStatus)
-            && (info.id.empty() || !info.isSigned || info.isEncoded);
+            && (info.id.empty() || !info.isSigned || info.isEncoded
+                || (m_isStreamStarted && !info.isEventStream));
     if (isInvalid
         || (m_isStreamStarted && !isSuccessStatus(m_responseStatus) && !info.notExecuted)) {
         m_connection->close();
--- a/Tests/platformprocesstest.cpp
+++ b/Tests/platformprocesstest.cpp
@@ -201,6 +201,32 @@
     cr_expect_eq(engine.requestCount(), static_cast<int>(cases.size()));
 }
 
+// Guards against the answer of another engine, an error or a body without events, in the middle of
+// a stream that its first engine broke off.
+Test(platform, answersThatAreNoEventsDoNotContinueAStream)
+{
+    using Fault = EmulatedEngine::Fault;
+    PlatformDeployment deployment(21950, 1);
+    for (const Fault fault : {Fault::Error, Fault::PlainAnswer, Fault::Unsigned}) {
+        int begun = 0;
+        for (int i = 0; i < 12; ++i) {
+            // One engine breaks the stream off, all others have the fault.
+            deployment.setFault(fault, 1);
+            deployment.platform.engines[0]->setFault(Fault::BrokenStream, 1);
+            const std::string id = std::to_string(static_cast<int>(fault)) + "-"
+                    + std::to_string(i);
+            const RawAnswer answer = deployment.readStream(1, "/stream/again/x", id);
+            if (!answer.body.starts_with(formatEvents(1, 1)))
+                continue;
+            ++begun;
+            cr_expect(formatEvents(1, 5).starts_with(answer.body), "%s", answer.body.c_str());
+            cr_expect_neq(answer.isComplete, answer.body != formatEvents(1, 5));
+            cr_expect_not(answer.isMalformed);
+        }
+        cr_expect_geq(begun, 1);
+    }
+}
+
 // Guards against entries of another writer that stop the node, keep it from following the list of
 // engines, or occupy it without end.
 Test(platform, oddEngineEntriesAreIgnored)
