Do not take an answer without an id for the awaited one

Reported by other operators; can happen here: an engine wrote an earlier refusal once more on a kept connection. If it carried no id, callers were told that their request had not run while an engine ran it (REFUSED), or it ran at a second engine (TWICE). With the id of the earlier request it was skipped already. Cause: a missing id was taken for the right one, except in successes. Change: an answer without an id, to a request that has one, tells nothing about the request: it may have run, the caller gets 502, and the connection is closed. Test: refusalsWithoutAnIdAreNotPassedOn failed before (503 to the caller, two runs).

--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -335,10 +335,15 @@
     m_state.metrics.recordFirstByte(selectService(), steadyNow() - m_sendStartTime);
     if (info.engineRequests)
         m_state.engines.recordStatedLoad(m_engineId, *info.engineRequests, steadyNow());
-    // Only events can continue a stream of which the caller has received some.
-    const bool isInvalid = isSuccessStatus(m_responseStatus)
-            && (info.id.empty() || !info.isSigned || info.isEncoded
-                || (m_isStreamStarted && !info.isEventStream));
+    // An answer without an id may belong to an earlier request on the connection. Only events can
+    // continue a stream of which the caller has received some.
+    const bool isUnidentified = info.id.empty() && !m_requestInfo.id.empty();
+    const bool isInvalid = isUnidentified
+            || (isSuccessStatus(m_responseStatus)
+                && (info.id.empty() || !info.isSigned || info.isEncoded
+                    || (m_isStreamStarted && !info.isEventStream)));
+    if (isUnidentified)
+        logExchangeFailure("answer without an id");
     if (isInvalid
         || (m_isStreamStarted && !isSuccessStatus(m_responseStatus) && !info.notExecuted)) {
         m_connection->close();
--- a/Tests/platformprocesstest.cpp
+++ b/Tests/platformprocesstest.cpp
@@ -227,6 +227,19 @@
     }
 }
 
+// Guards against a refusal that belongs to another request: callers would be told that a request
+// has not run which did, or it would run at a second engine.
+Test(platform, refusalsWithoutAnIdAreNotPassedOn)
+{
+    PlatformDeployment deployment(22000, 1);
+    for (int i = 0; i < 4; ++i) {
+        const std::string id = "b-" + std::to_string(i);
+        deployment.setFault(EmulatedEngine::Fault::UnidentifiedRefusal, 1);
+        cr_expect_eq(deployment.sendRequest(1, "POST", "/book/x", id).status, 502U);
+        cr_expect_eq(deployment.executionCount(id), 1);
+    }
+}
+
 // Guards against entries of another writer that stop the node, keep it from following the list of
 // engines, or occupy it without end.
 Test(platform, oddEngineEntriesAreIgnored)
