Obey engines that leave or push back

Cause: no code read Server-Leaving or an engine's Retry-After. A node knew of a leaving engine only from the store and Connection: close, and chose an engine that had answered 503 again after 40 ms. Change: EngineNotices keeps what each process of an engine said to this node; EngineGate asks it for each choice and each connection. Leaving ends with a new process only; after a pause a node returns at a random moment, with one request at a time at first. If all engines are left out, callers are refused at once and told when to return.

--- a/Emulator/emulatedengine.cpp
+++ b/Emulator/emulatedengine.cpp
@@ -53,6 +53,42 @@
     m_downtime = downtime;
 }
 
+void EmulatedEngine::setLeaving(bool isLeaving)
+{
+    m_isLeaving = isLeaving;
+    m_arrivalsSinceLeaving = 0;
+}
+
+void EmulatedEngine::pushBack(std::chrono::milliseconds time, const std::string &retryAfter,
+                              bool claimsNotExecuted)
+{
+    m_pushBackEnd = Clock::now() + time;
+    m_retryAfter = retryAfter;
+    m_claimsNotExecuted = claimsNotExecuted;
+    m_turnedAwayAt = {};
+    m_arrivalsDuringPushBack = 0;
+}
+
+/*!
+    Answers a request with a refusal if the engine pushes back. Returns whether it does.
+*/
+bool EmulatedEngine::turnAway(const ConnectionPtr &connection, HttpFields &fields)
+{
+    constexpr std::chrono::milliseconds reactionTime {500};
+    const Clock::time_point now = Clock::now();
+    if (now >= m_pushBackEnd)
+        return false;
+    if (m_turnedAwayAt == Clock::time_point {})
+        m_turnedAwayAt = now;
+    m_arrivalsDuringPushBack += now - m_turnedAwayAt > reactionTime ? 1 : 0;
+    if (!m_retryAfter.empty())
+        fields.set("Retry-After", m_retryAfter);
+    if (m_claimsNotExecuted)
+        fields.set("Sesameproxy-Not-Executed", "1");
+    connection->sendResponse(503, fields, "not now\n");
+    return true;
+}
+
 bool EmulatedEngine::isDeadly(const RequestMessage &request) const
 {
     const std::string parts = "," + std::string(fieldValue(request, "Sesameproxy-Prefix-Hash"));
@@ -77,6 +113,8 @@
     fields.set("Sesameproxy-Attempt-Id", attempt);
     fields.set("Sesameproxy-Response-Seal", "seal-" + m_id);
     fields.set("Keep-Alive", "timeout=5");
+    if (m_isLeaving)
+        fields.set("Server-Leaving", "1");
     return fields;
 }
 
@@ -92,6 +130,9 @@
         connection->sendResponse(421, fields, "another instance\n");
         return;
     }
+    m_arrivalsSinceLeaving += m_isLeaving ? 1 : 0;
+    if (turnAway(connection, fields))
+        return;
     const Fault fault = m_faultyRequests > 0 ? m_fault : Fault::None;
     m_faultyRequests -= m_faultyRequests > 0 ? 1 : 0;
     if (fault == Fault::NoCapacity) {
--- a/Emulator/emulatedengine.h
+++ b/Emulator/emulatedengine.h
@@ -50,6 +50,30 @@
     void setEventCount(int events) { m_eventCount = events; }
     void setEventInterval(std::chrono::milliseconds pause) { m_eventInterval = pause; }
 
+    /*!
+        Adds to all answers from now on that the engine is leaving.
+    */
+    void setLeaving(bool isLeaving);
+
+    /*!
+        Turns requests away from now on and for \a time, with the header value \a retryAfter, or
+        without that header if it is empty. \a claimsNotExecuted says whether the answers state that
+        the request has not run.
+    */
+    void pushBack(std::chrono::milliseconds time, const std::string &retryAfter,
+                  bool claimsNotExecuted = true);
+
+    /*!
+        Returns the number of requests, also those turned away, that arrived after setLeaving().
+    */
+    int arrivalsSinceLeaving() const { return m_arrivalsSinceLeaving; }
+
+    /*!
+        Returns the number of requests that arrived between half a second after an answer that
+        turned one away and the end of pushBack()'s time.
+    */
+    int arrivalsDuringPushBack() const { return m_arrivalsDuringPushBack; }
+
     const std::string &id() const { return m_id; }
     int runCount(const std::string &attempt) const;
     int totalRunCount() const { return m_totalRunCount; }
@@ -61,11 +85,13 @@
     const HttpFields &lastRequestFields() const { return m_lastRequestFields; }
 
 private:
+    using Clock = std::chrono::steady_clock;
     using ConnectionPtr = std::shared_ptr<ServerConnection>;
 
     void open();
     void crash();
     bool isDeadly(const RequestMessage &request) const;
+    bool turnAway(const ConnectionPtr &connection, HttpFields &fields);
     void serve(const ConnectionPtr &connection, RequestMessage &&request);
     void sendEvents(const ConnectionPtr &connection, const std::string &attempt, int next,
                     Fault fault);
@@ -83,6 +109,13 @@
     std::chrono::milliseconds m_downtime {0};
     std::chrono::milliseconds m_timeToAnswer {20};
     int m_crashCount = 0;
+    bool m_isLeaving = false;
+    int m_arrivalsSinceLeaving = 0;
+    std::string m_retryAfter;
+    bool m_claimsNotExecuted = true;
+    Clock::time_point m_pushBackEnd {};
+    Clock::time_point m_turnedAwayAt {}; //!< Time of the first answer of the current push-back.
+    int m_arrivalsDuringPushBack = 0;
     Fault m_fault = Fault::None;
     int m_faultyRequests = 0;
     int m_eventCount = 5;
--- a/Emulator/emulatedplatform.cpp
+++ b/Emulator/emulatedplatform.cpp
@@ -44,7 +44,8 @@
     return address.address().to_string() + ":" + std::to_string(address.port());
 }
 
-void EmulatedPlatform::putEngine(const EmulatedEngine &engine, const std::string &state)
+void EmulatedPlatform::putEngine(const EmulatedEngine &engine, const std::string &state,
+                                 std::int64_t incarnation)
 {
     std::size_t index = 0;
     while (engines[index].get() != &engine)
@@ -54,7 +55,8 @@
               std::string("{\"service\":\"") + (isModel ? "model" : "plain") + "\",\"address\":\""
                       + engineAddress(index) + "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":"
                       + std::to_string(m_engineCapacity.slots) + ",\"state\":\"" + state
-                      + "\",\"warmupLeftMs\":0,\"sequence\":1,\"born\":1}");
+                      + "\",\"warmupLeftMs\":0,\"sequence\":1,\"born\":"
+                      + std::to_string(incarnation) + "}");
 }
 
 void EmulatedPlatform::putConfig(std::int64_t version, bool extraRoute)
--- a/Emulator/emulatedplatform.h
+++ b/Emulator/emulatedplatform.h
@@ -46,9 +46,11 @@
     void putConfig(std::int64_t version, bool extraRoute = false);
 
     /*!
-        Writes the entry of \a engine with \a state to the store.
+        Writes the entry of \a engine with \a state to the store. \a incarnation differs between its
+        boots.
     */
-    void putEngine(const EmulatedEngine &engine, const std::string &state);
+    void putEngine(const EmulatedEngine &engine, const std::string &state,
+                   std::int64_t incarnation = 1);
 
     /*!
         Returns the content of the settings file of node \a index, counted from 1.
--- /dev/null
+++ b/Source/Serving/enginegate.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Serving/servingstate.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sesame {
+
+/*!
+    Head of an engine's answer to a request.
+*/
+struct EngineAnswer
+{
+    std::string request; //!< Attempt of the caller.
+    std::string engine;
+    unsigned status = 0;
+    const ResponseInfo &info;
+};
+
+/*!
+    Determines which engines may receive requests, after what they have said of themselves. All ways
+    on which a request reaches an engine ask it.
+*/
+class EngineGate
+{
+public:
+    explicit EngineGate(ServingState &state) : m_state(state) { }
+
+    /*!
+        Returns the engines of \a service that may receive another request of this node.
+    */
+    std::vector<EngineState *> openEngines(const std::string &service) const;
+
+    /*!
+        Returns whether a request that was assigned to \a engine may still be sent to it.
+    */
+    bool maySend(const EngineState &engine) const;
+
+    /*!
+        Returns the time until the first engine of \a service may receive requests again, or
+        std::nullopt if all are leaving or none is known.
+    */
+    std::optional<Milliseconds> timeUntilReturn(const std::string &service) const;
+
+    /*!
+        Returns which engines of \a service are left out and why, for the log; empty if there are
+        none.
+    */
+    std::string describeWithheld(const std::string &service) const;
+
+    /*!
+        Takes over what an engine says of itself in \a answer.
+    */
+    void recordAnswer(const EngineAnswer &answer);
+
+private:
+    void recordPause(const EngineAnswer &answer, const EngineBoot &boot);
+
+    ServingState &m_state;
+};
+
+} // namespace sesame
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -3,6 +3,7 @@
 #include "Adapter/log.h"
 #include "Serving/clocks.h"
 #include "Serving/enginecrashcheck.h"
+#include "Serving/enginegate.h"
 
 #include <xxhash.h>
 
@@ -33,6 +34,8 @@
 //! Range of the random retry delays in responses to callers.
 constexpr Milliseconds minRetryAfter = 100ms;
 constexpr Milliseconds maxRetryAfter = 400ms;
+//! Delay of callers that return to paused engines, for each rank below the most urgent one.
+constexpr Milliseconds returnDelayPerRank = 100ms;
 
 // HTTP status codes.
 constexpr unsigned requestTimeout = 408;
@@ -147,7 +150,12 @@
     }
     const std::string &name = selectService();
     const ServiceSpec *service = m_config->findService(name);
-    const std::vector<EngineState *> candidates = m_state.engines.findUsable(name);
+    const EngineGate gate(m_state);
+    const std::vector<EngineState *> candidates = gate.openEngines(name);
+    const std::string withheld = gate.describeWithheld(name);
+    if (!withheld.empty())
+        logEvent(LogLevel::Info, "request.engines_withheld",
+                 {{"request", m_requestInfo.id}, {"engines", withheld}});
     const ChoiceConditions conditions {
             .memoryTokens = service && service->isModel ? service->memoryTokens : 0,
             .zone = m_state.settings.zone,
@@ -164,8 +172,39 @@
     }
     if (!m_mayHaveRun)
         m_state.refusals.record(name, steadyNow());
-    const bool isFull = choice.failure != EngineChoiceFailure::NoEngine;
-    refuseSend(isFull ? "all engines are full" : "no engine is known", randomRetryAfter());
+    if (candidates.empty() && !withheld.empty())
+        refuseWithheld(gate.timeUntilReturn(name));
+    else
+        refuseSend(choice.failure == EngineChoiceFailure::NoEngine && candidates.empty()
+                           ? "no engine is known"
+                           : "all engines are full",
+                   randomRetryAfter());
+}
+
+/*!
+    Finishes a request because its engines are leaving or want no requests now. \a wait is the time
+    until one of them does again; it is unset if all are leaving.
+*/
+void ProxiedRequest::refuseWithheld(std::optional<Milliseconds> wait)
+{
+    if (wait)
+        refuseSend("all engines asked for a pause", std::max(*wait + returnDelay(), minRetryAfter));
+    else
+        refuseSend("all engines are leaving", randomRetryAfter());
+}
+
+/*!
+    Returns a delay after the first moment at which an engine takes requests again. It makes callers
+    return one after the other, those with urgent requests first.
+*/
+Milliseconds ProxiedRequest::returnDelay()
+{
+    return requestPriority() * returnDelayPerRank + randomRetryAfter() - minRetryAfter;
+}
+
+int ProxiedRequest::requestPriority() const
+{
+    return account() && account()->priority ? *account()->priority : route().priority;
 }
 
 /*!
@@ -226,7 +265,7 @@
 {
     m_connection = connection;
     const EngineState *engine = m_state.engines.find(m_engineId);
-    if (!ec && engine && engine->usable) {
+    if (!ec && engine && EngineGate(m_state).maySend(*engine)) {
         sendRequest();
         return;
     }
@@ -251,8 +290,7 @@
     engineRequest.engineId = m_engineId;
     engineRequest.account = account() ? account()->name : std::string();
     engineRequest.remainingTime = remainingTime();
-    engineRequest.priority = account() && account()->priority ? *account()->priority
-                                                              : route().priority;
+    engineRequest.priority = requestPriority();
     engineRequest.isModelWork = m_requestInfo.hasTokenCounts;
     engineRequest.lastEventId = m_requestInfo.lastEventId;
     if (!m_eventSplitter.lastId().empty())
@@ -332,6 +370,10 @@
     m_responseInfo = info;
     m_responseHead = head;
     m_responseStatus = head.result_int();
+    EngineGate(m_state).recordAnswer({.request = m_requestInfo.id,
+                                      .engine = m_engineId,
+                                      .status = m_responseStatus,
+                                      .info = info});
     m_state.metrics.recordFirstByte(selectService(), steadyNow() - m_sendStartTime);
     if (info.engineRequests)
         m_state.engines.recordStatedLoad(m_engineId, *info.engineRequests, steadyNow());
--- a/Source/Serving/proxiedrequest.h
+++ b/Source/Serving/proxiedrequest.h
@@ -40,6 +40,7 @@
     void startDeadlineTimer();
     const std::string &selectService();
     void sendToEngine();
+    void refuseWithheld(std::optional<Milliseconds> wait);
     void refuseSend(std::string_view reason, Milliseconds retryAfter);
     bool reserveEngine(const EngineChoice &choice, const ServiceSpec &service);
     void onConnectionResult(const boost::system::error_code &ec,
@@ -75,6 +76,8 @@
     void finish(std::string_view outcome, unsigned status);
     Milliseconds remainingTime() const;
     Milliseconds randomRetryAfter();
+    Milliseconds returnDelay();
+    int requestPriority() const;
 
     ServingState &m_state;
     std::shared_ptr<ServerConnection> m_caller;
--- a/Source/Serving/requestformat.h
+++ b/Source/Serving/requestformat.h
@@ -38,6 +38,15 @@
     std::optional<std::string> lastEventId;
 };
 
+/*!
+    Time after which an engine wants requests again.
+*/
+struct RetryTime
+{
+    std::optional<Milliseconds> wait {}; //!< Unset if the engine states none that can be used.
+    std::string unusable {}; //!< A stated value that cannot be used; empty if there is none.
+};
+
 /*!
     Attributes from the head of an engine's response.
 */
@@ -51,6 +60,8 @@
     bool isEventStream = false;
     //! Requests at the engine when it began the response; unset if it does not tell its load.
     std::optional<int> engineRequests {};
+    bool isLeaving = false; //!< The engine is going to end.
+    RetryTime retryAfter;
 };
 
 /*!
--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -374,10 +374,21 @@
     metrics.setGauge(formatSeries("store_reachable", "kind", "engines"),
                      m_engineWatcher->isReachable() ? 1.0 : 0.0);
     std::map<std::string, int> usable;
-    for (const auto &[id, engine] : m_state.engines.engines())
-        usable[engine.entry.service] += engine.usable ? 1 : 0;
-    for (const auto &[service, n] : usable)
+    std::map<std::string, int> leaving;
+    std::map<std::string, int> paused;
+    for (const auto &[id, engine] : m_state.engines.engines()) {
+        const std::string &service = engine.entry.service;
+        const auto withholding = m_state.engineNotices.withholding(
+                {.id = id, .incarnation = engine.entry.incarnation}, bootNow());
+        usable[service] += engine.usable ? 1 : 0;
+        leaving[service] += withholding && withholding->isLeaving ? 1 : 0;
+        paused[service] += withholding && !withholding->isLeaving ? 1 : 0;
+    }
+    for (const auto &[service, n] : usable) {
         metrics.setGauge(formatSeries("engines_usable", "service", service), n);
+        metrics.setGauge(formatSeries("engines_leaving", "service", service), leaving[service]);
+        metrics.setGauge(formatSeries("engines_paused", "service", service), paused[service]);
+    }
     for (const auto &[account, quota] : m_state.quotas)
         metrics.setGauge(formatSeries("quota_level", "account", account), quota.level());
     HttpFields fields;
--- a/Source/Serving/servingstate.h
+++ b/Source/Serving/servingstate.h
@@ -4,6 +4,7 @@
 #include "Core/deploymenttally.h"
 #include "Core/enginechooser.h"
 #include "Core/enginedirectory.h"
+#include "Core/enginenotices.h"
 #include "Core/objectreplica.h"
 #include "Core/peerdirectory.h"
 #include "Core/promptcrashtable.h"
@@ -93,6 +94,7 @@
     std::int64_t incarnation; //!< Start time of the process in Unix milliseconds.
     std::shared_ptr<const ServingConfig> config; //!< Null until the first one has been received.
     EngineDirectory engines;
+    EngineNotices engineNotices; //!< Times are from the clock that counts suspension.
     EngineChooser chooser;
     EngineConnectionPool connectionPool;
     ResendBudget resendBudget;
--- a/Tests/platformformattest.cpp
+++ b/Tests/platformformattest.cpp
@@ -110,6 +110,54 @@
     }
 }
 
+// Guards against a pause that is not kept, or kept too long, because of how the engine words it.
+Test(platformformat, retryTimesOfEnginesAreRead)
+{
+    const platform::PlatformRequestFormat format;
+    struct Case
+    {
+        std::vector<const char *> values;
+        std::optional<std::int64_t> waitMillis;
+        bool isUnusable = false;
+    };
+    const std::vector<Case> cases {{{}, std::nullopt},
+                                   {{"2"}, 2000},
+                                   {{"0.0305"}, 31},
+                                   {{"0"}, 0},
+                                   {{"1e300"}, 86'400'000},
+                                   {{"-1"}, std::nullopt, true},
+                                   {{"inf"}, std::nullopt, true},
+                                   {{"nan"}, std::nullopt, true},
+                                   {{"soon"}, std::nullopt, true},
+                                   {{""}, std::nullopt, true},
+                                   {{"Sat, 05 Dec 2026 08:00:00 GMT"}, std::nullopt, true},
+                                   {{"1", "3", "2"}, 3000},
+                                   {{"x", "1"}, 1000, true}};
+    for (std::size_t i = 0; i < cases.size(); ++i) {
+        ResponseHead head;
+        head.result(503);
+        for (const char *value : cases[i].values)
+            head.insert("Retry-After", value);
+        const RetryTime time = format.readResponse(head).retryAfter;
+        cr_expect_eq(time.wait.has_value(), cases[i].waitMillis.has_value(), "case %zu", i);
+        if (time.wait && cases[i].waitMillis)
+            cr_expect_eq(time.wait->count(), *cases[i].waitMillis, "case %zu", i);
+        cr_expect_eq(!time.unusable.empty(), cases[i].isUnusable, "case %zu", i);
+    }
+}
+
+// Guards against sending requests to an engine that says it is leaving.
+Test(platformformat, leavingEnginesAreRecognized)
+{
+    const platform::PlatformRequestFormat format;
+    ResponseHead head;
+    cr_expect_not(format.readResponse(head).isLeaving);
+    head.set("Server-Leaving", "0");
+    cr_expect_not(format.readResponse(head).isLeaving);
+    head.set("Server-Leaving", "1");
+    cr_expect(format.readResponse(head).isLeaving);
+}
+
 // Guards against treating entries of other writers as engines.
 Test(platformformat, invalidEngineEntriesAreRejected)
 {
--- a/Tests/platformprocesstest.cpp
+++ b/Tests/platformprocesstest.cpp
@@ -190,7 +190,7 @@
             {formatEvents(1, 2), RawEngine::End::Reset, false}};
     for (std::size_t i = 0; i < cases.size(); ++i) {
         engine.setAnswer(head + cases[i].body, cases[i].end);
-        const RawAnswer answer = deployment.readStream(1, "/stream/x", "u-" + std::to_string(i));
+        const RawAnswer answer = deployment.readAnswer(1, "/stream/x", "u-" + std::to_string(i));
         cr_expect_eq(answer.isComplete && answer.status == 200, cases[i].isComplete, "case %zu: %s",
                      i, answer.body.c_str());
         cr_expect_not(answer.isMalformed);
@@ -215,7 +215,7 @@
             deployment.platform.engines[0]->setFault(Fault::BrokenStream, 1);
             const std::string id = std::to_string(static_cast<int>(fault)) + "-"
                     + std::to_string(i);
-            const RawAnswer answer = deployment.readStream(1, "/stream/again/x", id);
+            const RawAnswer answer = deployment.readAnswer(1, "/stream/again/x", id);
             if (!answer.body.starts_with(formatEvents(1, 1)))
                 continue;
             ++begun;
--- a/Tests/support/platformdeployment.h
+++ b/Tests/support/platformdeployment.h
@@ -33,6 +33,7 @@
 struct RawAnswer
 {
     unsigned status = 0; //!< 0 if no head arrived.
+    std::string retryAfter; //!< Value of the header field; empty if there is none.
     std::string body;
     bool isComplete = false;
     bool isMalformed = false; //!< Bytes arrived that are no answer in the protocol.
@@ -172,10 +173,10 @@
     }
 
     /*!
-        Sends a streaming request with attempt ID \a id to the entry of \a node and returns what
-        arrives, also if the answer is incomplete.
+        Sends a request with attempt ID \a id to the entry of \a node and returns what arrives, also
+        if the answer is incomplete.
     */
-    RawAnswer readStream(int node, const std::string &target, const std::string &id)
+    RawAnswer readAnswer(int node, const std::string &target, const std::string &id)
     {
         RawAnswer answer;
         bool ended = false;
@@ -187,6 +188,7 @@
                     {.head =
                              [&](const ResponseHead &head) {
                                  answer.status = head.result_int();
+                                 answer.retryAfter = fieldValue(head, "Retry-After");
                                  return ResponseSink::Verdict::Take;
                              },
                      .body =
