Move the choice of an engine out of ProxiedRequest

EngineAssignment holds the engine of a request, its load there and its connection, and words the refusal if there is none; the split of a route's traffic is a method of the route.

--- a/Source/Core/servingconfig.cpp
+++ b/Source/Core/servingconfig.cpp
@@ -4,6 +4,22 @@
 
 namespace sesame {
 
+const std::string &ServingRoute::selectService(std::uint64_t hash) const
+{
+    double totalWeight = 0.0;
+    for (const WeightedService &split : services)
+        totalWeight += split.weight;
+    constexpr std::uint64_t steps = 1U << 20U;
+    double remainingWeight = totalWeight * static_cast<double>(hash % steps)
+            / static_cast<double>(steps);
+    for (const WeightedService &split : services) {
+        remainingWeight -= split.weight;
+        if (remainingWeight < 0.0)
+            return split.service;
+    }
+    return services.back().service;
+}
+
 void ServingConfig::indexRoutes()
 {
     m_routesByHost.clear();
--- a/Source/Core/servingconfig.h
+++ b/Source/Core/servingconfig.h
@@ -48,6 +48,12 @@
     bool prefixAffinity = false; //!< Requests name the parts of their prompt.
     bool resumable = false; //!< A stream may be continued by another engine.
 
+    /*!
+        Returns the service of a request, chosen by the weights of the services and the \a hash of
+       the request.
+    */
+    const std::string &selectService(std::uint64_t hash) const;
+
     /*!
         Returns whether a request of this route may run more than once.
     */
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -31,11 +31,6 @@
 //! A repeatable request is sent to another engine if its engine sends no data for this multiple of
 //! the target latency.
 constexpr int stallTimeoutFactor = 3;
-//! Range of the random retry delays in responses to callers.
-constexpr Milliseconds minRetryAfter = 100ms;
-constexpr Milliseconds maxRetryAfter = 400ms;
-//! Delay of callers that return to paused engines, for each rank below the most urgent one.
-constexpr Milliseconds returnDelayPerRank = 100ms;
 
 // HTTP status codes.
 constexpr unsigned requestTimeout = 408;
@@ -71,7 +66,8 @@
                                RequestMessage request)
     : m_state(state), m_caller(std::move(caller)), m_request(std::move(request)),
       m_requestInfo(state.format.readRequest(m_request)), m_config(state.config),
-      m_arrivalTime(steadyNow()), m_deadlineTimer(state.context), m_stallTimer(state.context)
+      m_assignment(state, m_requestInfo.id), m_arrivalTime(steadyNow()),
+      m_deadlineTimer(state.context), m_stallTimer(state.context)
 {
 }
 
@@ -107,32 +103,12 @@
     return std::chrono::duration_cast<Milliseconds>(m_deadline - steadyNow());
 }
 
-Milliseconds ProxiedRequest::randomRetryAfter()
-{
-    std::uniform_int_distribution<std::int64_t> distribution(minRetryAfter.count(),
-                                                             maxRetryAfter.count());
-    return Milliseconds(distribution(m_state.random));
-}
-
 /*!
-    Returns the service for the request, chosen by the weights of the route's traffic split.
+    Returns the service for the request. All sends of one request go to the same service.
 */
-const std::string &ProxiedRequest::selectService()
-{
-    double totalWeight = 0.0;
-    for (const WeightedService &split : route().services)
-        totalWeight += split.weight;
-    // Hashing the attempt ID makes all sends of one request go to the same service.
-    const std::uint64_t hash = XXH3_64bits(m_requestInfo.id.data(), m_requestInfo.id.size());
-    constexpr std::uint64_t steps = 1U << 20U;
-    double remainingWeight = totalWeight * static_cast<double>(hash % steps)
-            / static_cast<double>(steps);
-    for (const WeightedService &split : route().services) {
-        remainingWeight -= split.weight;
-        if (remainingWeight < 0.0)
-            return split.service;
-    }
-    return route().services.back().service;
+const std::string &ProxiedRequest::selectService() const
+{
+    return route().selectService(XXH3_64bits(m_requestInfo.id.data(), m_requestInfo.id.size()));
 }
 
 void ProxiedRequest::sendToEngine()
@@ -148,58 +124,21 @@
         refuseSend("requests like this one crash engines", *crashRefusalTime);
         return;
     }
-    const std::string &name = selectService();
-    const ServiceSpec *service = m_config->findService(name);
-    const EngineGate gate(m_state);
-    const std::vector<EngineState *> candidates = gate.openEngines(name);
-    const std::string withheld = gate.describeWithheld(name);
-    if (!withheld.empty())
-        logEvent(LogLevel::Info, "request.engines_withheld",
-                 {{"request", m_requestInfo.id}, {"engines", withheld}});
-    const ChoiceConditions conditions {
-            .memoryTokens = service && service->isModel ? service->memoryTokens : 0,
-            .zone = m_state.settings.zone,
-            .nodes = m_state.quotaShares.nodes,
-            .random = m_state.random()};
-    EngineChoice choice;
-    while (service) {
-        choice = m_state.chooser.choose(candidates, m_requestInfo.work, conditions, m_triedEngines,
-                                        steadyNow());
-        if (!choice.engine)
-            break;
-        if (reserveEngine(choice, *service))
-            return;
-    }
+    const std::string &service = selectService();
+    const auto refusal = m_assignment.assign(
+            {.service = service,
+             .spec = m_config->findService(service),
+             .work = m_requestInfo.work,
+             .priority = requestPriority(),
+             .isRepeatable = route().isRepeatable()},
+            [self = shared_from_this()](const boost::system::error_code &ec) {
+                self->onConnectionResult(ec);
+            });
+    if (!refusal)
+        return;
     if (!m_mayHaveRun)
-        m_state.refusals.record(name, steadyNow());
-    if (candidates.empty() && !withheld.empty())
-        refuseWithheld(gate.timeUntilReturn(name));
-    else
-        refuseSend(choice.failure == EngineChoiceFailure::NoEngine && candidates.empty()
-                           ? "no engine is known"
-                           : "all engines are full",
-                   randomRetryAfter());
-}
-
-/*!
-    Finishes a request because its engines are leaving or want no requests now. \a wait is the time
-    until one of them does again; it is unset if all are leaving.
-*/
-void ProxiedRequest::refuseWithheld(std::optional<Milliseconds> wait)
-{
-    if (wait)
-        refuseSend("all engines asked for a pause", std::max(*wait + returnDelay(), minRetryAfter));
-    else
-        refuseSend("all engines are leaving", randomRetryAfter());
-}
-
-/*!
-    Returns a delay after the first moment at which an engine takes requests again. It makes callers
-    return one after the other, those with urgent requests first.
-*/
-Milliseconds ProxiedRequest::returnDelay()
-{
-    return requestPriority() * returnDelayPerRank + randomRetryAfter() - minRetryAfter;
+        m_state.refusals.record(service, steadyNow());
+    refuseSend(refusal->reason, refusal->retryAfter);
 }
 
 int ProxiedRequest::requestPriority() const
@@ -221,64 +160,27 @@
         sendLocalResponse({unavailable, reason, retryAfter});
 }
 
-/*!
-    Reserves the engine of \a choice and requests a connection to it. Returns false if no connection
-    can be opened.
-*/
-bool ProxiedRequest::reserveEngine(const EngineChoice &choice, const ServiceSpec &service)
-{
-    const EngineState &engine = *choice.engine;
-    m_engineId = engine.entry.id;
-    m_triedEngines.push_back(m_engineId);
-    const std::optional<Tcp::endpoint> address = parseTcpEndpoint(engine.entry.address);
-    if (!address) {
-        m_engineId.clear();
-        return false;
-    }
-    m_choiceInputs = {.requests = engine.ownLoad.requests + engine.peerLoad.requests,
-                      .tokens = engine.ownLoad.tokens + engine.peerLoad.tokens,
-                      .costMs = choice.costMs};
-    m_engineLoad = {.requests = 1, .tokens = m_requestInfo.work.tokens()};
-    m_state.engines.addLoad(m_engineId, m_engineLoad);
-    // Each node may use its share of the engine's connections, but at least one.
-    const auto nodes = m_state.quotaShares.nodes;
-    const int limit = service.maxConnections > 0 ? std::max(1, service.maxConnections / nodes) : 0;
-    const bool started = m_state.connectionPool.acquire(
-            m_engineId, *address, limit, !route().isRepeatable(),
-            [self = shared_from_this(),
-             id = m_engineId](const boost::system::error_code &ec,
-                              const EngineConnectionPool::Connection &connection) {
-                if (!self->m_isFinished)
-                    self->onConnectionResult(ec, connection);
-                else if (connection)
-                    self->m_state.connectionPool.release(id, connection);
-            });
-    if (!started) {
-        m_state.engines.removeLoad(m_engineId, m_engineLoad);
-        m_engineId.clear();
-    }
-    return started;
-}
-
-void ProxiedRequest::onConnectionResult(const boost::system::error_code &ec,
-                                        const EngineConnectionPool::Connection &connection)
+void ProxiedRequest::onConnectionResult(const boost::system::error_code &ec)
 {
-    m_connection = connection;
-    const EngineState *engine = m_state.engines.find(m_engineId);
+    const EngineState *engine = m_state.engines.find(m_assignment.engineId());
     if (!ec && engine && EngineGate(m_state).maySend(*engine)) {
         sendRequest();
         return;
     }
     if (ec) {
         logEvent(LogLevel::Warning, "engine.connect_failed",
-                 {{"request", m_requestInfo.id}, {"engine", m_engineId}, {"reason", ec.message()}});
-        m_state.engines.recordConnectFailure(m_engineId, steadyNow());
-        m_state.connectionPool.closeIdle(m_engineId);
+                 {{"request", m_requestInfo.id},
+                  {"engine", m_assignment.engineId()},
+                  {"reason", ec.message()}});
+        m_state.engines.recordConnectFailure(m_assignment.engineId(), steadyNow());
+        m_state.connectionPool.closeIdle(m_assignment.engineId());
     }
     releaseEngine(true);
     if (++m_connectFailureCount >= maxConnectFailures && !m_isStreamStarted) {
         sendLocalResponse({m_mayHaveRun ? badGateway : unavailable, "no engine can be reached",
-                           m_mayHaveRun ? std::nullopt : std::optional(randomRetryAfter())});
+                           m_mayHaveRun
+                                   ? std::nullopt
+                                   : std::optional(EngineAssignment::randomRetryAfter(m_state))});
         return;
     }
     sendToEngine();
@@ -287,7 +189,7 @@
 void ProxiedRequest::sendRequest()
 {
     EngineRequestInfo engineRequest;
-    engineRequest.engineId = m_engineId;
+    engineRequest.engineId = m_assignment.engineId();
     engineRequest.account = account() ? account()->name : std::string();
     engineRequest.remainingTime = remainingTime();
     engineRequest.priority = requestPriority();
@@ -311,7 +213,7 @@
     m_responseStatus = 0;
     m_eventSplitter.dropPartial();
     const std::string_view method = toStd(m_request.method_string());
-    m_connection->send(
+    m_assignment.connection()->send(
             formatRequest(method, toStd(m_request.target()),
                           m_state.format.formatEngineRequestFields(m_request, engineRequest),
                           m_request.body()),
@@ -328,11 +230,11 @@
     logEvent(LogLevel::Info, "request.sent",
              {{"request", m_requestInfo.id},
               {"send", static_cast<std::int64_t>(m_sendCount)},
-              {"engine", m_engineId},
+              {"engine", m_assignment.engineId()},
               {"config", m_config->version},
-              {"engine_requests", static_cast<std::int64_t>(m_choiceInputs.requests)},
-              {"engine_tokens", m_choiceInputs.tokens},
-              {"estimate_ms", m_choiceInputs.costMs},
+              {"engine_requests", static_cast<std::int64_t>(m_assignment.inputs().requests)},
+              {"engine_tokens", m_assignment.inputs().tokens},
+              {"estimate_ms", m_assignment.inputs().costMs},
               {"silent_peers", m_state.quotaShares.silentShare()},
               {"after", m_eventSplitter.lastId()},
               {"remaining_ms", static_cast<std::int64_t>(remainingTime.count())}});
@@ -364,19 +266,22 @@
     const ResponseInfo info = m_state.format.readResponse(head);
     if (!info.id.empty() && info.id != m_requestInfo.id) {
         logEvent(LogLevel::Warning, "engine.stray_answer",
-                 {{"request", m_requestInfo.id}, {"engine", m_engineId}, {"answered", info.id}});
+                 {{"request", m_requestInfo.id},
+                  {"engine", m_assignment.engineId()},
+                  {"answered", info.id}});
         return ResponseSink::Verdict::Skip;
     }
     m_responseInfo = info;
     m_responseHead = head;
     m_responseStatus = head.result_int();
     EngineGate(m_state).recordAnswer({.request = m_requestInfo.id,
-                                      .engine = m_engineId,
+                                      .engine = m_assignment.engineId(),
                                       .status = m_responseStatus,
                                       .info = info});
     m_state.metrics.recordFirstByte(selectService(), steadyNow() - m_sendStartTime);
     if (info.engineRequests)
-        m_state.engines.recordStatedLoad(m_engineId, *info.engineRequests, steadyNow());
+        m_state.engines.recordStatedLoad(m_assignment.engineId(), *info.engineRequests,
+                                         steadyNow());
     // An answer without an id may belong to an earlier request on the connection. Only events can
     // continue a stream of which the caller has received some.
     const bool isUnidentified = info.id.empty() && !m_requestInfo.id.empty();
@@ -388,7 +293,7 @@
         logExchangeFailure("answer without an id");
     if (isInvalid
         || (m_isStreamStarted && !isSuccessStatus(m_responseStatus) && !info.notExecuted)) {
-        m_connection->close();
+        m_assignment.connection()->close();
         handleUnsuccessfulSend(isInvalid ? SendOutcome::Unknown : SendOutcome::Failed);
     }
     return ResponseSink::Verdict::Take;
@@ -418,8 +323,8 @@
 void ProxiedRequest::abandonEngine(std::string_view reason)
 {
     logExchangeFailure(reason);
-    m_state.engines.recordConnectFailure(m_engineId, steadyNow());
-    m_connection->close();
+    m_state.engines.recordConnectFailure(m_assignment.engineId(), steadyNow());
+    m_assignment.connection()->close();
     handleUnsuccessfulSend(SendOutcome::Unknown);
 }
 
@@ -434,8 +339,8 @@
         recordAnswerOnce();
     beginStreamRelay();
     m_caller->sendChunk(events);
-    if (m_connection && m_caller->pendingBytes() > maxPendingBytes)
-        m_connection->setPaused(true);
+    if (m_assignment.connection() && m_caller->pendingBytes() > maxPendingBytes)
+        m_assignment.connection()->setPaused(true);
 }
 
 void ProxiedRequest::beginStreamRelay()
@@ -444,8 +349,8 @@
         return;
     m_isStreamStarted = true;
     m_caller->setDrainedHandler([self = shared_from_this()] {
-        if (self->m_connection)
-            self->m_connection->setPaused(false);
+        if (self->m_assignment.connection())
+            self->m_assignment.connection()->setPaused(false);
     });
     m_caller->beginStream(m_responseStatus, copyEndToEndFields(m_responseHead));
 }
@@ -481,7 +386,7 @@
     m_state.metrics.recordSend(selectService(), "complete");
     m_state.crashes.recordSuccess(m_admitted.fingerprint);
     recordAnswerOnce();
-    m_state.engines.recordAnswer(m_engineId, true, steadyNow() - m_sendStartTime);
+    m_state.engines.recordAnswer(m_assignment.engineId(), true, steadyNow() - m_sendStartTime);
     releaseEngine(true);
     if (!isStream) {
         relayBufferedResponse();
@@ -512,7 +417,7 @@
     if (failure == ExchangeFailure::Closed)
         checkForCrash();
     else
-        m_state.engines.recordConnectFailure(m_engineId, steadyNow());
+        m_state.engines.recordConnectFailure(m_assignment.engineId(), steadyNow());
     handleUnsuccessfulSend(SendOutcome::Unknown);
 }
 
@@ -531,7 +436,7 @@
 {
     logEvent(LogLevel::Warning, "engine.exchange_failed",
              {{"request", m_requestInfo.id},
-              {"engine", m_engineId},
+              {"engine", m_assignment.engineId()},
               {"reason", reason},
               {"after_ms",
                std::chrono::duration<double, std::milli>(steadyNow() - m_sendStartTime).count()}});
@@ -540,7 +445,7 @@
 void ProxiedRequest::checkForCrash()
 {
     EngineCrashCheck(m_state).start({.id = m_requestInfo.id,
-                                     .engine = m_engineId,
+                                     .engine = m_assignment.engineId(),
                                      .service = selectService(),
                                      .fingerprint = m_admitted.fingerprint,
                                      .parts = m_requestInfo.work.parts,
@@ -566,17 +471,17 @@
     if (m_responseStatus != 0)
         logEvent(LogLevel::Info, "engine.answer_failed",
                  {{"request", m_requestInfo.id},
-                  {"engine", m_engineId},
+                  {"engine", m_assignment.engineId()},
                   {"status", static_cast<std::int64_t>(m_responseStatus)},
                   {"result", sendOutcomeName(outcome)}});
     if (outcome == SendOutcome::NotExecuted) {
         if (m_responseStatus == misdirectedRequest)
-            m_state.engines.recordConnectFailure(m_engineId, steadyNow());
+            m_state.engines.recordConnectFailure(m_assignment.engineId(), steadyNow());
         else
-            m_state.engines.recordNoCapacity(m_engineId, steadyNow());
+            m_state.engines.recordNoCapacity(m_assignment.engineId(), steadyNow());
         m_mayHaveRun = m_mayHaveRunEarlier;
     } else {
-        m_state.engines.recordAnswer(m_engineId, false, {});
+        m_state.engines.recordAnswer(m_assignment.engineId(), false, {});
         // An engine has begun a stream only once it has sent an event. Any other request without a
         // response has probably been begun.
         if (outcome == SendOutcome::Failed || route().kind != RouteKind::Streaming)
@@ -602,7 +507,8 @@
     }
     if (outcome == SendOutcome::NotExecuted && !m_mayHaveRun) {
         m_state.refusals.record(selectService(), steadyNow());
-        sendLocalResponse({unavailable, "the engine had no room", randomRetryAfter()});
+        sendLocalResponse({unavailable, "the engine had no room",
+                           EngineAssignment::randomRetryAfter(m_state)});
         return;
     }
     sendLocalResponse({badGateway, "the engine did not answer"});
@@ -635,15 +541,7 @@
 void ProxiedRequest::releaseEngine(bool keepConnection)
 {
     m_stallTimer.cancel();
-    if (m_connection) {
-        if (!keepConnection)
-            m_connection->close();
-        m_state.connectionPool.release(m_engineId, m_connection);
-        m_connection.reset();
-    }
-    if (!m_engineId.empty())
-        m_state.engines.removeLoad(m_engineId, m_engineLoad);
-    m_engineId.clear();
+    m_assignment.release(keepConnection);
 }
 
 void ProxiedRequest::onCallerDisconnected()
@@ -665,7 +563,8 @@
     if (m_mayHaveRun)
         sendLocalResponse({gatewayTimeout, "the engine did not answer in time"});
     else
-        sendLocalResponse({unavailable, "no engine was free in time", randomRetryAfter()});
+        sendLocalResponse({unavailable, "no engine was free in time",
+                           EngineAssignment::randomRetryAfter(m_state)});
 }
 
 void ProxiedRequest::restartStallTimer()
@@ -675,7 +574,7 @@
     const Milliseconds target = std::max(route().targetLatency, route().targetGap);
     m_stallTimer.expires_after(std::max(minStallTimeout, target * stallTimeoutFactor));
     m_stallTimer.async_wait([self = shared_from_this()](const boost::system::error_code &ec) {
-        if (!ec && !self->m_isFinished && self->m_connection)
+        if (!ec && !self->m_isFinished && self->m_assignment.connection())
             self->onStallTimeout();
     });
 }
@@ -689,8 +588,8 @@
     if (m_caller->pendingBytes() > 0 || m_sendCount >= route().maxAttempts)
         return;
     logEvent(LogLevel::Warning, "engine.stalled",
-             {{"request", m_requestInfo.id}, {"engine", m_engineId}});
-    m_connection->close();
+             {{"request", m_requestInfo.id}, {"engine", m_assignment.engineId()}});
+    m_assignment.connection()->close();
     handleUnsuccessfulSend(SendOutcome::Unknown);
 }
 
@@ -735,9 +634,7 @@
               {"route", m_admitted.route ? std::string_view(route().name) : std::string_view()},
               {"config", m_config ? m_config->version : 0},
               {"account", account() ? std::string_view(account()->name) : std::string_view()},
-              {"engine",
-               m_triedEngines.empty() ? std::string_view()
-                                      : std::string_view(m_triedEngines.back())},
+              {"engine", m_assignment.lastEngine()},
               {"sends", static_cast<std::int64_t>(m_sendCount)},
               {"status", static_cast<std::int64_t>(status)},
               {"outcome", outcome},
--- a/Source/Serving/proxiedrequest.h
+++ b/Source/Serving/proxiedrequest.h
@@ -2,6 +2,7 @@
 
 #include "Core/eventsplitter.h"
 #include "Http/serverconnection.h"
+#include "Serving/engineassignment.h"
 #include "Serving/requestadmission.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -38,13 +39,10 @@
     const ServingRoute &route() const { return *m_admitted.route; }
     const ClientAccount *account() const { return m_admitted.account; }
     void startDeadlineTimer();
-    const std::string &selectService();
+    const std::string &selectService() const;
     void sendToEngine();
-    void refuseWithheld(std::optional<Milliseconds> wait);
     void refuseSend(std::string_view reason, Milliseconds retryAfter);
-    bool reserveEngine(const EngineChoice &choice, const ServiceSpec &service);
-    void onConnectionResult(const boost::system::error_code &ec,
-                            const EngineConnectionPool::Connection &connection);
+    void onConnectionResult(const boost::system::error_code &ec);
     void sendRequest();
     void logSend(Milliseconds remainingTime) const;
     ResponseSink makeResponseSink();
@@ -75,8 +73,6 @@
     void abortStream(std::string_view reason);
     void finish(std::string_view outcome, unsigned status);
     Milliseconds remainingTime() const;
-    Milliseconds randomRetryAfter();
-    Milliseconds returnDelay();
     int requestPriority() const;
 
     ServingState &m_state;
@@ -85,22 +81,13 @@
     RequestInfo m_requestInfo;
     std::shared_ptr<const ServingConfig> m_config;
     AdmittedRequest m_admitted;
+    EngineAssignment m_assignment;
     Timestamp m_arrivalTime;
     Timestamp m_deadline; //!< End of the caller's deadline or of the route's timeout, if earlier.
     asio::steady_timer m_deadlineTimer;
     asio::steady_timer m_stallTimer;
 
-    // State of the current send to an engine. m_engineId is empty while there is none.
-    std::string m_engineId;
-    EngineLoad m_engineLoad;
-    //! Inputs to the choice of the engine, for the log.
-    struct ChoiceInputs
-    {
-        int requests = 0; //!< Requests of all nodes at the engine when it was chosen.
-        std::int64_t tokens = 0; //!< Tokens of these requests.
-        double costMs = 0.0; //!< Cost of the choice in milliseconds.
-    } m_choiceInputs;
-    EngineConnectionPool::Connection m_connection;
+    // State of the current send to an engine.
     Timestamp m_sendStartTime;
     std::int64_t m_sentMillis = 0; //!< Common time of the nodes at m_sendStartTime.
     Timestamp m_firstEventTime {}; //!< Zero until the first event of a stream.
@@ -109,7 +96,6 @@
     unsigned m_responseStatus = 0;
     std::string m_responseBody;
 
-    std::vector<std::string> m_triedEngines; //!< In the order in which they were reserved.
     int m_sendCount = 0; //!< Number of times that the request was sent to an engine.
     int m_connectFailureCount = 0;
     bool m_mayHaveRun = false; //!< An engine may have executed the request.
