Obey backend servers of the own interface that push back

The own interface gets the same module: BackendTable asks EngineNotices, replies with status 429 or 503 and Retry-After fill it. The parser of the field is shared by both. Test: pausedServerReceivesNoCalls, with the change; no process test.

--- a/Emulator/emulatedengine.cpp
+++ b/Emulator/emulatedengine.cpp
@@ -47,6 +47,15 @@
     });
 }
 
+void EmulatedEngine::crashLater()
+{
+    const auto timer = std::make_shared<asio::steady_timer>(m_context, m_timeToAnswer);
+    timer->async_wait([this, timer](const auto &ec) {
+        if (!ec && m_listener)
+            crash();
+    });
+}
+
 void EmulatedEngine::setDeadlyPart(const std::string &part, std::chrono::milliseconds downtime)
 {
     m_deadlyPart = part;
@@ -181,11 +190,7 @@
         return;
     }
     if (isDeadly(request)) {
-        const auto timer = std::make_shared<asio::steady_timer>(m_context, m_timeToAnswer);
-        timer->async_wait([this, timer](const auto &ec) {
-            if (!ec && m_listener)
-                crash();
-        });
+        crashLater();
         return;
     }
     fields.set("Content-Type", "text/event-stream");
--- a/Emulator/emulatedengine.h
+++ b/Emulator/emulatedengine.h
@@ -90,6 +90,7 @@
 
     void open();
     void crash();
+    void crashLater();
     bool isDeadly(const RequestMessage &request) const;
     bool turnAway(const ConnectionPtr &connection, HttpFields &fields);
     void serve(const ConnectionPtr &connection, RequestMessage &&request);
--- a/Source/Core/backendtable.cpp
+++ b/Source/Core/backendtable.cpp
@@ -257,7 +257,7 @@
     std::vector<BackendView> healthy;
     std::vector<BackendView> unhealthy;
     for (auto &[id, server] : m_servers) {
-        if (server.state != BackendState::Active || !matches(server))
+        if (server.state != BackendState::Active || !matches(server) || !mayReceive(server, now))
             continue;
         requireInvariant(!isLeaving(id, server.listed.incarnation),
                          "a leaving incarnation is never usable");
@@ -308,7 +308,7 @@
 {
     Server *server = findServer(id);
     if (!server || server->state != BackendState::Active
-        || server->listed.incarnation != incarnation)
+        || server->listed.incarnation != incarnation || !mayReceive(*server, now))
         return false;
     requireInvariant(!isLeaving(id, incarnation), "a leaving incarnation receives no new call");
     ++server->inFlight;
@@ -324,9 +324,27 @@
         return;
     if (server->inFlight > 0)
         --server->inFlight;
+    if (health == HealthResult::Success)
+        m_notices.recordAnswer({.id = id, .incarnation = incarnation}, now);
     recordHealth(id, health, now);
 }
 
+Duration BackendTable::recordPause(std::string_view id, std::int64_t incarnation, Duration wait,
+                                   double random, Timestamp now)
+{
+    return m_notices.recordPause({.id = id, .incarnation = incarnation}, wait, random, now);
+}
+
+/*!
+    Returns whether \a server may receive another call after what it has asked for.
+*/
+bool BackendTable::mayReceive(const Server &server, Timestamp now) const
+{
+    const int limit = m_notices.requestLimit(
+            {.id = server.listed.id, .incarnation = server.listed.incarnation}, now);
+    return server.inFlight < static_cast<std::uint32_t>(limit);
+}
+
 std::optional<BackendState> BackendTable::state(std::string_view id) const
 {
     const auto it = m_servers.find(id);
--- a/Source/Core/backendtable.h
+++ b/Source/Core/backendtable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/enginenotices.h"
 #include "Core/fleetconfig.h"
 #include "Core/market.h"
 #include "Core/ports.h"
@@ -197,6 +198,14 @@
     */
     void endCall(std::string_view id, std::int64_t incarnation, HealthResult health, Timestamp now);
 
+    /*!
+        Records that \a incarnation of \a id turned a call away and wants none from this node for
+        \a wait. \a random between 0 and 1 determines the delay of the return. Returns the time for
+        which nothing is sent.
+    */
+    Duration recordPause(std::string_view id, std::int64_t incarnation, Duration wait,
+                         double random, Timestamp now);
+
     /*!
         Returns the state of the backend server \a id, or std::nullopt if it is unknown.
     */
@@ -242,12 +251,14 @@
     void setFullShare(Server &server, bool isFull);
     template <typename Predicate>
     std::vector<BackendView> selectUsable(Predicate matches, Timestamp now);
+    bool mayReceive(const Server &server, Timestamp now) const;
     BackendView makeView(const Server &server, Timestamp now) const;
     void removeExpired(Timestamp now);
 
     BackendOptions m_options;
     std::map<std::string, Server, std::less<>> m_servers;
     std::map<std::string, Leave, std::less<>> m_leaves;
+    EngineNotices m_notices; //!< Pauses that backend servers asked for.
     std::uint64_t m_shareChanges = 0;
 };
 
--- a/Source/Http/httptypes.cpp
+++ b/Source/Http/httptypes.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace sesame {
 
@@ -14,6 +15,24 @@
     return found == fields.end() ? std::string_view() : toStd(found->value());
 }
 
+std::optional<std::chrono::milliseconds> parseRetrySeconds(std::string_view text)
+{
+    // Longer waits would overflow the range of the clock.
+    constexpr double maxSeconds = 86'400.0;
+    constexpr double millisPerSecond = 1000.0;
+    const std::size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return std::nullopt;
+    text = text.substr(first, text.find_last_not_of(" \t") - first + 1);
+    double seconds = 0.0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()
+        || !std::isfinite(seconds) || seconds < 0.0)
+        return std::nullopt;
+    return std::chrono::milliseconds(
+            static_cast<std::int64_t>(std::ceil(std::min(seconds, maxSeconds) * millisPerSecond)));
+}
+
 bool isHopByHopField(std::string_view name)
 {
     using beast::http::field;
--- a/Source/Http/httptypes.h
+++ b/Source/Http/httptypes.h
@@ -40,6 +40,13 @@
 */
 std::string_view fieldValue(const HttpFields &fields, std::string_view name);
 
+/*!
+    Returns the time that the value \a text of a Retry-After field states in seconds, with or
+   without a fraction; at most a day. Returns std::nullopt if it is negative or no number. Dates
+   cannot be used, because the clocks of the machines differ.
+*/
+std::optional<std::chrono::milliseconds> parseRetrySeconds(std::string_view text);
+
 /*!
     Returns whether the header field \a name applies to a single connection or to the framing of one
     message, so that a proxy must not forward it.
--- a/Source/Node/enginecall.cpp
+++ b/Source/Node/enginecall.cpp
@@ -4,6 +4,7 @@
 #include "Adapter/json.h"
 #include "Core/nodesettingsfile.h"
 #include "Core/sseparser.h"
+#include "Node/requestedpause.h"
 
 #include <algorithm>
 #include <charconv>
@@ -133,7 +134,9 @@
     if (reply.status == CallStatus::NotSent)
         return {.end = AttemptEnd::NotSent, .reason = reply.reason};
     if (reply.status == CallStatus::Replied && reply.reply.status >= httpBadRequest)
-        return {.end = classifyStatus(reply.reply.status), .reason = reply.reply.body};
+        return {.end = classifyStatus(reply.reply.status),
+                .reason = reply.reply.body,
+                .pause = requestedPause(reply)};
     return {.end = AttemptEnd::Lost, .reason = reply.reason};
 }
 
--- a/Source/Node/enginecall.h
+++ b/Source/Node/enginecall.h
@@ -28,6 +28,8 @@
 {
     AttemptEnd end = AttemptEnd::NotSent;
     std::string reason;
+    //! Time for which the engine wants no requests; unset if it asked for none.
+    std::optional<std::chrono::milliseconds> pause {};
 };
 
 /*!
--- a/Source/Node/modelservice.cpp
+++ b/Source/Node/modelservice.cpp
@@ -5,6 +5,7 @@
 #include "Adapter/log.h"
 #include "Core/fleetfile.h"
 #include "Core/handoverplanner.h"
+#include "Node/requestedpause.h"
 
 #include <algorithm>
 #include <charconv>
@@ -263,6 +264,7 @@
                                      : HealthResult::Neutral;
     const Timestamp now = m_context.clock.now();
     m_context.backends.lock()->endCall(engine.id, engine.incarnation, health, now);
+    recordRequestedPause(m_context, engine, result.pause);
     return result;
 }
 
--- a/Source/Node/routeservice.cpp
+++ b/Source/Node/routeservice.cpp
@@ -3,6 +3,7 @@
 #include "Adapter/json.h"
 #include "Adapter/log.h"
 #include "Core/backoff.h"
+#include "Node/requestedpause.h"
 
 #include <algorithm>
 #include <cctype>
@@ -179,6 +180,7 @@
     m_context.backends.lock()->endCall(server.id, server.incarnation,
                                        good ? HealthResult::Success : HealthResult::Failure,
                                        m_context.clock.now());
+    recordRequestedPause(m_context, server, requestedPause(reply));
     return reply;
 }
 
--- a/Tests/backendtabletest.cpp
+++ b/Tests/backendtabletest.cpp
@@ -53,6 +53,28 @@
 
 } // namespace
 
+// Guards against calls to a backend server in the time for which it asked for none, and against
+// keeping its successor from work.
+Test(backendtable, pausedServerReceivesNoCalls)
+{
+    BackendTable table = makeTable({engine("e1", 3), engine("e2", 1)});
+    cr_expect(table.beginCall("e1", 3, at({})));
+    table.recordPause("e1", 3, Seconds(2), 0.0, at({}));
+    cr_expect_eq(usableIds(table, at(Millis(1999))), Ids {"e2"});
+    cr_expect_not(table.beginCall("e1", 3, at(Millis(1999))));
+    table.endCall("e1", 3, HealthResult::Success, at(Millis(1000)));
+    // One call at a time until it has been answered.
+    cr_expect(table.beginCall("e1", 3, at(Millis(2001))));
+    cr_expect_not(table.beginCall("e1", 3, at(Millis(2001))));
+    cr_expect_eq(usableIds(table, at(Millis(2001))), Ids {"e2"});
+    table.endCall("e1", 3, HealthResult::Success, at(Millis(2100)));
+    cr_expect(table.beginCall("e1", 3, at(Millis(2101))));
+    cr_expect(table.beginCall("e1", 3, at(Millis(2101))));
+    table.recordPause("e2", 1, Seconds(60), 0.0, at(Seconds(3)));
+    table.applyList(std::vector {engine("e1", 3), engine("e2", 2)}, at(Seconds(4)));
+    cr_expect(table.beginCall("e2", 2, at(Seconds(4))));
+}
+
 // Guards against a delayed list that makes a leaving backend server usable again.
 Test(backendtable, delayedListKeepsALeavingIncarnationUnusable)
 {
