--- a/Source/Core/deploymenttally.cpp
+++ b/Source/Core/deploymenttally.cpp
@@ -214,7 +214,7 @@
     addCrashes(sum, own);
     digest.engines = std::move(sum.engines);
     digest.crashes = std::move(sum.crashes);
-    digest.prompts = std::move(sum.prompts);
+    digest.prompts = sum.prompts;
     digest.consumed = own.consumed;
     addTo(digest.consumed, m_total.consumed);
     addTo(digest.consumed, m_total.late);
