--- a/Source/Serving/enginecrashcheck.cpp
+++ b/Source/Serving/enginecrashcheck.cpp
@@ -41,7 +41,7 @@
                                  static_cast<XXH64_hash_t>(engine->entry.incarnation)));
     crash.sentMillis = lost.sentMillis;
     crash.crashMillis = m_state.commonMillis();
-    crash.parts = sharedPartIds(lost.parts);
+    crash.parts = lost.sharedParts;
     ServingState &state = m_state;
     m_state.connectionPool.acquire(
             lost.engine, *address, 0, false,
--- a/Source/Serving/enginecrashcheck.h
+++ b/Source/Serving/enginecrashcheck.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "Core/enginechooser.h"
 #include "Serving/servingstate.h"
 
-#include <span>
+#include <cstdint>
 #include <string>
+#include <vector>
 
 namespace sesame {
 
@@ -17,7 +17,8 @@
     std::string engine;
     std::string service;
     std::uint64_t fingerprint = 0; //!< Hash of path, account and body.
-    std::span<const PromptPart> parts {}; //!< Parts of the prompt, in prompt order.
+    //! Ids of the parts of its prompt that other requests may contain.
+    std::vector<std::int64_t> sharedParts {};
     std::size_t events = 0; //!< Events of the stream that the caller had received.
     std::int64_t sentMillis = 0; //!< Common time at which the request was sent to the engine.
 };
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -448,7 +448,7 @@
                                      .engine = m_assignment.engineId(),
                                      .service = selectService(),
                                      .fingerprint = m_admitted.fingerprint,
-                                     .parts = m_requestInfo.work.parts,
+                                     .sharedParts = sharedPartIds(m_requestInfo.work.parts),
                                      .events = m_eventSplitter.eventCount(),
                                      .sentMillis = m_sentMillis});
 }
--- a/Tests/promptcrashtabletest.cpp
+++ b/Tests/promptcrashtabletest.cpp
@@ -27,9 +27,10 @@
 }
 
 //! Returns a prompt with \a ids and a last part of its own.
-std::vector<PromptPart> makePrompt(std::vector<std::uint64_t> ids)
+std::vector<PromptPart> makePrompt(const std::vector<std::uint64_t> &ids)
 {
     std::vector<PromptPart> parts;
+    parts.reserve(ids.size() + 1);
     for (const std::uint64_t id : ids)
         parts.push_back({.id = id, .tokens = 10});
     parts.push_back({.id = 999'999, .tokens = 10});
@@ -41,7 +42,7 @@
                        const std::vector<std::int64_t> &parts)
 {
     constexpr std::int64_t interval = 500;
-    for (int i = 0; i < n; ++i) {
+    for (std::int64_t i = 0; i < n; ++i) {
         const std::int64_t sent = time + i * interval;
         table.recordCrash(makeCrash(sent, sent, sent + interval - 100, parts),
                           sent + interval - 100);
@@ -154,7 +155,7 @@
 Test(promptcrashtable, partIsBlamedWhateverElseRequestsContain)
 {
     PromptCrashTable table;
-    for (int i = 0; i < 3; ++i) {
+    for (std::int64_t i = 0; i < 3; ++i) {
         cr_expect_not(table.refusalTime(makePrompt({7}), start + i * 1000));
         table.recordCrash(makeCrash(i, start + i * 1000, start + i * 1000 + 300, {100 + i, 7}),
                           start + i * 1000 + 300);
@@ -172,12 +173,12 @@
 Test(promptcrashtable, enginesThatFailTogetherBlameNothing)
 {
     PromptCrashTable table;
-    for (int i = 0; i < 20; ++i)
+    for (std::int64_t i = 0; i < 20; ++i)
         table.recordCrash(makeCrash(i, start - i, start + 100 + i, {7}), start + 100 + i);
     cr_expect_not(table.refusalTime(makePrompt({7}), start + 200));
     // Repeats of one request do not tell its prompt from its other content.
     PromptCrashTable repeats;
-    for (int i = 0; i < 5; ++i) {
+    for (std::int64_t i = 0; i < 5; ++i) {
         wire::PromptCrash crash = makeCrash(1, start + i * 1000, start + i * 1000 + 300, {7});
         crash.engine = i;
         repeats.recordCrash(crash, start + i * 1000 + 300);
@@ -190,7 +191,7 @@
 Test(promptcrashtable, answersClearParts)
 {
     PromptCrashTable table;
-    for (int i = 0; i < 6; ++i) {
+    for (std::int64_t i = 0; i < 6; ++i) {
         const std::int64_t time = start + i * 1000;
         table.recordCrash(makeCrash(i, time, time + 300, {1}), time + 300);
         table.recordAnswer(makePrompt({1}), time + 400);
@@ -260,12 +261,12 @@
     constexpr std::size_t maxDatagramBytes = 16'384;
     std::mt19937_64 random(5205);
     wire::PromptEvidence sum;
-    for (int node = 0; node < 200; ++node) {
+    for (std::int64_t node = 0; node < 200; ++node) {
         PromptCrashTable table;
-        for (int i = 0; i < 50; ++i) {
-            std::vector<std::int64_t> parts;
-            for (int k = 0; k < 3; ++k)
-                parts.push_back(static_cast<std::int64_t>(random()));
+        for (std::int64_t i = 0; i < 50; ++i) {
+            std::vector<std::int64_t> parts(3);
+            for (std::int64_t &part : parts)
+                part = static_cast<std::int64_t>(random());
             table.recordCrash(makeCrash(node * 100 + i, start, start + i, parts), start + i);
         }
         mergePromptEvidence(sum, table.ownEvidence(start + 100));
