--- a/review/standins/hiddenrequest.cpp
+++ b/review/standins/hiddenrequest.cpp
@@ -1,5 +1,6 @@
-// Clients send payments whose body is the text of another request. With trouble, some of them state
-// a transfer coding other than "chunked" and no length, so that the end of the body is unknown.
+// Clients send payments whose body is the text of another request, and then an ordinary payment on
+// the same channel. With trouble, some of the former state a transfer coding other than "chunked"
+// and no length, so that the end of the body is unknown.
 
 #include "deployment.h"
 
@@ -54,6 +55,7 @@
         std::this_thread::sleep_for(2s);
         int smuggled = 0;
         int changed = 0;
+        int foreign = 0;
         int complete = 0;
         std::map<int, int> statuses;
         for (int i = 0; i < nodeCount * paymentsPerNode; ++i) {
@@ -71,6 +73,17 @@
             channel.write(formatPayment(id, framing, body));
             const Answer answer = channel.readAnswer(Clock::now() + 2500ms);
             ++statuses[answer.status];
+            const std::string nextId = nextAttemptId();
+            if (answer.end == Answer::End::Complete && answer.status == 200
+                && channel.write(formatPayment(nextId, "Content-Length: 0\r\n", ""))) {
+                const std::string answeredId = findField(
+                        channel.readAnswer(Clock::now() + 2500ms).fields, "Sesameproxy-Attempt-Id");
+                if (!answeredId.empty() && answeredId != nextId) {
+                    ++foreign;
+                    record("payment %s, sent next on the channel, got the answer to %s",
+                           nextId.c_str(), answeredId.c_str());
+                }
+            }
             std::this_thread::sleep_for(100ms);
             const std::lock_guard lock(runs.mutex);
             const bool ranHidden = runs.bodies.contains(hiddenId);
@@ -90,6 +103,8 @@
             record("%d payments answered with status %d", n, status);
         record("%d payments run as sent", complete);
         isBroken = smuggled > 0 || changed > 0;
+        record("MIXED: %d answers that belong to another request, allowed 0: %s", foreign,
+               foreign > 0 ? "BROKEN" : "held");
         record("UNASKED: %d requests run that were inside another one, %d run with another body, "
                "allowed 0: %s",
                smuggled, changed, isBroken ? "BROKEN" : "held");
