--- a/review/standins/endlessanswer.cpp
+++ b/review/standins/endlessanswer.cpp
@@ -3,7 +3,7 @@
 // Usage: endlessanswer trailer|chunk|id
 //   trailer: after two events come the last chunk and, instead of its end, lines of 70,000 bytes
 //            without end
-//   chunk:   after two events comes a chunk size that never ends
+//   chunk:   after two events come bytes without a line end where the size of a chunk is due
 //   id:      after two events comes one with an id of 70,000 bytes, and the channel is reset; the
 //            stream is one that may be resumed
 //
@@ -55,7 +55,7 @@
         return;
     }
     if (kind == "chunk") {
-        block.assign(1'000'000, '0');
+        block.assign(1'000'000, 'x');
     } else {
         block = "x-garbage: " + std::string(70'000, 'z') + "\r\n\r\n";
         channel.write("0\r\n");
