--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -8,7 +8,8 @@
 program=$root/target/review/$2
 shift 2
 [ -x "$program" ] && [ -x "$root/target/Source/sesameproxy" ] || exit 2
-export REVIEW_RECORD=$folder/record.txt REVIEW_PROGRAM=$root/target/Source/sesameproxy
+cd "$root" || exit 2
+export REVIEW_RECORD=$folder/record.txt REVIEW_PROGRAM=target/Source/sesameproxy
 "$program" "$@"
 code=$?
 [ "$code" -le 1 ] || code=2
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -423,9 +423,15 @@
         store->put("config", "main", manifest);
     }
 
-    ~Deployment()
+    ~Deployment() { stop(); }
+
+    /*!
+        Ends all nodes. The stand-ins go on until the program ends.
+    */
+    void stop()
     {
-        m_ending = true;
+        if (m_ending.exchange(true))
+            return;
         {
             const std::lock_guard lock(mutex);
             for (Node &node : nodes) {
@@ -578,7 +584,8 @@
         std::ofstream(file) << settings(node, isFirstStart);
         const std::string log = m_directory + "/" + node.name + ".log";
         const std::string setting = "SESAMEPROXY_NODE_FILE=" + file;
-        const std::string path = std::string("PATH=") + std::getenv("PATH");
+        const char *const searchPath = std::getenv("PATH");
+        const std::string path = std::string("PATH=") + (searchPath ? searchPath : "");
         const std::string program = std::getenv("REVIEW_PROGRAM");
         const char *const arguments[] = {program.c_str(), "serve-platform", nullptr};
         const char *const environment[] = {path.c_str(), setting.c_str(), nullptr};
--- a/review/standins/endlessanswer.cpp
+++ b/review/standins/endlessanswer.cpp
@@ -155,66 +155,64 @@
         return 2;
     const std::string streamRoute = kind == "id" ? "jury-notes" : "dossier-review";
     std::signal(SIGPIPE, SIG_IGN);
-    bool isBroken = false;
-    {
-        Deployment deployment(nodeCount, manifest());
-        for (int i = 0; i < modelEngineCount; ++i)
-            deployment.addEngine(
-                    "i-model-" + std::to_string(i), "jury-model", 48,
-                    [i, kind](Engine &engine, Channel &channel, const Request &request) {
-                        return serveModel(engine, channel, request, i < troubledEngineCount, kind);
-                    });
+    Deployment deployment(nodeCount, manifest());
+    for (int i = 0; i < modelEngineCount; ++i)
+        deployment.addEngine("i-model-" + std::to_string(i), "jury-model", 48,
+                             [i, kind](Engine &engine, Channel &channel, const Request &request) {
+                                 return serveModel(engine, channel, request,
+                                                   i < troubledEngineCount, kind);
+                             });
+    for (int i = 0; i < 4; ++i)
+        deployment.addEngine("i-portal-" + std::to_string(i), "entry-portal", 6,
+                             [](Engine &engine, Channel &channel, const Request &request) {
+                                 return sendPlain(engine, channel, request, 30ms);
+                             });
+    if (!deployment.start())
+        return 2;
+    std::vector<std::thread> clients;
+    for (std::size_t node = 0; node < nodeCount; ++node) {
+        for (int i = 0; i < 12; ++i)
+            clients.emplace_back(runClient, std::ref(deployment), node, true, streamRoute);
         for (int i = 0; i < 4; ++i)
-            deployment.addEngine("i-portal-" + std::to_string(i), "entry-portal", 6,
-                                 [](Engine &engine, Channel &channel, const Request &request) {
-                                     return sendPlain(engine, channel, request, 30ms);
-                                 });
-        if (!deployment.start())
-            return 2;
-        std::vector<std::thread> clients;
-        for (std::size_t node = 0; node < nodeCount; ++node) {
-            for (int i = 0; i < 12; ++i)
-                clients.emplace_back(runClient, std::ref(deployment), node, true, streamRoute);
-            for (int i = 0; i < 4; ++i)
-                clients.emplace_back(runClient, std::ref(deployment), node, false, streamRoute);
-        }
-        std::this_thread::sleep_for(4s);
-        const int periods = kind == "chunk" ? 6 : 3;
-        for (int period = 0; period < periods; ++period) {
-            isTroubled = hasTrouble();
-            record("%d of %d model engines are %s", troubledEngineCount, modelEngineCount,
-                   isTroubled ? "in trouble" : "left alone");
-            std::this_thread::sleep_for(troubleTime);
-            isTroubled = false;
-            record("all engines are sound");
-            std::this_thread::sleep_for(calmTime);
-        }
-        isOver = true;
-        for (std::thread &client : clients)
-            client.join();
-        const std::lock_guard lock(deployment.mutex);
-        int machinesWithThreeEnds = 0;
-        for (const auto &node : deployment.nodes) {
-            record("%s: %d ends by itself, %d of them by memory; peak %lld MB", node.name.c_str(),
-                   node.ends, node.memoryEnds, static_cast<long long>(node.peakKb / 1024));
-            machinesWithThreeEnds += node.ends >= 3 ? 1 : 0;
-        }
-        const int lost = payments.lost + streams.lost;
-        record("spoiled answers: %d", spoiledAnswers.load());
-        record("fee-payment: %d sent, %d complete, %d not, %d lost", payments.sent.load(),
-               payments.complete.load(), payments.incomplete.load(), payments.lost.load());
-        record("%s: %d sent, %d complete, %d not, %d lost", streamRoute.c_str(),
-               streams.sent.load(), streams.complete.load(), streams.incomplete.load(),
-               streams.lost.load());
-        // LOST: more than three times. Fault: three ends on a tenth of the machines, two at least.
-        const bool isLostBroken = lost > 3;
-        const bool isFaultBroken = machinesWithThreeEnds >= 2;
-        record("LOST: %d times, allowed 3: %s", lost, isLostBroken ? "BROKEN" : "held");
-        record("Fault: %d machines whose process ended three times, allowed 1: %s",
-               machinesWithThreeEnds, isFaultBroken ? "BROKEN" : "held");
-        // The rule of the claim decides; the other one is recorded.
-        isBroken = kind == "chunk" ? isFaultBroken : isLostBroken;
+            clients.emplace_back(runClient, std::ref(deployment), node, false, streamRoute);
+    }
+    std::this_thread::sleep_for(4s);
+    const int periods = kind == "chunk" ? 6 : 3;
+    for (int period = 0; period < periods; ++period) {
+        isTroubled = hasTrouble();
+        record("%d of %d model engines are %s", troubledEngineCount, modelEngineCount,
+               isTroubled ? "in trouble" : "left alone");
+        std::this_thread::sleep_for(troubleTime);
+        isTroubled = false;
+        record("all engines are sound");
+        std::this_thread::sleep_for(calmTime);
+    }
+    isOver = true;
+    for (std::thread &client : clients)
+        client.join();
+    std::unique_lock lock(deployment.mutex);
+    int machinesWithThreeEnds = 0;
+    for (const auto &node : deployment.nodes) {
+        record("%s: %d ends by itself, %d of them by memory; peak %lld MB", node.name.c_str(),
+               node.ends, node.memoryEnds, static_cast<long long>(node.peakKb / 1024));
+        machinesWithThreeEnds += node.ends >= 3 ? 1 : 0;
     }
-    std::fflush(nullptr);
+    const int lost = payments.lost + streams.lost;
+    record("spoiled answers: %d", spoiledAnswers.load());
+    record("fee-payment: %d sent, %d complete, %d not, %d lost", payments.sent.load(),
+           payments.complete.load(), payments.incomplete.load(), payments.lost.load());
+    record("%s: %d sent, %d complete, %d not, %d lost", streamRoute.c_str(), streams.sent.load(),
+           streams.complete.load(), streams.incomplete.load(), streams.lost.load());
+    // LOST: more than three times. Fault: three ends on a tenth of the machines, two at least.
+    const bool isLostBroken = lost > 3;
+    const bool isFaultBroken = machinesWithThreeEnds >= 2;
+    record("LOST: %d times, allowed 3: %s", lost, isLostBroken ? "BROKEN" : "held");
+    record("Fault: %d machines whose process ended three times, allowed 1: %s",
+           machinesWithThreeEnds, isFaultBroken ? "BROKEN" : "held");
+    // The rule of the claim decides; the other one is recorded.
+    const bool isBroken = kind == "chunk" ? isFaultBroken : isLostBroken;
+    lock.unlock();
+    deployment.stop();
+    // Threads of the stand-ins still use them, so nothing is destroyed.
     std::_Exit(isBroken ? 1 : 0);
 }
--- a/review/standins/latestop.cpp
+++ b/review/standins/latestop.cpp
@@ -46,68 +46,66 @@
 int main()
 {
     std::signal(SIGPIPE, SIG_IGN);
-    bool isBroken = false;
-    {
-        Deployment deployment(nodeCount, manifest());
-        for (int i = 0; i < 16; ++i)
-            deployment.addEngine("i-portal-" + std::to_string(i), "entry-portal", 6,
-                                 [](Engine &engine, Channel &channel, const Request &request) {
-                                     return sendPlain(engine, channel, request, longWork);
-                                 });
-        if (!deployment.start())
-            return 2;
-        std::this_thread::sleep_for(3s);
-        std::mutex mutex;
-        std::vector<Payment> payments;
-        std::vector<std::thread> clients;
-        const std::int64_t stopAt = elapsedMillis() + 3000;
-        bool isStopped = false;
-        while (elapsedMillis() < stopAt + Millis(directoryLifetime).count()) {
-            if (!isStopped && elapsedMillis() >= stopAt) {
-                isStopped = true;
-                if (hasTrouble())
-                    deployment.signal(0, SIGTERM);
-                record("%s", hasTrouble() ? "SIGTERM to the first node" : "no SIGTERM");
-            }
-            clients.emplace_back([&] {
-                Payment payment = sendPayment(deployment, 0);
-                const std::lock_guard lock(mutex);
-                payments.push_back(std::move(payment));
-            });
-            std::this_thread::sleep_for(sendInterval);
+    Deployment deployment(nodeCount, manifest());
+    for (int i = 0; i < 16; ++i)
+        deployment.addEngine("i-portal-" + std::to_string(i), "entry-portal", 6,
+                             [](Engine &engine, Channel &channel, const Request &request) {
+                                 return sendPlain(engine, channel, request, longWork);
+                             });
+    if (!deployment.start())
+        return 2;
+    std::this_thread::sleep_for(3s);
+    std::mutex mutex;
+    std::vector<Payment> payments;
+    std::vector<std::thread> clients;
+    const std::int64_t stopAt = elapsedMillis() + 3000;
+    bool isStopped = false;
+    while (elapsedMillis() < stopAt + Millis(directoryLifetime).count()) {
+        if (!isStopped && elapsedMillis() >= stopAt) {
+            isStopped = true;
+            if (hasTrouble())
+                deployment.signal(0, SIGTERM);
+            record("%s", hasTrouble() ? "SIGTERM to the first node" : "no SIGTERM");
         }
-        for (std::thread &client : clients)
-            client.join();
-        std::this_thread::sleep_for(3s);
-        int complete = 0;
-        int lost = 0;
-        std::map<std::string, int> others;
-        for (const Payment &payment : payments) {
-            const std::int64_t afterStop = payment.sentAt - stopAt;
-            const std::int64_t took = payment.endedAt - payment.sentAt;
-            if (payment.answer.end == Answer::End::Complete && payment.answer.status == 200) {
-                ++complete;
-                continue;
-            }
-            ++others[std::to_string(payment.answer.status) + " " + endName(payment.answer.end)];
-            // Not counted: sent no later than 3 s after the SIGTERM, or ended by the deadline.
-            if (payment.runs == 0 || afterStop <= 3000 || took >= deadlineMs
-                || payment.answer.end == Answer::End::Complete
-                || payment.answer.end == Answer::End::Timeout)
-                continue;
-            ++lost;
-            record("fee-payment sent %lld ms after the SIGTERM: run %d times, channel %s after "
-                   "%lld of %d ms without an answer",
-                   static_cast<long long>(afterStop), payment.runs, endName(payment.answer.end),
-                   static_cast<long long>(took), deadlineMs);
+        clients.emplace_back([&] {
+            Payment payment = sendPayment(deployment, 0);
+            const std::lock_guard lock(mutex);
+            payments.push_back(std::move(payment));
+        });
+        std::this_thread::sleep_for(sendInterval);
+    }
+    for (std::thread &client : clients)
+        client.join();
+    std::this_thread::sleep_for(3s);
+    int complete = 0;
+    int lost = 0;
+    std::map<std::string, int> others;
+    for (const Payment &payment : payments) {
+        const std::int64_t afterStop = payment.sentAt - stopAt;
+        const std::int64_t took = payment.endedAt - payment.sentAt;
+        if (payment.answer.end == Answer::End::Complete && payment.answer.status == 200) {
+            ++complete;
+            continue;
         }
-        record("fee-payment: %zu sent, %d complete", payments.size(), complete);
-        for (const auto &[text, n] : others)
-            record("fee-payment: %d ended with: %s", n, text.c_str());
-        isBroken = lost > 0;
-        record("LOST: %d payments that were passed on to an engine, allowed 0: %s", lost,
-               isBroken ? "BROKEN" : "held");
+        ++others[std::to_string(payment.answer.status) + " " + endName(payment.answer.end)];
+        // Not counted: sent no later than 3 s after the SIGTERM, or ended by the deadline.
+        if (payment.runs == 0 || afterStop <= 3000 || took >= deadlineMs
+            || payment.answer.end == Answer::End::Complete
+            || payment.answer.end == Answer::End::Timeout)
+            continue;
+        ++lost;
+        record("fee-payment sent %lld ms after the SIGTERM: run %d times, channel %s after "
+               "%lld of %d ms without an answer",
+               static_cast<long long>(afterStop), payment.runs, endName(payment.answer.end),
+               static_cast<long long>(took), deadlineMs);
     }
-    std::fflush(nullptr);
+    record("fee-payment: %zu sent, %d complete", payments.size(), complete);
+    for (const auto &[text, n] : others)
+        record("fee-payment: %d ended with: %s", n, text.c_str());
+    const bool isBroken = lost > 0;
+    record("LOST: %d payments that were passed on to an engine, allowed 0: %s", lost,
+           isBroken ? "BROKEN" : "held");
+    deployment.stop();
+    // Threads of the stand-ins still use them, so nothing is destroyed.
     std::_Exit(isBroken ? 1 : 0);
 }
