--- a/Generated/exchange_types.cpp
+++ b/Generated/exchange_types.cpp
@@ -25,6 +25,21 @@
 void EngineShare::__set_tokens(const int64_t val) {
   this->tokens = val;
 }
+
+void EngineShare::__set_unreadTokens(const int64_t val) {
+  this->unreadTokens = val;
+__isset.unreadTokens = true;
+}
+
+void EngineShare::__set_delayWeight(const double val) {
+  this->delayWeight = val;
+__isset.delayWeight = true;
+}
+
+void EngineShare::__set_weightedLogDelay(const double val) {
+  this->weightedLogDelay = val;
+__isset.weightedLogDelay = true;
+}
 std::ostream& operator<<(std::ostream& out, const EngineShare& obj)
 {
   obj.printTo(out);
@@ -69,6 +84,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->unreadTokens);
+          this->__isset.unreadTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->delayWeight);
+          this->__isset.delayWeight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->weightedLogDelay);
+          this->__isset.weightedLogDelay = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -94,6 +133,21 @@
   xfer += oprot->writeI64(this->tokens);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.unreadTokens) {
+    xfer += oprot->writeFieldBegin("unreadTokens", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->unreadTokens);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.delayWeight) {
+    xfer += oprot->writeFieldBegin("delayWeight", ::apache::thrift::protocol::T_DOUBLE, 4);
+    xfer += oprot->writeDouble(this->delayWeight);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.weightedLogDelay) {
+    xfer += oprot->writeFieldBegin("weightedLogDelay", ::apache::thrift::protocol::T_DOUBLE, 5);
+    xfer += oprot->writeDouble(this->weightedLogDelay);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -103,17 +157,26 @@
   using ::std::swap;
   swap(a.requests, b.requests);
   swap(a.tokens, b.tokens);
+  swap(a.unreadTokens, b.unreadTokens);
+  swap(a.delayWeight, b.delayWeight);
+  swap(a.weightedLogDelay, b.weightedLogDelay);
   swap(a.__isset, b.__isset);
 }
 
 EngineShare::EngineShare(const EngineShare& other0) noexcept {
   requests = other0.requests;
   tokens = other0.tokens;
+  unreadTokens = other0.unreadTokens;
+  delayWeight = other0.delayWeight;
+  weightedLogDelay = other0.weightedLogDelay;
   __isset = other0.__isset;
 }
 EngineShare& EngineShare::operator=(const EngineShare& other1) noexcept {
   requests = other1.requests;
   tokens = other1.tokens;
+  unreadTokens = other1.unreadTokens;
+  delayWeight = other1.delayWeight;
+  weightedLogDelay = other1.weightedLogDelay;
   __isset = other1.__isset;
   return *this;
 }
@@ -122,6 +185,433 @@
   out << "EngineShare(";
   out << "requests=" << to_string(requests);
   out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "unreadTokens="; (__isset.unreadTokens ? (out << to_string(unreadTokens)) : (out << "<null>"));
+  out << ", " << "delayWeight="; (__isset.delayWeight ? (out << to_string(delayWeight)) : (out << "<null>"));
+  out << ", " << "weightedLogDelay="; (__isset.weightedLogDelay ? (out << to_string(weightedLogDelay)) : (out << "<null>"));
+  out << ")";
+}
+
+
+VersionEvidence::~VersionEvidence() noexcept {
+}
+
+
+void VersionEvidence::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void VersionEvidence::__set_order(const int64_t val) {
+  this->order = val;
+}
+
+void VersionEvidence::__set_version(const std::string& val) {
+  this->version = val;
+}
+
+void VersionEvidence::__set_route(const std::string& val) {
+  this->route = val;
+}
+
+void VersionEvidence::__set_sent(const int64_t val) {
+  this->sent = val;
+}
+
+void VersionEvidence::__set_answers(const int64_t val) {
+  this->answers = val;
+}
+
+void VersionEvidence::__set_failures(const int64_t val) {
+  this->failures = val;
+}
+
+void VersionEvidence::__set_logTimeSum(const double val) {
+  this->logTimeSum = val;
+}
+
+void VersionEvidence::__set_logTimeSquareSum(const double val) {
+  this->logTimeSquareSum = val;
+}
+std::ostream& operator<<(std::ostream& out, const VersionEvidence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VersionEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->route);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent);
+          this->__isset.sent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->answers);
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->failures);
+          this->__isset.failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->logTimeSum);
+          this->__isset.logTimeSum = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->logTimeSquareSum);
+          this->__isset.logTimeSquareSum = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VersionEvidence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VersionEvidence");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->order);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->route);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->answers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->failures);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("logTimeSum", ::apache::thrift::protocol::T_DOUBLE, 8);
+  xfer += oprot->writeDouble(this->logTimeSum);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("logTimeSquareSum", ::apache::thrift::protocol::T_DOUBLE, 9);
+  xfer += oprot->writeDouble(this->logTimeSquareSum);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VersionEvidence &a, VersionEvidence &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.order, b.order);
+  swap(a.version, b.version);
+  swap(a.route, b.route);
+  swap(a.sent, b.sent);
+  swap(a.answers, b.answers);
+  swap(a.failures, b.failures);
+  swap(a.logTimeSum, b.logTimeSum);
+  swap(a.logTimeSquareSum, b.logTimeSquareSum);
+  swap(a.__isset, b.__isset);
+}
+
+VersionEvidence::VersionEvidence(const VersionEvidence& other2) {
+  serviceName = other2.serviceName;
+  order = other2.order;
+  version = other2.version;
+  route = other2.route;
+  sent = other2.sent;
+  answers = other2.answers;
+  failures = other2.failures;
+  logTimeSum = other2.logTimeSum;
+  logTimeSquareSum = other2.logTimeSquareSum;
+  __isset = other2.__isset;
+}
+VersionEvidence& VersionEvidence::operator=(const VersionEvidence& other3) {
+  serviceName = other3.serviceName;
+  order = other3.order;
+  version = other3.version;
+  route = other3.route;
+  sent = other3.sent;
+  answers = other3.answers;
+  failures = other3.failures;
+  logTimeSum = other3.logTimeSum;
+  logTimeSquareSum = other3.logTimeSquareSum;
+  __isset = other3.__isset;
+  return *this;
+}
+void VersionEvidence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VersionEvidence(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "order=" << to_string(order);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "route=" << to_string(route);
+  out << ", " << "sent=" << to_string(sent);
+  out << ", " << "answers=" << to_string(answers);
+  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "logTimeSum=" << to_string(logTimeSum);
+  out << ", " << "logTimeSquareSum=" << to_string(logTimeSquareSum);
+  out << ")";
+}
+
+
+RolloutStep::~RolloutStep() noexcept {
+}
+
+
+void RolloutStep::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void RolloutStep::__set_order(const int64_t val) {
+  this->order = val;
+}
+
+void RolloutStep::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void RolloutStep::__set_state(const int32_t val) {
+  this->state = val;
+}
+
+void RolloutStep::__set_share(const int32_t val) {
+  this->share = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutStep& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutStep::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->share);
+          this->__isset.share = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutStep::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutStep");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->order);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("share", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->share);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutStep &a, RolloutStep &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.order, b.order);
+  swap(a.number, b.number);
+  swap(a.state, b.state);
+  swap(a.share, b.share);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutStep::RolloutStep(const RolloutStep& other4) {
+  serviceName = other4.serviceName;
+  order = other4.order;
+  number = other4.number;
+  state = other4.state;
+  share = other4.share;
+  __isset = other4.__isset;
+}
+RolloutStep& RolloutStep::operator=(const RolloutStep& other5) {
+  serviceName = other5.serviceName;
+  order = other5.order;
+  number = other5.number;
+  state = other5.state;
+  share = other5.share;
+  __isset = other5.__isset;
+  return *this;
+}
+void RolloutStep::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutStep(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "order=" << to_string(order);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "share=" << to_string(share);
   out << ")";
 }
 
@@ -218,15 +708,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashShare::CrashShare(const CrashShare& other2) noexcept {
-  crashes = other2.crashes;
-  successes = other2.successes;
-  __isset = other2.__isset;
+CrashShare::CrashShare(const CrashShare& other6) noexcept {
+  crashes = other6.crashes;
+  successes = other6.successes;
+  __isset = other6.__isset;
 }
-CrashShare& CrashShare::operator=(const CrashShare& other3) noexcept {
-  crashes = other3.crashes;
-  successes = other3.successes;
-  __isset = other3.__isset;
+CrashShare& CrashShare::operator=(const CrashShare& other7) noexcept {
+  crashes = other7.crashes;
+  successes = other7.successes;
+  __isset = other7.__isset;
   return *this;
 }
 void CrashShare::printTo(std::ostream& out) const {
@@ -325,14 +815,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size4;
-            ::apache::thrift::protocol::TType _etype7;
-            xfer += iprot->readListBegin(_etype7, _size4);
-            this->parts.resize(_size4);
-            uint32_t _i8;
-            for (_i8 = 0; _i8 < _size4; ++_i8)
+            uint32_t _size8;
+            ::apache::thrift::protocol::TType _etype11;
+            xfer += iprot->readListBegin(_etype11, _size8);
+            this->parts.resize(_size8);
+            uint32_t _i12;
+            for (_i12 = 0; _i12 < _size8; ++_i12)
             {
-              xfer += iprot->readI64(this->parts[_i8]);
+              xfer += iprot->readI64(this->parts[_i12]);
             }
             xfer += iprot->readListEnd();
           }
@@ -377,10 +867,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter9;
-    for (_iter9 = this->parts.begin(); _iter9 != this->parts.end(); ++_iter9)
+    std::vector<int64_t> ::const_iterator _iter13;
+    for (_iter13 = this->parts.begin(); _iter13 != this->parts.end(); ++_iter13)
     {
-      xfer += oprot->writeI64((*_iter9));
+      xfer += oprot->writeI64((*_iter13));
     }
     xfer += oprot->writeListEnd();
   }
@@ -401,21 +891,21 @@
   swap(a.__isset, b.__isset);
 }
 
-PromptCrash::PromptCrash(const PromptCrash& other10) {
-  request = other10.request;
-  engine = other10.engine;
-  sentMillis = other10.sentMillis;
-  crashMillis = other10.crashMillis;
-  parts = other10.parts;
-  __isset = other10.__isset;
-}
-PromptCrash& PromptCrash::operator=(const PromptCrash& other11) {
-  request = other11.request;
-  engine = other11.engine;
-  sentMillis = other11.sentMillis;
-  crashMillis = other11.crashMillis;
-  parts = other11.parts;
-  __isset = other11.__isset;
+PromptCrash::PromptCrash(const PromptCrash& other14) {
+  request = other14.request;
+  engine = other14.engine;
+  sentMillis = other14.sentMillis;
+  crashMillis = other14.crashMillis;
+  parts = other14.parts;
+  __isset = other14.__isset;
+}
+PromptCrash& PromptCrash::operator=(const PromptCrash& other15) {
+  request = other15.request;
+  engine = other15.engine;
+  sentMillis = other15.sentMillis;
+  crashMillis = other15.crashMillis;
+  parts = other15.parts;
+  __isset = other15.__isset;
   return *this;
 }
 void PromptCrash::printTo(std::ostream& out) const {
@@ -473,14 +963,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->parts.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->parts.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += iprot->readI64(this->parts[_i16]);
+              xfer += iprot->readI64(this->parts[_i20]);
             }
             xfer += iprot->readListEnd();
           }
@@ -517,10 +1007,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter17;
-    for (_iter17 = this->parts.begin(); _iter17 != this->parts.end(); ++_iter17)
+    std::vector<int64_t> ::const_iterator _iter21;
+    for (_iter21 = this->parts.begin(); _iter21 != this->parts.end(); ++_iter21)
     {
-      xfer += oprot->writeI64((*_iter17));
+      xfer += oprot->writeI64((*_iter21));
     }
     xfer += oprot->writeListEnd();
   }
@@ -542,15 +1032,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RefusedParts::RefusedParts(const RefusedParts& other18) {
-  parts = other18.parts;
-  decidedMillis = other18.decidedMillis;
-  __isset = other18.__isset;
+RefusedParts::RefusedParts(const RefusedParts& other22) {
+  parts = other22.parts;
+  decidedMillis = other22.decidedMillis;
+  __isset = other22.__isset;
 }
-RefusedParts& RefusedParts::operator=(const RefusedParts& other19) {
-  parts = other19.parts;
-  decidedMillis = other19.decidedMillis;
-  __isset = other19.__isset;
+RefusedParts& RefusedParts::operator=(const RefusedParts& other23) {
+  parts = other23.parts;
+  decidedMillis = other23.decidedMillis;
+  __isset = other23.__isset;
   return *this;
 }
 void RefusedParts::printTo(std::ostream& out) const {
@@ -609,14 +1099,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size20;
-            ::apache::thrift::protocol::TType _etype23;
-            xfer += iprot->readListBegin(_etype23, _size20);
-            this->crashes.resize(_size20);
-            uint32_t _i24;
-            for (_i24 = 0; _i24 < _size20; ++_i24)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->crashes.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += this->crashes[_i24].read(iprot);
+              xfer += this->crashes[_i28].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -629,17 +1119,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->answeredMillis.clear();
-            uint32_t _size25;
-            ::apache::thrift::protocol::TType _ktype26;
-            ::apache::thrift::protocol::TType _vtype27;
-            xfer += iprot->readMapBegin(_ktype26, _vtype27, _size25);
-            uint32_t _i29;
-            for (_i29 = 0; _i29 < _size25; ++_i29)
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _ktype30;
+            ::apache::thrift::protocol::TType _vtype31;
+            xfer += iprot->readMapBegin(_ktype30, _vtype31, _size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
             {
-              int64_t _key30;
-              xfer += iprot->readI64(_key30);
-              int64_t& _val31 = this->answeredMillis[_key30];
-              xfer += iprot->readI64(_val31);
+              int64_t _key34;
+              xfer += iprot->readI64(_key34);
+              int64_t& _val35 = this->answeredMillis[_key34];
+              xfer += iprot->readI64(_val35);
             }
             xfer += iprot->readMapEnd();
           }
@@ -652,14 +1142,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refused.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->refused.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->refused.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->refused[_i36].read(iprot);
+              xfer += this->refused[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -688,10 +1178,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<PromptCrash> ::const_iterator _iter37;
-    for (_iter37 = this->crashes.begin(); _iter37 != this->crashes.end(); ++_iter37)
+    std::vector<PromptCrash> ::const_iterator _iter41;
+    for (_iter41 = this->crashes.begin(); _iter41 != this->crashes.end(); ++_iter41)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -700,11 +1190,11 @@
   xfer += oprot->writeFieldBegin("answeredMillis", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->answeredMillis.size()));
-    std::map<int64_t, int64_t> ::const_iterator _iter38;
-    for (_iter38 = this->answeredMillis.begin(); _iter38 != this->answeredMillis.end(); ++_iter38)
+    std::map<int64_t, int64_t> ::const_iterator _iter42;
+    for (_iter42 = this->answeredMillis.begin(); _iter42 != this->answeredMillis.end(); ++_iter42)
     {
-      xfer += oprot->writeI64(_iter38->first);
-      xfer += oprot->writeI64(_iter38->second);
+      xfer += oprot->writeI64(_iter42->first);
+      xfer += oprot->writeI64(_iter42->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -713,10 +1203,10 @@
   xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->refused.size()));
-    std::vector<RefusedParts> ::const_iterator _iter39;
-    for (_iter39 = this->refused.begin(); _iter39 != this->refused.end(); ++_iter39)
+    std::vector<RefusedParts> ::const_iterator _iter43;
+    for (_iter43 = this->refused.begin(); _iter43 != this->refused.end(); ++_iter43)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -735,17 +1225,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PromptEvidence::PromptEvidence(const PromptEvidence& other40) {
-  crashes = other40.crashes;
-  answeredMillis = other40.answeredMillis;
-  refused = other40.refused;
-  __isset = other40.__isset;
+PromptEvidence::PromptEvidence(const PromptEvidence& other44) {
+  crashes = other44.crashes;
+  answeredMillis = other44.answeredMillis;
+  refused = other44.refused;
+  __isset = other44.__isset;
 }
-PromptEvidence& PromptEvidence::operator=(const PromptEvidence& other41) {
-  crashes = other41.crashes;
-  answeredMillis = other41.answeredMillis;
-  refused = other41.refused;
-  __isset = other41.__isset;
+PromptEvidence& PromptEvidence::operator=(const PromptEvidence& other45) {
+  crashes = other45.crashes;
+  answeredMillis = other45.answeredMillis;
+  refused = other45.refused;
+  __isset = other45.__isset;
   return *this;
 }
 void PromptEvidence::printTo(std::ostream& out) const {
@@ -789,6 +1279,16 @@
 void Tally::__set_prompts(const PromptEvidence& val) {
   this->prompts = val;
 }
+
+void Tally::__set_versions(const std::vector<VersionEvidence> & val) {
+  this->versions = val;
+__isset.versions = true;
+}
+
+void Tally::__set_rolloutSteps(const std::vector<RolloutStep> & val) {
+  this->rolloutSteps = val;
+__isset.rolloutSteps = true;
+}
 std::ostream& operator<<(std::ostream& out, const Tally& obj)
 {
   obj.printTo(out);
@@ -821,17 +1321,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->consumed.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _ktype43;
-            ::apache::thrift::protocol::TType _vtype44;
-            xfer += iprot->readMapBegin(_ktype43, _vtype44, _size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _ktype47;
+            ::apache::thrift::protocol::TType _vtype48;
+            xfer += iprot->readMapBegin(_ktype47, _vtype48, _size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              std::string _key47;
-              xfer += iprot->readString(_key47);
-              double& _val48 = this->consumed[_key47];
-              xfer += iprot->readDouble(_val48);
+              std::string _key51;
+              xfer += iprot->readString(_key51);
+              double& _val52 = this->consumed[_key51];
+              xfer += iprot->readDouble(_val52);
             }
             xfer += iprot->readMapEnd();
           }
@@ -844,29 +1344,29 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->began.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _ktype50;
-            ::apache::thrift::protocol::TType _vtype51;
-            xfer += iprot->readMapBegin(_ktype50, _vtype51, _size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _ktype54;
+            ::apache::thrift::protocol::TType _vtype55;
+            xfer += iprot->readMapBegin(_ktype54, _vtype55, _size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              int64_t _key54;
-              xfer += iprot->readI64(_key54);
-              std::map<std::string, int64_t> & _val55 = this->began[_key54];
+              int64_t _key58;
+              xfer += iprot->readI64(_key58);
+              std::map<std::string, int64_t> & _val59 = this->began[_key58];
               {
-                _val55.clear();
-                uint32_t _size56;
-                ::apache::thrift::protocol::TType _ktype57;
-                ::apache::thrift::protocol::TType _vtype58;
-                xfer += iprot->readMapBegin(_ktype57, _vtype58, _size56);
-                uint32_t _i60;
-                for (_i60 = 0; _i60 < _size56; ++_i60)
+                _val59.clear();
+                uint32_t _size60;
+                ::apache::thrift::protocol::TType _ktype61;
+                ::apache::thrift::protocol::TType _vtype62;
+                xfer += iprot->readMapBegin(_ktype61, _vtype62, _size60);
+                uint32_t _i64;
+                for (_i64 = 0; _i64 < _size60; ++_i64)
                 {
-                  std::string _key61;
-                  xfer += iprot->readString(_key61);
-                  int64_t& _val62 = _val55[_key61];
-                  xfer += iprot->readI64(_val62);
+                  std::string _key65;
+                  xfer += iprot->readString(_key65);
+                  int64_t& _val66 = _val59[_key65];
+                  xfer += iprot->readI64(_val66);
                 }
                 xfer += iprot->readMapEnd();
               }
@@ -882,17 +1382,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->engines.clear();
-            uint32_t _size63;
-            ::apache::thrift::protocol::TType _ktype64;
-            ::apache::thrift::protocol::TType _vtype65;
-            xfer += iprot->readMapBegin(_ktype64, _vtype65, _size63);
-            uint32_t _i67;
-            for (_i67 = 0; _i67 < _size63; ++_i67)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _ktype68;
+            ::apache::thrift::protocol::TType _vtype69;
+            xfer += iprot->readMapBegin(_ktype68, _vtype69, _size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              std::string _key68;
-              xfer += iprot->readString(_key68);
-              EngineShare& _val69 = this->engines[_key68];
-              xfer += _val69.read(iprot);
+              std::string _key72;
+              xfer += iprot->readString(_key72);
+              EngineShare& _val73 = this->engines[_key72];
+              xfer += _val73.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -905,17 +1405,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->crashes.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _ktype71;
-            ::apache::thrift::protocol::TType _vtype72;
-            xfer += iprot->readMapBegin(_ktype71, _vtype72, _size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _ktype75;
+            ::apache::thrift::protocol::TType _vtype76;
+            xfer += iprot->readMapBegin(_ktype75, _vtype76, _size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              int64_t _key75;
-              xfer += iprot->readI64(_key75);
-              CrashShare& _val76 = this->crashes[_key75];
-              xfer += _val76.read(iprot);
+              int64_t _key79;
+              xfer += iprot->readI64(_key79);
+              CrashShare& _val80 = this->crashes[_key79];
+              xfer += _val80.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -928,17 +1428,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->refused.clear();
-            uint32_t _size77;
-            ::apache::thrift::protocol::TType _ktype78;
-            ::apache::thrift::protocol::TType _vtype79;
-            xfer += iprot->readMapBegin(_ktype78, _vtype79, _size77);
-            uint32_t _i81;
-            for (_i81 = 0; _i81 < _size77; ++_i81)
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _ktype82;
+            ::apache::thrift::protocol::TType _vtype83;
+            xfer += iprot->readMapBegin(_ktype82, _vtype83, _size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
             {
-              std::string _key82;
-              xfer += iprot->readString(_key82);
-              int64_t& _val83 = this->refused[_key82];
-              xfer += iprot->readI64(_val83);
+              std::string _key86;
+              xfer += iprot->readString(_key86);
+              int64_t& _val87 = this->refused[_key86];
+              xfer += iprot->readI64(_val87);
             }
             xfer += iprot->readMapEnd();
           }
@@ -951,17 +1451,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->late.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _ktype85;
-            ::apache::thrift::protocol::TType _vtype86;
-            xfer += iprot->readMapBegin(_ktype85, _vtype86, _size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _ktype89;
+            ::apache::thrift::protocol::TType _vtype90;
+            xfer += iprot->readMapBegin(_ktype89, _vtype90, _size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              std::string _key89;
-              xfer += iprot->readString(_key89);
-              double& _val90 = this->late[_key89];
-              xfer += iprot->readDouble(_val90);
+              std::string _key93;
+              xfer += iprot->readString(_key93);
+              double& _val94 = this->late[_key93];
+              xfer += iprot->readDouble(_val94);
             }
             xfer += iprot->readMapEnd();
           }
@@ -978,6 +1478,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->versions.clear();
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->versions.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
+            {
+              xfer += this->versions[_i99].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.versions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rolloutSteps.clear();
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->rolloutSteps.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
+            {
+              xfer += this->rolloutSteps[_i104].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rolloutSteps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -998,11 +1538,11 @@
   xfer += oprot->writeFieldBegin("consumed", ::apache::thrift::protocol::T_MAP, 1);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->consumed.size()));
-    std::map<std::string, double> ::const_iterator _iter91;
-    for (_iter91 = this->consumed.begin(); _iter91 != this->consumed.end(); ++_iter91)
+    std::map<std::string, double> ::const_iterator _iter105;
+    for (_iter105 = this->consumed.begin(); _iter105 != this->consumed.end(); ++_iter105)
     {
-      xfer += oprot->writeString(_iter91->first);
-      xfer += oprot->writeDouble(_iter91->second);
+      xfer += oprot->writeString(_iter105->first);
+      xfer += oprot->writeDouble(_iter105->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1011,17 +1551,17 @@
   xfer += oprot->writeFieldBegin("began", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_MAP, static_cast<uint32_t>(this->began.size()));
-    std::map<int64_t, std::map<std::string, int64_t> > ::const_iterator _iter92;
-    for (_iter92 = this->began.begin(); _iter92 != this->began.end(); ++_iter92)
+    std::map<int64_t, std::map<std::string, int64_t> > ::const_iterator _iter106;
+    for (_iter106 = this->began.begin(); _iter106 != this->began.end(); ++_iter106)
     {
-      xfer += oprot->writeI64(_iter92->first);
+      xfer += oprot->writeI64(_iter106->first);
       {
-        xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter92->second.size()));
-        std::map<std::string, int64_t> ::const_iterator _iter93;
-        for (_iter93 = _iter92->second.begin(); _iter93 != _iter92->second.end(); ++_iter93)
+        xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter106->second.size()));
+        std::map<std::string, int64_t> ::const_iterator _iter107;
+        for (_iter107 = _iter106->second.begin(); _iter107 != _iter106->second.end(); ++_iter107)
         {
-          xfer += oprot->writeString(_iter93->first);
-          xfer += oprot->writeI64(_iter93->second);
+          xfer += oprot->writeString(_iter107->first);
+          xfer += oprot->writeI64(_iter107->second);
         }
         xfer += oprot->writeMapEnd();
       }
@@ -1033,11 +1573,11 @@
   xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::map<std::string, EngineShare> ::const_iterator _iter94;
-    for (_iter94 = this->engines.begin(); _iter94 != this->engines.end(); ++_iter94)
+    std::map<std::string, EngineShare> ::const_iterator _iter108;
+    for (_iter108 = this->engines.begin(); _iter108 != this->engines.end(); ++_iter108)
     {
-      xfer += oprot->writeString(_iter94->first);
-      xfer += _iter94->second.write(oprot);
+      xfer += oprot->writeString(_iter108->first);
+      xfer += _iter108->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1046,11 +1586,11 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::map<int64_t, CrashShare> ::const_iterator _iter95;
-    for (_iter95 = this->crashes.begin(); _iter95 != this->crashes.end(); ++_iter95)
+    std::map<int64_t, CrashShare> ::const_iterator _iter109;
+    for (_iter109 = this->crashes.begin(); _iter109 != this->crashes.end(); ++_iter109)
     {
-      xfer += oprot->writeI64(_iter95->first);
-      xfer += _iter95->second.write(oprot);
+      xfer += oprot->writeI64(_iter109->first);
+      xfer += _iter109->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1059,11 +1599,11 @@
   xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->refused.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter96;
-    for (_iter96 = this->refused.begin(); _iter96 != this->refused.end(); ++_iter96)
+    std::map<std::string, int64_t> ::const_iterator _iter110;
+    for (_iter110 = this->refused.begin(); _iter110 != this->refused.end(); ++_iter110)
     {
-      xfer += oprot->writeString(_iter96->first);
-      xfer += oprot->writeI64(_iter96->second);
+      xfer += oprot->writeString(_iter110->first);
+      xfer += oprot->writeI64(_iter110->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1072,11 +1612,11 @@
   xfer += oprot->writeFieldBegin("late", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->late.size()));
-    std::map<std::string, double> ::const_iterator _iter97;
-    for (_iter97 = this->late.begin(); _iter97 != this->late.end(); ++_iter97)
+    std::map<std::string, double> ::const_iterator _iter111;
+    for (_iter111 = this->late.begin(); _iter111 != this->late.end(); ++_iter111)
     {
-      xfer += oprot->writeString(_iter97->first);
-      xfer += oprot->writeDouble(_iter97->second);
+      xfer += oprot->writeString(_iter111->first);
+      xfer += oprot->writeDouble(_iter111->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1086,6 +1626,32 @@
   xfer += this->prompts.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.versions) {
+    xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 8);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
+      std::vector<VersionEvidence> ::const_iterator _iter112;
+      for (_iter112 = this->versions.begin(); _iter112 != this->versions.end(); ++_iter112)
+      {
+        xfer += (*_iter112).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rolloutSteps) {
+    xfer += oprot->writeFieldBegin("rolloutSteps", ::apache::thrift::protocol::T_LIST, 9);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rolloutSteps.size()));
+      std::vector<RolloutStep> ::const_iterator _iter113;
+      for (_iter113 = this->rolloutSteps.begin(); _iter113 != this->rolloutSteps.end(); ++_iter113)
+      {
+        xfer += (*_iter113).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1100,28 +1666,34 @@
   swap(a.refused, b.refused);
   swap(a.late, b.late);
   swap(a.prompts, b.prompts);
+  swap(a.versions, b.versions);
+  swap(a.rolloutSteps, b.rolloutSteps);
   swap(a.__isset, b.__isset);
 }
 
-Tally::Tally(const Tally& other98) {
-  consumed = other98.consumed;
-  began = other98.began;
-  engines = other98.engines;
-  crashes = other98.crashes;
-  refused = other98.refused;
-  late = other98.late;
-  prompts = other98.prompts;
-  __isset = other98.__isset;
-}
-Tally& Tally::operator=(const Tally& other99) {
-  consumed = other99.consumed;
-  began = other99.began;
-  engines = other99.engines;
-  crashes = other99.crashes;
-  refused = other99.refused;
-  late = other99.late;
-  prompts = other99.prompts;
-  __isset = other99.__isset;
+Tally::Tally(const Tally& other114) {
+  consumed = other114.consumed;
+  began = other114.began;
+  engines = other114.engines;
+  crashes = other114.crashes;
+  refused = other114.refused;
+  late = other114.late;
+  prompts = other114.prompts;
+  versions = other114.versions;
+  rolloutSteps = other114.rolloutSteps;
+  __isset = other114.__isset;
+}
+Tally& Tally::operator=(const Tally& other115) {
+  consumed = other115.consumed;
+  began = other115.began;
+  engines = other115.engines;
+  crashes = other115.crashes;
+  refused = other115.refused;
+  late = other115.late;
+  prompts = other115.prompts;
+  versions = other115.versions;
+  rolloutSteps = other115.rolloutSteps;
+  __isset = other115.__isset;
   return *this;
 }
 void Tally::printTo(std::ostream& out) const {
@@ -1134,6 +1706,8 @@
   out << ", " << "refused=" << to_string(refused);
   out << ", " << "late=" << to_string(late);
   out << ", " << "prompts=" << to_string(prompts);
+  out << ", " << "versions="; (__isset.versions ? (out << to_string(versions)) : (out << "<null>"));
+  out << ", " << "rolloutSteps="; (__isset.rolloutSteps ? (out << to_string(rolloutSteps)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1281,21 +1855,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other100) {
-  node = other100.node;
-  entryAddress = other100.entryAddress;
-  ready = other100.ready;
-  leaving = other100.leaving;
-  capacity = other100.capacity;
-  __isset = other100.__isset;
-}
-Member& Member::operator=(const Member& other101) {
-  node = other101.node;
-  entryAddress = other101.entryAddress;
-  ready = other101.ready;
-  leaving = other101.leaving;
-  capacity = other101.capacity;
-  __isset = other101.__isset;
+Member::Member(const Member& other116) {
+  node = other116.node;
+  entryAddress = other116.entryAddress;
+  ready = other116.ready;
+  leaving = other116.leaving;
+  capacity = other116.capacity;
+  __isset = other116.__isset;
+}
+Member& Member::operator=(const Member& other117) {
+  node = other117.node;
+  entryAddress = other117.entryAddress;
+  ready = other117.ready;
+  leaving = other117.leaving;
+  capacity = other117.capacity;
+  __isset = other117.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -1402,15 +1976,15 @@
   swap(a.__isset, b.__isset);
 }
 
-StateVersion::StateVersion(const StateVersion& other102) noexcept {
-  revision = other102.revision;
-  ageMillis = other102.ageMillis;
-  __isset = other102.__isset;
+StateVersion::StateVersion(const StateVersion& other118) noexcept {
+  revision = other118.revision;
+  ageMillis = other118.ageMillis;
+  __isset = other118.__isset;
 }
-StateVersion& StateVersion::operator=(const StateVersion& other103) noexcept {
-  revision = other103.revision;
-  ageMillis = other103.ageMillis;
-  __isset = other103.__isset;
+StateVersion& StateVersion::operator=(const StateVersion& other119) noexcept {
+  revision = other119.revision;
+  ageMillis = other119.ageMillis;
+  __isset = other119.__isset;
   return *this;
 }
 void StateVersion::printTo(std::ostream& out) const {
@@ -1599,25 +2173,25 @@
   swap(a.__isset, b.__isset);
 }
 
-Sender::Sender(const Sender& other104) {
-  member = other104.member;
-  zone = other104.zone;
-  incarnation = other104.incarnation;
-  sequence = other104.sequence;
-  trueMillis = other104.trueMillis;
-  configuration = other104.configuration;
-  engines = other104.engines;
-  __isset = other104.__isset;
-}
-Sender& Sender::operator=(const Sender& other105) {
-  member = other105.member;
-  zone = other105.zone;
-  incarnation = other105.incarnation;
-  sequence = other105.sequence;
-  trueMillis = other105.trueMillis;
-  configuration = other105.configuration;
-  engines = other105.engines;
-  __isset = other105.__isset;
+Sender::Sender(const Sender& other120) {
+  member = other120.member;
+  zone = other120.zone;
+  incarnation = other120.incarnation;
+  sequence = other120.sequence;
+  trueMillis = other120.trueMillis;
+  configuration = other120.configuration;
+  engines = other120.engines;
+  __isset = other120.__isset;
+}
+Sender& Sender::operator=(const Sender& other121) {
+  member = other121.member;
+  zone = other121.zone;
+  incarnation = other121.incarnation;
+  sequence = other121.sequence;
+  trueMillis = other121.trueMillis;
+  configuration = other121.configuration;
+  engines = other121.engines;
+  __isset = other121.__isset;
   return *this;
 }
 void Sender::printTo(std::ostream& out) const {
@@ -1697,14 +2271,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unheard.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->unheard.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->unheard.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
             {
-              xfer += iprot->readString(this->unheard[_i110]);
+              xfer += iprot->readString(this->unheard[_i126]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1741,10 +2315,10 @@
   xfer += oprot->writeFieldBegin("unheard", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->unheard.size()));
-    std::vector<std::string> ::const_iterator _iter111;
-    for (_iter111 = this->unheard.begin(); _iter111 != this->unheard.end(); ++_iter111)
+    std::vector<std::string> ::const_iterator _iter127;
+    for (_iter127 = this->unheard.begin(); _iter127 != this->unheard.end(); ++_iter127)
     {
-      xfer += oprot->writeString((*_iter111));
+      xfer += oprot->writeString((*_iter127));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1763,17 +2337,17 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberReport::MemberReport(const MemberReport& other112) {
-  tally = other112.tally;
-  wantsDigest = other112.wantsDigest;
-  unheard = other112.unheard;
-  __isset = other112.__isset;
+MemberReport::MemberReport(const MemberReport& other128) {
+  tally = other128.tally;
+  wantsDigest = other128.wantsDigest;
+  unheard = other128.unheard;
+  __isset = other128.__isset;
 }
-MemberReport& MemberReport::operator=(const MemberReport& other113) {
-  tally = other113.tally;
-  wantsDigest = other113.wantsDigest;
-  unheard = other113.unheard;
-  __isset = other113.__isset;
+MemberReport& MemberReport::operator=(const MemberReport& other129) {
+  tally = other129.tally;
+  wantsDigest = other129.wantsDigest;
+  unheard = other129.unheard;
+  __isset = other129.__isset;
   return *this;
 }
 void MemberReport::printTo(std::ostream& out) const {
@@ -1862,14 +2436,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->members.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->members.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += this->members[_i118].read(iprot);
+              xfer += this->members[_i134].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1911,10 +2485,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<Member> ::const_iterator _iter119;
-      for (_iter119 = this->members.begin(); _iter119 != this->members.end(); ++_iter119)
+      std::vector<Member> ::const_iterator _iter135;
+      for (_iter135 = this->members.begin(); _iter135 != this->members.end(); ++_iter135)
       {
-        xfer += (*_iter119).write(oprot);
+        xfer += (*_iter135).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1934,19 +2508,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ZoneReport::ZoneReport(const ZoneReport& other120) {
-  tally = other120.tally;
-  nodes = other120.nodes;
-  silent = other120.silent;
-  members = other120.members;
-  __isset = other120.__isset;
+ZoneReport::ZoneReport(const ZoneReport& other136) {
+  tally = other136.tally;
+  nodes = other136.nodes;
+  silent = other136.silent;
+  members = other136.members;
+  __isset = other136.__isset;
 }
-ZoneReport& ZoneReport::operator=(const ZoneReport& other121) {
-  tally = other121.tally;
-  nodes = other121.nodes;
-  silent = other121.silent;
-  members = other121.members;
-  __isset = other121.__isset;
+ZoneReport& ZoneReport::operator=(const ZoneReport& other137) {
+  tally = other137.tally;
+  nodes = other137.nodes;
+  silent = other137.silent;
+  members = other137.members;
+  __isset = other137.__isset;
   return *this;
 }
 void ZoneReport::printTo(std::ostream& out) const {
@@ -2011,14 +2585,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size122;
-            ::apache::thrift::protocol::TType _etype125;
-            xfer += iprot->readListBegin(_etype125, _size122);
-            this->members.resize(_size122);
-            uint32_t _i126;
-            for (_i126 = 0; _i126 < _size122; ++_i126)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->members.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += this->members[_i126].read(iprot);
+              xfer += this->members[_i142].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2051,10 +2625,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter127;
-    for (_iter127 = this->members.begin(); _iter127 != this->members.end(); ++_iter127)
+    std::vector<Member> ::const_iterator _iter143;
+    for (_iter143 = this->members.begin(); _iter143 != this->members.end(); ++_iter143)
     {
-      xfer += (*_iter127).write(oprot);
+      xfer += (*_iter143).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2072,15 +2646,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ZoneMembers::ZoneMembers(const ZoneMembers& other128) {
-  zone = other128.zone;
-  members = other128.members;
-  __isset = other128.__isset;
+ZoneMembers::ZoneMembers(const ZoneMembers& other144) {
+  zone = other144.zone;
+  members = other144.members;
+  __isset = other144.__isset;
 }
-ZoneMembers& ZoneMembers::operator=(const ZoneMembers& other129) {
-  zone = other129.zone;
-  members = other129.members;
-  __isset = other129.__isset;
+ZoneMembers& ZoneMembers::operator=(const ZoneMembers& other145) {
+  zone = other145.zone;
+  members = other145.members;
+  __isset = other145.__isset;
   return *this;
 }
 void ZoneMembers::printTo(std::ostream& out) const {
@@ -2136,6 +2710,16 @@
 void Digest::__set_prompts(const PromptEvidence& val) {
   this->prompts = val;
 }
+
+void Digest::__set_versions(const std::vector<VersionEvidence> & val) {
+  this->versions = val;
+__isset.versions = true;
+}
+
+void Digest::__set_rolloutSteps(const std::vector<RolloutStep> & val) {
+  this->rolloutSteps = val;
+__isset.rolloutSteps = true;
+}
 std::ostream& operator<<(std::ostream& out, const Digest& obj)
 {
   obj.printTo(out);
@@ -2176,17 +2760,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->consumed.clear();
-            uint32_t _size130;
-            ::apache::thrift::protocol::TType _ktype131;
-            ::apache::thrift::protocol::TType _vtype132;
-            xfer += iprot->readMapBegin(_ktype131, _vtype132, _size130);
-            uint32_t _i134;
-            for (_i134 = 0; _i134 < _size130; ++_i134)
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _ktype147;
+            ::apache::thrift::protocol::TType _vtype148;
+            xfer += iprot->readMapBegin(_ktype147, _vtype148, _size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
             {
-              std::string _key135;
-              xfer += iprot->readString(_key135);
-              double& _val136 = this->consumed[_key135];
-              xfer += iprot->readDouble(_val136);
+              std::string _key151;
+              xfer += iprot->readString(_key151);
+              double& _val152 = this->consumed[_key151];
+              xfer += iprot->readDouble(_val152);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2199,17 +2783,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->engines.clear();
-            uint32_t _size137;
-            ::apache::thrift::protocol::TType _ktype138;
-            ::apache::thrift::protocol::TType _vtype139;
-            xfer += iprot->readMapBegin(_ktype138, _vtype139, _size137);
-            uint32_t _i141;
-            for (_i141 = 0; _i141 < _size137; ++_i141)
+            uint32_t _size153;
+            ::apache::thrift::protocol::TType _ktype154;
+            ::apache::thrift::protocol::TType _vtype155;
+            xfer += iprot->readMapBegin(_ktype154, _vtype155, _size153);
+            uint32_t _i157;
+            for (_i157 = 0; _i157 < _size153; ++_i157)
             {
-              std::string _key142;
-              xfer += iprot->readString(_key142);
-              EngineShare& _val143 = this->engines[_key142];
-              xfer += _val143.read(iprot);
+              std::string _key158;
+              xfer += iprot->readString(_key158);
+              EngineShare& _val159 = this->engines[_key158];
+              xfer += _val159.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2222,17 +2806,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->crashes.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _ktype145;
-            ::apache::thrift::protocol::TType _vtype146;
-            xfer += iprot->readMapBegin(_ktype145, _vtype146, _size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _ktype161;
+            ::apache::thrift::protocol::TType _vtype162;
+            xfer += iprot->readMapBegin(_ktype161, _vtype162, _size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              int64_t _key149;
-              xfer += iprot->readI64(_key149);
-              CrashShare& _val150 = this->crashes[_key149];
-              xfer += _val150.read(iprot);
+              int64_t _key165;
+              xfer += iprot->readI64(_key165);
+              CrashShare& _val166 = this->crashes[_key165];
+              xfer += _val166.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2269,14 +2853,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->zones.clear();
-            uint32_t _size151;
-            ::apache::thrift::protocol::TType _etype154;
-            xfer += iprot->readListBegin(_etype154, _size151);
-            this->zones.resize(_size151);
-            uint32_t _i155;
-            for (_i155 = 0; _i155 < _size151; ++_i155)
+            uint32_t _size167;
+            ::apache::thrift::protocol::TType _etype170;
+            xfer += iprot->readListBegin(_etype170, _size167);
+            this->zones.resize(_size167);
+            uint32_t _i171;
+            for (_i171 = 0; _i171 < _size167; ++_i171)
             {
-              xfer += this->zones[_i155].read(iprot);
+              xfer += this->zones[_i171].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2289,17 +2873,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->late.clear();
-            uint32_t _size156;
-            ::apache::thrift::protocol::TType _ktype157;
-            ::apache::thrift::protocol::TType _vtype158;
-            xfer += iprot->readMapBegin(_ktype157, _vtype158, _size156);
-            uint32_t _i160;
-            for (_i160 = 0; _i160 < _size156; ++_i160)
+            uint32_t _size172;
+            ::apache::thrift::protocol::TType _ktype173;
+            ::apache::thrift::protocol::TType _vtype174;
+            xfer += iprot->readMapBegin(_ktype173, _vtype174, _size172);
+            uint32_t _i176;
+            for (_i176 = 0; _i176 < _size172; ++_i176)
             {
-              std::string _key161;
-              xfer += iprot->readString(_key161);
-              double& _val162 = this->late[_key161];
-              xfer += iprot->readDouble(_val162);
+              std::string _key177;
+              xfer += iprot->readString(_key177);
+              double& _val178 = this->late[_key177];
+              xfer += iprot->readDouble(_val178);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2316,6 +2900,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->versions.clear();
+            uint32_t _size179;
+            ::apache::thrift::protocol::TType _etype182;
+            xfer += iprot->readListBegin(_etype182, _size179);
+            this->versions.resize(_size179);
+            uint32_t _i183;
+            for (_i183 = 0; _i183 < _size179; ++_i183)
+            {
+              xfer += this->versions[_i183].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.versions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rolloutSteps.clear();
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->rolloutSteps.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
+            {
+              xfer += this->rolloutSteps[_i188].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rolloutSteps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2340,11 +2964,11 @@
   xfer += oprot->writeFieldBegin("consumed", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->consumed.size()));
-    std::map<std::string, double> ::const_iterator _iter163;
-    for (_iter163 = this->consumed.begin(); _iter163 != this->consumed.end(); ++_iter163)
+    std::map<std::string, double> ::const_iterator _iter189;
+    for (_iter189 = this->consumed.begin(); _iter189 != this->consumed.end(); ++_iter189)
     {
-      xfer += oprot->writeString(_iter163->first);
-      xfer += oprot->writeDouble(_iter163->second);
+      xfer += oprot->writeString(_iter189->first);
+      xfer += oprot->writeDouble(_iter189->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2353,11 +2977,11 @@
   xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::map<std::string, EngineShare> ::const_iterator _iter164;
-    for (_iter164 = this->engines.begin(); _iter164 != this->engines.end(); ++_iter164)
+    std::map<std::string, EngineShare> ::const_iterator _iter190;
+    for (_iter190 = this->engines.begin(); _iter190 != this->engines.end(); ++_iter190)
     {
-      xfer += oprot->writeString(_iter164->first);
-      xfer += _iter164->second.write(oprot);
+      xfer += oprot->writeString(_iter190->first);
+      xfer += _iter190->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2366,11 +2990,11 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::map<int64_t, CrashShare> ::const_iterator _iter165;
-    for (_iter165 = this->crashes.begin(); _iter165 != this->crashes.end(); ++_iter165)
+    std::map<int64_t, CrashShare> ::const_iterator _iter191;
+    for (_iter191 = this->crashes.begin(); _iter191 != this->crashes.end(); ++_iter191)
     {
-      xfer += oprot->writeI64(_iter165->first);
-      xfer += _iter165->second.write(oprot);
+      xfer += oprot->writeI64(_iter191->first);
+      xfer += _iter191->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2392,10 +3016,10 @@
     xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->zones.size()));
-      std::vector<ZoneMembers> ::const_iterator _iter166;
-      for (_iter166 = this->zones.begin(); _iter166 != this->zones.end(); ++_iter166)
+      std::vector<ZoneMembers> ::const_iterator _iter192;
+      for (_iter192 = this->zones.begin(); _iter192 != this->zones.end(); ++_iter192)
       {
-        xfer += (*_iter166).write(oprot);
+        xfer += (*_iter192).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2404,11 +3028,11 @@
   xfer += oprot->writeFieldBegin("late", ::apache::thrift::protocol::T_MAP, 9);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->late.size()));
-    std::map<std::string, double> ::const_iterator _iter167;
-    for (_iter167 = this->late.begin(); _iter167 != this->late.end(); ++_iter167)
+    std::map<std::string, double> ::const_iterator _iter193;
+    for (_iter193 = this->late.begin(); _iter193 != this->late.end(); ++_iter193)
     {
-      xfer += oprot->writeString(_iter167->first);
-      xfer += oprot->writeDouble(_iter167->second);
+      xfer += oprot->writeString(_iter193->first);
+      xfer += oprot->writeDouble(_iter193->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2418,6 +3042,32 @@
   xfer += this->prompts.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.versions) {
+    xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 11);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
+      std::vector<VersionEvidence> ::const_iterator _iter194;
+      for (_iter194 = this->versions.begin(); _iter194 != this->versions.end(); ++_iter194)
+      {
+        xfer += (*_iter194).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rolloutSteps) {
+    xfer += oprot->writeFieldBegin("rolloutSteps", ::apache::thrift::protocol::T_LIST, 12);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rolloutSteps.size()));
+      std::vector<RolloutStep> ::const_iterator _iter195;
+      for (_iter195 = this->rolloutSteps.begin(); _iter195 != this->rolloutSteps.end(); ++_iter195)
+      {
+        xfer += (*_iter195).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2435,34 +3085,40 @@
   swap(a.zones, b.zones);
   swap(a.late, b.late);
   swap(a.prompts, b.prompts);
+  swap(a.versions, b.versions);
+  swap(a.rolloutSteps, b.rolloutSteps);
   swap(a.__isset, b.__isset);
 }
 
-Digest::Digest(const Digest& other168) {
-  acknowledged = other168.acknowledged;
-  consumed = other168.consumed;
-  engines = other168.engines;
-  crashes = other168.crashes;
-  nodes = other168.nodes;
-  silent = other168.silent;
-  counted = other168.counted;
-  zones = other168.zones;
-  late = other168.late;
-  prompts = other168.prompts;
-  __isset = other168.__isset;
-}
-Digest& Digest::operator=(const Digest& other169) {
-  acknowledged = other169.acknowledged;
-  consumed = other169.consumed;
-  engines = other169.engines;
-  crashes = other169.crashes;
-  nodes = other169.nodes;
-  silent = other169.silent;
-  counted = other169.counted;
-  zones = other169.zones;
-  late = other169.late;
-  prompts = other169.prompts;
-  __isset = other169.__isset;
+Digest::Digest(const Digest& other196) {
+  acknowledged = other196.acknowledged;
+  consumed = other196.consumed;
+  engines = other196.engines;
+  crashes = other196.crashes;
+  nodes = other196.nodes;
+  silent = other196.silent;
+  counted = other196.counted;
+  zones = other196.zones;
+  late = other196.late;
+  prompts = other196.prompts;
+  versions = other196.versions;
+  rolloutSteps = other196.rolloutSteps;
+  __isset = other196.__isset;
+}
+Digest& Digest::operator=(const Digest& other197) {
+  acknowledged = other197.acknowledged;
+  consumed = other197.consumed;
+  engines = other197.engines;
+  crashes = other197.crashes;
+  nodes = other197.nodes;
+  silent = other197.silent;
+  counted = other197.counted;
+  zones = other197.zones;
+  late = other197.late;
+  prompts = other197.prompts;
+  versions = other197.versions;
+  rolloutSteps = other197.rolloutSteps;
+  __isset = other197.__isset;
   return *this;
 }
 void Digest::printTo(std::ostream& out) const {
@@ -2478,6 +3134,8 @@
   out << ", " << "zones="; (__isset.zones ? (out << to_string(zones)) : (out << "<null>"));
   out << ", " << "late=" << to_string(late);
   out << ", " << "prompts=" << to_string(prompts);
+  out << ", " << "versions="; (__isset.versions ? (out << to_string(versions)) : (out << "<null>"));
+  out << ", " << "rolloutSteps="; (__isset.rolloutSteps ? (out << to_string(rolloutSteps)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2631,21 +3289,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other170) {
-  version = other170.version;
-  sender = other170.sender;
-  member = other170.member;
-  zone = other170.zone;
-  digest = other170.digest;
-  __isset = other170.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other171) {
-  version = other171.version;
-  sender = other171.sender;
-  member = other171.member;
-  zone = other171.zone;
-  digest = other171.digest;
-  __isset = other171.__isset;
+Datagram::Datagram(const Datagram& other198) {
+  version = other198.version;
+  sender = other198.sender;
+  member = other198.member;
+  zone = other198.zone;
+  digest = other198.digest;
+  __isset = other198.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other199) {
+  version = other199.version;
+  sender = other199.sender;
+  member = other199.member;
+  zone = other199.zone;
+  digest = other199.digest;
+  __isset = other199.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -2786,19 +3444,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplicatedObject::ReplicatedObject(const ReplicatedObject& other172) {
-  name = other172.name;
-  revision = other172.revision;
-  removed = other172.removed;
-  content = other172.content;
-  __isset = other172.__isset;
+ReplicatedObject::ReplicatedObject(const ReplicatedObject& other200) {
+  name = other200.name;
+  revision = other200.revision;
+  removed = other200.removed;
+  content = other200.content;
+  __isset = other200.__isset;
 }
-ReplicatedObject& ReplicatedObject::operator=(const ReplicatedObject& other173) {
-  name = other173.name;
-  revision = other173.revision;
-  removed = other173.removed;
-  content = other173.content;
-  __isset = other173.__isset;
+ReplicatedObject& ReplicatedObject::operator=(const ReplicatedObject& other201) {
+  name = other201.name;
+  revision = other201.revision;
+  removed = other201.removed;
+  content = other201.content;
+  __isset = other201.__isset;
   return *this;
 }
 void ReplicatedObject::printTo(std::ostream& out) const {
@@ -2875,14 +3533,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size174;
-            ::apache::thrift::protocol::TType _etype177;
-            xfer += iprot->readListBegin(_etype177, _size174);
-            this->objects.resize(_size174);
-            uint32_t _i178;
-            for (_i178 = 0; _i178 < _size174; ++_i178)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->objects.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              xfer += this->objects[_i178].read(iprot);
+              xfer += this->objects[_i206].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2919,10 +3577,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<ReplicatedObject> ::const_iterator _iter179;
-    for (_iter179 = this->objects.begin(); _iter179 != this->objects.end(); ++_iter179)
+    std::vector<ReplicatedObject> ::const_iterator _iter207;
+    for (_iter207 = this->objects.begin(); _iter207 != this->objects.end(); ++_iter207)
     {
-      xfer += (*_iter179).write(oprot);
+      xfer += (*_iter207).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2941,17 +3599,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplicaUpdate::ReplicaUpdate(const ReplicaUpdate& other180) {
-  version = other180.version;
-  complete = other180.complete;
-  objects = other180.objects;
-  __isset = other180.__isset;
+ReplicaUpdate::ReplicaUpdate(const ReplicaUpdate& other208) {
+  version = other208.version;
+  complete = other208.complete;
+  objects = other208.objects;
+  __isset = other208.__isset;
 }
-ReplicaUpdate& ReplicaUpdate::operator=(const ReplicaUpdate& other181) {
-  version = other181.version;
-  complete = other181.complete;
-  objects = other181.objects;
-  __isset = other181.__isset;
+ReplicaUpdate& ReplicaUpdate::operator=(const ReplicaUpdate& other209) {
+  version = other209.version;
+  complete = other209.complete;
+  objects = other209.objects;
+  __isset = other209.__isset;
   return *this;
 }
 void ReplicaUpdate::printTo(std::ostream& out) const {
--- a/Generated/exchange_types.h
+++ b/Generated/exchange_types.h
@@ -23,6 +23,10 @@
 
 class EngineShare;
 
+class VersionEvidence;
+
+class RolloutStep;
+
 class CrashShare;
 
 class PromptCrash;
@@ -54,9 +58,12 @@
 class ReplicaUpdate;
 
 typedef struct _EngineShare__isset {
-  _EngineShare__isset() : requests(false), tokens(false) {}
+  _EngineShare__isset() : requests(false), tokens(false), unreadTokens(false), delayWeight(false), weightedLogDelay(false) {}
   bool requests :1;
   bool tokens :1;
+  bool unreadTokens :1;
+  bool delayWeight :1;
+  bool weightedLogDelay :1;
 } _EngineShare__isset;
 
 /**
@@ -69,12 +76,27 @@
   EngineShare& operator=(const EngineShare&) noexcept;
   EngineShare() noexcept
               : requests(0),
-                tokens(0) {
+                tokens(0),
+                unreadTokens(0),
+                delayWeight(0),
+                weightedLogDelay(0) {
   }
 
   virtual ~EngineShare() noexcept;
   int32_t requests;
   int64_t tokens;
+  /**
+   * Prompt tokens of the requests that have no first event yet.
+   */
+  int64_t unreadTokens;
+  /**
+   * Weight of the observations behind weightedLogDelay.
+   */
+  double delayWeight;
+  /**
+   * Sum of weight times logarithm of the observed delay relative to the predicted one.
+   */
+  double weightedLogDelay;
 
   _EngineShare__isset __isset;
 
@@ -82,12 +104,30 @@
 
   void __set_tokens(const int64_t val);
 
+  void __set_unreadTokens(const int64_t val);
+
+  void __set_delayWeight(const double val);
+
+  void __set_weightedLogDelay(const double val);
+
   bool operator == (const EngineShare & rhs) const
   {
     if (!(requests == rhs.requests))
       return false;
     if (!(tokens == rhs.tokens))
       return false;
+    if (__isset.unreadTokens != rhs.__isset.unreadTokens)
+      return false;
+    else if (__isset.unreadTokens && !(unreadTokens == rhs.unreadTokens))
+      return false;
+    if (__isset.delayWeight != rhs.__isset.delayWeight)
+      return false;
+    else if (__isset.delayWeight && !(delayWeight == rhs.delayWeight))
+      return false;
+    if (__isset.weightedLogDelay != rhs.__isset.weightedLogDelay)
+      return false;
+    else if (__isset.weightedLogDelay && !(weightedLogDelay == rhs.weightedLogDelay))
+      return false;
     return true;
   }
   bool operator != (const EngineShare &rhs) const {
@@ -106,6 +146,200 @@
 
 std::ostream& operator<<(std::ostream& out, const EngineShare& obj);
 
+typedef struct _VersionEvidence__isset {
+  _VersionEvidence__isset() : serviceName(false), order(false), version(false), route(false), sent(false), answers(false), failures(false), logTimeSum(false), logTimeSquareSum(false) {}
+  bool serviceName :1;
+  bool order :1;
+  bool version :1;
+  bool route :1;
+  bool sent :1;
+  bool answers :1;
+  bool failures :1;
+  bool logTimeSum :1;
+  bool logTimeSquareSum :1;
+} _VersionEvidence__isset;
+
+/**
+ * What one node, or several nodes together, have seen of one version of a service on one route.
+ */
+class VersionEvidence : public virtual ::apache::thrift::TBase {
+ public:
+
+  VersionEvidence(const VersionEvidence&);
+  VersionEvidence& operator=(const VersionEvidence&);
+  VersionEvidence() noexcept
+                  : serviceName(),
+                    order(0),
+                    version(),
+                    route(),
+                    sent(0),
+                    answers(0),
+                    failures(0),
+                    logTimeSum(0),
+                    logTimeSquareSum(0) {
+  }
+
+  virtual ~VersionEvidence() noexcept;
+  std::string serviceName;
+  /**
+   * Revision of the store at which the order of the roll-out was written.
+   */
+  int64_t order;
+  std::string version;
+  std::string route;
+  /**
+   * Requests sent to engines of the version.
+   */
+  int64_t sent;
+  int64_t answers;
+  int64_t failures;
+  /**
+   * Sum and sum of squares of the logarithm of the time to the first event in milliseconds.
+   */
+  double logTimeSum;
+  double logTimeSquareSum;
+
+  _VersionEvidence__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_order(const int64_t val);
+
+  void __set_version(const std::string& val);
+
+  void __set_route(const std::string& val);
+
+  void __set_sent(const int64_t val);
+
+  void __set_answers(const int64_t val);
+
+  void __set_failures(const int64_t val);
+
+  void __set_logTimeSum(const double val);
+
+  void __set_logTimeSquareSum(const double val);
+
+  bool operator == (const VersionEvidence & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(order == rhs.order))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(route == rhs.route))
+      return false;
+    if (!(sent == rhs.sent))
+      return false;
+    if (!(answers == rhs.answers))
+      return false;
+    if (!(failures == rhs.failures))
+      return false;
+    if (!(logTimeSum == rhs.logTimeSum))
+      return false;
+    if (!(logTimeSquareSum == rhs.logTimeSquareSum))
+      return false;
+    return true;
+  }
+  bool operator != (const VersionEvidence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VersionEvidence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VersionEvidence &a, VersionEvidence &b);
+
+std::ostream& operator<<(std::ostream& out, const VersionEvidence& obj);
+
+typedef struct _RolloutStep__isset {
+  _RolloutStep__isset() : serviceName(false), order(false), number(false), state(false), share(false) {}
+  bool serviceName :1;
+  bool order :1;
+  bool number :1;
+  bool state :1;
+  bool share :1;
+} _RolloutStep__isset;
+
+/**
+ * Step of a roll-out that a node knows. The highest number of an order is in force.
+ */
+class RolloutStep : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutStep(const RolloutStep&);
+  RolloutStep& operator=(const RolloutStep&);
+  RolloutStep() noexcept
+              : serviceName(),
+                order(0),
+                number(0),
+                state(0),
+                share(0) {
+  }
+
+  virtual ~RolloutStep() noexcept;
+  std::string serviceName;
+  /**
+   * Revision of the store at which the order was written.
+   */
+  int64_t order;
+  int64_t number;
+  /**
+   * State of the roll-out, as RolloutState.
+   */
+  int32_t state;
+  /**
+   * Share of the service's requests that may go to the target, in thousandths.
+   */
+  int32_t share;
+
+  _RolloutStep__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_order(const int64_t val);
+
+  void __set_number(const int64_t val);
+
+  void __set_state(const int32_t val);
+
+  void __set_share(const int32_t val);
+
+  bool operator == (const RolloutStep & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(order == rhs.order))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(share == rhs.share))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutStep &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutStep & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutStep &a, RolloutStep &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutStep& obj);
+
 typedef struct _CrashShare__isset {
   _CrashShare__isset() : crashes(false), successes(false) {}
   bool crashes :1;
@@ -354,7 +588,7 @@
 std::ostream& operator<<(std::ostream& out, const PromptEvidence& obj);
 
 typedef struct _Tally__isset {
-  _Tally__isset() : consumed(false), began(false), engines(false), crashes(false), refused(false), late(false), prompts(false) {}
+  _Tally__isset() : consumed(false), began(false), engines(false), crashes(false), refused(false), late(false), prompts(false), versions(false), rolloutSteps(false) {}
   bool consumed :1;
   bool began :1;
   bool engines :1;
@@ -362,6 +596,8 @@
   bool refused :1;
   bool late :1;
   bool prompts :1;
+  bool versions :1;
+  bool rolloutSteps :1;
 } _Tally__isset;
 
 /**
@@ -401,6 +637,11 @@
    */
   std::map<std::string, double>  late;
   PromptEvidence prompts;
+  /**
+   * Counters of roll-outs in progress, since the counters started at zero.
+   */
+  std::vector<VersionEvidence>  versions;
+  std::vector<RolloutStep>  rolloutSteps;
 
   _Tally__isset __isset;
 
@@ -418,6 +659,10 @@
 
   void __set_prompts(const PromptEvidence& val);
 
+  void __set_versions(const std::vector<VersionEvidence> & val);
+
+  void __set_rolloutSteps(const std::vector<RolloutStep> & val);
+
   bool operator == (const Tally & rhs) const
   {
     if (!(consumed == rhs.consumed))
@@ -434,6 +679,14 @@
       return false;
     if (!(prompts == rhs.prompts))
       return false;
+    if (__isset.versions != rhs.__isset.versions)
+      return false;
+    else if (__isset.versions && !(versions == rhs.versions))
+      return false;
+    if (__isset.rolloutSteps != rhs.__isset.rolloutSteps)
+      return false;
+    else if (__isset.rolloutSteps && !(rolloutSteps == rhs.rolloutSteps))
+      return false;
     return true;
   }
   bool operator != (const Tally &rhs) const {
@@ -881,7 +1134,7 @@
 std::ostream& operator<<(std::ostream& out, const ZoneMembers& obj);
 
 typedef struct _Digest__isset {
-  _Digest__isset() : acknowledged(false), consumed(false), engines(false), crashes(false), nodes(false), silent(false), counted(false), zones(false), late(false), prompts(false) {}
+  _Digest__isset() : acknowledged(false), consumed(false), engines(false), crashes(false), nodes(false), silent(false), counted(false), zones(false), late(false), prompts(false), versions(false), rolloutSteps(false) {}
   bool acknowledged :1;
   bool consumed :1;
   bool engines :1;
@@ -892,6 +1145,8 @@
   bool zones :1;
   bool late :1;
   bool prompts :1;
+  bool versions :1;
+  bool rolloutSteps :1;
 } _Digest__isset;
 
 /**
@@ -941,6 +1196,11 @@
    */
   std::map<std::string, double>  late;
   PromptEvidence prompts;
+  /**
+   * Sums of all nodes, with the receiver's own part.
+   */
+  std::vector<VersionEvidence>  versions;
+  std::vector<RolloutStep>  rolloutSteps;
 
   _Digest__isset __isset;
 
@@ -964,6 +1224,10 @@
 
   void __set_prompts(const PromptEvidence& val);
 
+  void __set_versions(const std::vector<VersionEvidence> & val);
+
+  void __set_rolloutSteps(const std::vector<RolloutStep> & val);
+
   bool operator == (const Digest & rhs) const
   {
     if (!(acknowledged == rhs.acknowledged))
@@ -988,6 +1252,14 @@
       return false;
     if (!(prompts == rhs.prompts))
       return false;
+    if (__isset.versions != rhs.__isset.versions)
+      return false;
+    else if (__isset.versions && !(versions == rhs.versions))
+      return false;
+    if (__isset.rolloutSteps != rhs.__isset.rolloutSteps)
+      return false;
+    else if (__isset.rolloutSteps && !(rolloutSteps == rhs.rolloutSteps))
+      return false;
     return true;
   }
   bool operator != (const Digest &rhs) const {
--- a/Interface/exchange.thrift
+++ b/Interface/exchange.thrift
@@ -4,6 +4,40 @@
 struct EngineShare {
   1: i32 requests
   2: i64 tokens
+  /** Prompt tokens of the requests that have no first event yet. */
+  3: optional i64 unreadTokens
+  /** Weight of the observations behind weightedLogDelay. */
+  4: optional double delayWeight
+  /** Sum of weight times logarithm of the observed delay relative to the predicted one. */
+  5: optional double weightedLogDelay
+}
+
+/** What one node, or several nodes together, have seen of one version of a service on one route. */
+struct VersionEvidence {
+  1: string serviceName
+  /** Revision of the store at which the order of the roll-out was written. */
+  2: i64 order
+  3: string version
+  4: string route
+  /** Requests sent to engines of the version. */
+  5: i64 sent
+  6: i64 answers
+  7: i64 failures
+  /** Sum and sum of squares of the logarithm of the time to the first event in milliseconds. */
+  8: double logTimeSum
+  9: double logTimeSquareSum
+}
+
+/** Step of a roll-out that a node knows. The highest number of an order is in force. */
+struct RolloutStep {
+  1: string serviceName
+  /** Revision of the store at which the order was written. */
+  2: i64 order
+  3: i64 number
+  /** State of the roll-out, as RolloutState. */
+  4: i32 state
+  /** Share of the service's requests that may go to the target, in thousandths. */
+  5: i32 share
 }
 
 /** How often a request was running when its engine crashed, and how often it succeeded. */
@@ -53,6 +87,9 @@
   /** Part of consumed that was reported after a silence, in which units were withheld for it. */
   6: map<string, double> late
   7: PromptEvidence prompts
+  /** Counters of roll-outs in progress, since the counters started at zero. */
+  8: optional list<VersionEvidence> versions
+  9: optional list<RolloutStep> rolloutSteps
 }
 
 /** A node as the other nodes know it. */
@@ -134,6 +171,9 @@
   /** Part of consumed that was reported after a silence. */
   9: map<string, double> late
   10: PromptEvidence prompts
+  /** Sums of all nodes, with the receiver's own part. */
+  11: optional list<VersionEvidence> versions
+  12: optional list<RolloutStep> rolloutSteps
 }
 
 /** Datagram between two nodes. */
--- a/Source/Core/engineentry.h
+++ b/Source/Core/engineentry.h
@@ -14,6 +14,7 @@
     std::string service;
     std::string address; //!< IP:PORT
     std::string zone;
+    std::string version; //!< Version of the engine's software; empty if it states none.
     int slots = 1; //!< Requests that the engine processes at the same time.
     bool draining = false;
     bool spot = false; //!< Can be reclaimed together with the other spot engines of its zone.
--- a/Source/Serving/servingsettings.h
+++ b/Source/Serving/servingsettings.h
@@ -10,6 +10,16 @@
 
 namespace sesame {
 
+/*!
+    Limits on what a version of a service that is being rolled out may receive.
+*/
+struct RolloutLimits
+{
+    double exposureShare = 0.1; //!< Largest share of a service's requests that a bad version gets.
+    double exposureSlack = 50.0; //!< Requests that a bad version may get beyond the share.
+    Milliseconds rollback {5000}; //!< Time from a version's proof as bad to its last request.
+};
+
 /*!
     Settings that a node reads when it starts.
 */
@@ -35,10 +45,14 @@
     Milliseconds resendWindow {10000}; //!< Window in which requests and resends are counted.
     double resendSlack = 0.0; //!< Resends of all nodes that are allowed beyond the ratio.
     std::size_t descriptorLimit = 1024; //!< Limit of open file descriptors of the process.
+    std::size_t memoryLimitBytes = 0; //!< Memory of the process; 0 if it is not limited.
     int capacityMillicores = 1000; //!< Processor share of the machine, in thousandths of a core.
     //! Time after which a node that cannot know whether an account key was revoked refuses it;
     //! unset if keys stay valid until the node learns of a revocation.
     std::optional<Milliseconds> revocationLimit {};
+    //! The engines of a service may differ in speed and change it.
+    bool hasUnevenEngines = false;
+    std::optional<RolloutLimits> rollout {}; //!< Unset if the deployment has no roll-outs.
 };
 
 } // namespace sesame
--- a/Tests/platformformattest.cpp
+++ b/Tests/platformformattest.cpp
@@ -162,11 +162,12 @@
 Test(platformformat, invalidEngineEntriesAreRejected)
 {
     const char *good = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,
-        "state":"ready","warmupLeftMs":0,"born":17,"sequence":1})";
+        "state":"ready","version":"v1","warmupLeftMs":0,"born":17,"sequence":1})";
     const auto entry = platform::readEngine("i-1", parseJson(good).get());
     cr_assert(entry.has_value());
     cr_expect_eq(entry->slots, 4);
     cr_expect_eq(entry->incarnation, 17);
+    cr_expect_str_eq(entry->version.c_str(), "v1");
     for (const char *bad :
          {"{}", "[]", R"({"service":"s","address":"a","zone":"z","slots":"4","state":"ready"})",
           R"({"service":"s","address":"a","zone":"z","slots":4,"state":"odd"})",
@@ -235,3 +236,23 @@
     cr_expect_not(platform::readSettings("a: [", "boot", errors).has_value());
     cr_expect_not(platform::readSettings("", "boot", errors).has_value());
 }
+
+// Guards against functions that take effect in a deployment whose settings do not ask for them.
+Test(platformformat, contractsSwitchFunctionsOn)
+{
+    std::vector<SettingsError> errors;
+    const auto plain = platform::readSettings(settingsText, "boot", errors);
+    cr_expect_not(plain->hasUnevenEngines);
+    cr_expect_not(plain->rollout.has_value());
+    std::string text = settingsText;
+    text.replace(text.find("{leaseMs"), 1, "{exposureShare: 0.2, exposureSlack: 30, ");
+    text.replace(text.find("{fileDescriptors"), 1, "{memoryMb: 120, ");
+    text += "contracts: [\"base\", \"pool\", \"rollout\"]\n";
+    const auto settings = platform::readSettings(text, "boot", errors);
+    cr_assert(settings.has_value(), "%s", errors.empty() ? "" : errors[0].format().c_str());
+    cr_expect(settings->hasUnevenEngines);
+    cr_expect_eq(settings->rollout->exposureShare, 0.2);
+    cr_expect_eq(settings->rollout->exposureSlack, 30.0);
+    cr_expect_eq(settings->rollout->rollback.count(), 5000);
+    cr_expect_eq(settings->memoryLimitBytes, 120U * 1024 * 1024);
+}
