--- a/Source/Core/engineplanner.cpp
+++ b/Source/Core/Capacity/engineplanner.cpp
@@ -1,4 +1,4 @@
-#include "Core/engineplanner.h"
+#include "Core/Capacity/engineplanner.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/Core/refusalmeter.cpp
+++ b/Source/Core/Capacity/refusalmeter.cpp
@@ -1,4 +1,4 @@
-#include "Core/refusalmeter.h"
+#include "Core/Capacity/refusalmeter.h"
 
 #include <cmath>
 
--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -3,6 +3,8 @@
 //! Public header of the sesamecore library, which contains the decision logic and uses no sockets,
 //! threads or clocks.
 
+#include "Core/Capacity/engineplanner.h"
+#include "Core/Capacity/refusalmeter.h"
 #include "Core/admissioncontroller.h"
 #include "Core/backendtable.h"
 #include "Core/backoff.h"
@@ -17,7 +19,6 @@
 #include "Core/enginedirectory.h"
 #include "Core/engineentry.h"
 #include "Core/enginenotices.h"
-#include "Core/engineplanner.h"
 #include "Core/enginepools.h"
 #include "Core/enginerouter.h"
 #include "Core/eventsplitter.h"
@@ -45,7 +46,6 @@
 #include "Core/promptblocks.h"
 #include "Core/promptcrashtable.h"
 #include "Core/quotabucket.h"
-#include "Core/refusalmeter.h"
 #include "Core/reportexchange.h"
 #include "Core/resendbudget.h"
 #include "Core/resultcode.h"
--- a/Source/Serving/dutyclient.h
+++ b/Source/Serving/dutyclient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Core/engineplanner.h"
+#include "Core/Capacity/engineplanner.h"
 #include "Core/usageledger.h"
 
 #include <functional>
--- a/Source/Serving/scalingduty.h
+++ b/Source/Serving/scalingduty.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Core/engineplanner.h"
+#include "Core/Capacity/engineplanner.h"
 #include "Serving/dutyclient.h"
 #include "Serving/dutycoordinator.h"
 #include "Serving/servingstate.h"
--- a/Source/Serving/servingstate.h
+++ b/Source/Serving/servingstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Capacity/refusalmeter.h"
 #include "Core/crashtable.h"
 #include "Core/deploymenttally.h"
 #include "Core/enginechooser.h"
@@ -9,7 +10,6 @@
 #include "Core/peerdirectory.h"
 #include "Core/promptcrashtable.h"
 #include "Core/quotabucket.h"
-#include "Core/refusalmeter.h"
 #include "Core/resendbudget.h"
 #include "Core/servingconfig.h"
 #include "Core/stopschedule.h"
--- a/Tests/engineplannertest.cpp
+++ b/Tests/engineplannertest.cpp
@@ -1,4 +1,4 @@
-#include "Core/engineplanner.h"
+#include "Core/Capacity/engineplanner.h"
 
 #include <criterion/criterion.h>
 
