--- a/Generated/exchange_types.cpp
+++ b/Generated/exchange_types.cpp
@@ -1289,6 +1289,11 @@
   this->rolloutSteps = val;
 __isset.rolloutSteps = true;
 }
+
+void Tally::__set_promptTokens(const std::map<std::string, int64_t> & val) {
+  this->promptTokens = val;
+__isset.promptTokens = true;
+}
 std::ostream& operator<<(std::ostream& out, const Tally& obj)
 {
   obj.printTo(out);
@@ -1518,6 +1523,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->promptTokens.clear();
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _ktype106;
+            ::apache::thrift::protocol::TType _vtype107;
+            xfer += iprot->readMapBegin(_ktype106, _vtype107, _size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
+            {
+              std::string _key110;
+              xfer += iprot->readString(_key110);
+              int64_t& _val111 = this->promptTokens[_key110];
+              xfer += iprot->readI64(_val111);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.promptTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1538,11 +1566,11 @@
   xfer += oprot->writeFieldBegin("consumed", ::apache::thrift::protocol::T_MAP, 1);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->consumed.size()));
-    std::map<std::string, double> ::const_iterator _iter105;
-    for (_iter105 = this->consumed.begin(); _iter105 != this->consumed.end(); ++_iter105)
+    std::map<std::string, double> ::const_iterator _iter112;
+    for (_iter112 = this->consumed.begin(); _iter112 != this->consumed.end(); ++_iter112)
     {
-      xfer += oprot->writeString(_iter105->first);
-      xfer += oprot->writeDouble(_iter105->second);
+      xfer += oprot->writeString(_iter112->first);
+      xfer += oprot->writeDouble(_iter112->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1551,17 +1579,17 @@
   xfer += oprot->writeFieldBegin("began", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_MAP, static_cast<uint32_t>(this->began.size()));
-    std::map<int64_t, std::map<std::string, int64_t> > ::const_iterator _iter106;
-    for (_iter106 = this->began.begin(); _iter106 != this->began.end(); ++_iter106)
+    std::map<int64_t, std::map<std::string, int64_t> > ::const_iterator _iter113;
+    for (_iter113 = this->began.begin(); _iter113 != this->began.end(); ++_iter113)
     {
-      xfer += oprot->writeI64(_iter106->first);
+      xfer += oprot->writeI64(_iter113->first);
       {
-        xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter106->second.size()));
-        std::map<std::string, int64_t> ::const_iterator _iter107;
-        for (_iter107 = _iter106->second.begin(); _iter107 != _iter106->second.end(); ++_iter107)
+        xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter113->second.size()));
+        std::map<std::string, int64_t> ::const_iterator _iter114;
+        for (_iter114 = _iter113->second.begin(); _iter114 != _iter113->second.end(); ++_iter114)
         {
-          xfer += oprot->writeString(_iter107->first);
-          xfer += oprot->writeI64(_iter107->second);
+          xfer += oprot->writeString(_iter114->first);
+          xfer += oprot->writeI64(_iter114->second);
         }
         xfer += oprot->writeMapEnd();
       }
@@ -1573,11 +1601,11 @@
   xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::map<std::string, EngineShare> ::const_iterator _iter108;
-    for (_iter108 = this->engines.begin(); _iter108 != this->engines.end(); ++_iter108)
+    std::map<std::string, EngineShare> ::const_iterator _iter115;
+    for (_iter115 = this->engines.begin(); _iter115 != this->engines.end(); ++_iter115)
     {
-      xfer += oprot->writeString(_iter108->first);
-      xfer += _iter108->second.write(oprot);
+      xfer += oprot->writeString(_iter115->first);
+      xfer += _iter115->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1586,11 +1614,11 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::map<int64_t, CrashShare> ::const_iterator _iter109;
-    for (_iter109 = this->crashes.begin(); _iter109 != this->crashes.end(); ++_iter109)
+    std::map<int64_t, CrashShare> ::const_iterator _iter116;
+    for (_iter116 = this->crashes.begin(); _iter116 != this->crashes.end(); ++_iter116)
     {
-      xfer += oprot->writeI64(_iter109->first);
-      xfer += _iter109->second.write(oprot);
+      xfer += oprot->writeI64(_iter116->first);
+      xfer += _iter116->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1599,11 +1627,11 @@
   xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->refused.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter110;
-    for (_iter110 = this->refused.begin(); _iter110 != this->refused.end(); ++_iter110)
+    std::map<std::string, int64_t> ::const_iterator _iter117;
+    for (_iter117 = this->refused.begin(); _iter117 != this->refused.end(); ++_iter117)
     {
-      xfer += oprot->writeString(_iter110->first);
-      xfer += oprot->writeI64(_iter110->second);
+      xfer += oprot->writeString(_iter117->first);
+      xfer += oprot->writeI64(_iter117->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1612,11 +1640,11 @@
   xfer += oprot->writeFieldBegin("late", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->late.size()));
-    std::map<std::string, double> ::const_iterator _iter111;
-    for (_iter111 = this->late.begin(); _iter111 != this->late.end(); ++_iter111)
+    std::map<std::string, double> ::const_iterator _iter118;
+    for (_iter118 = this->late.begin(); _iter118 != this->late.end(); ++_iter118)
     {
-      xfer += oprot->writeString(_iter111->first);
-      xfer += oprot->writeDouble(_iter111->second);
+      xfer += oprot->writeString(_iter118->first);
+      xfer += oprot->writeDouble(_iter118->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1630,10 +1658,10 @@
     xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
-      std::vector<VersionEvidence> ::const_iterator _iter112;
-      for (_iter112 = this->versions.begin(); _iter112 != this->versions.end(); ++_iter112)
+      std::vector<VersionEvidence> ::const_iterator _iter119;
+      for (_iter119 = this->versions.begin(); _iter119 != this->versions.end(); ++_iter119)
       {
-        xfer += (*_iter112).write(oprot);
+        xfer += (*_iter119).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1643,15 +1671,29 @@
     xfer += oprot->writeFieldBegin("rolloutSteps", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rolloutSteps.size()));
-      std::vector<RolloutStep> ::const_iterator _iter113;
-      for (_iter113 = this->rolloutSteps.begin(); _iter113 != this->rolloutSteps.end(); ++_iter113)
+      std::vector<RolloutStep> ::const_iterator _iter120;
+      for (_iter120 = this->rolloutSteps.begin(); _iter120 != this->rolloutSteps.end(); ++_iter120)
       {
-        xfer += (*_iter113).write(oprot);
+        xfer += (*_iter120).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.promptTokens) {
+    xfer += oprot->writeFieldBegin("promptTokens", ::apache::thrift::protocol::T_MAP, 10);
+    {
+      xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->promptTokens.size()));
+      std::map<std::string, int64_t> ::const_iterator _iter121;
+      for (_iter121 = this->promptTokens.begin(); _iter121 != this->promptTokens.end(); ++_iter121)
+      {
+        xfer += oprot->writeString(_iter121->first);
+        xfer += oprot->writeI64(_iter121->second);
+      }
+      xfer += oprot->writeMapEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1668,32 +1710,35 @@
   swap(a.prompts, b.prompts);
   swap(a.versions, b.versions);
   swap(a.rolloutSteps, b.rolloutSteps);
+  swap(a.promptTokens, b.promptTokens);
   swap(a.__isset, b.__isset);
 }
 
-Tally::Tally(const Tally& other114) {
-  consumed = other114.consumed;
-  began = other114.began;
-  engines = other114.engines;
-  crashes = other114.crashes;
-  refused = other114.refused;
-  late = other114.late;
-  prompts = other114.prompts;
-  versions = other114.versions;
-  rolloutSteps = other114.rolloutSteps;
-  __isset = other114.__isset;
-}
-Tally& Tally::operator=(const Tally& other115) {
-  consumed = other115.consumed;
-  began = other115.began;
-  engines = other115.engines;
-  crashes = other115.crashes;
-  refused = other115.refused;
-  late = other115.late;
-  prompts = other115.prompts;
-  versions = other115.versions;
-  rolloutSteps = other115.rolloutSteps;
-  __isset = other115.__isset;
+Tally::Tally(const Tally& other122) {
+  consumed = other122.consumed;
+  began = other122.began;
+  engines = other122.engines;
+  crashes = other122.crashes;
+  refused = other122.refused;
+  late = other122.late;
+  prompts = other122.prompts;
+  versions = other122.versions;
+  rolloutSteps = other122.rolloutSteps;
+  promptTokens = other122.promptTokens;
+  __isset = other122.__isset;
+}
+Tally& Tally::operator=(const Tally& other123) {
+  consumed = other123.consumed;
+  began = other123.began;
+  engines = other123.engines;
+  crashes = other123.crashes;
+  refused = other123.refused;
+  late = other123.late;
+  prompts = other123.prompts;
+  versions = other123.versions;
+  rolloutSteps = other123.rolloutSteps;
+  promptTokens = other123.promptTokens;
+  __isset = other123.__isset;
   return *this;
 }
 void Tally::printTo(std::ostream& out) const {
@@ -1708,6 +1753,7 @@
   out << ", " << "prompts=" << to_string(prompts);
   out << ", " << "versions="; (__isset.versions ? (out << to_string(versions)) : (out << "<null>"));
   out << ", " << "rolloutSteps="; (__isset.rolloutSteps ? (out << to_string(rolloutSteps)) : (out << "<null>"));
+  out << ", " << "promptTokens="; (__isset.promptTokens ? (out << to_string(promptTokens)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1855,21 +1901,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other116) {
-  node = other116.node;
-  entryAddress = other116.entryAddress;
-  ready = other116.ready;
-  leaving = other116.leaving;
-  capacity = other116.capacity;
-  __isset = other116.__isset;
-}
-Member& Member::operator=(const Member& other117) {
-  node = other117.node;
-  entryAddress = other117.entryAddress;
-  ready = other117.ready;
-  leaving = other117.leaving;
-  capacity = other117.capacity;
-  __isset = other117.__isset;
+Member::Member(const Member& other124) {
+  node = other124.node;
+  entryAddress = other124.entryAddress;
+  ready = other124.ready;
+  leaving = other124.leaving;
+  capacity = other124.capacity;
+  __isset = other124.__isset;
+}
+Member& Member::operator=(const Member& other125) {
+  node = other125.node;
+  entryAddress = other125.entryAddress;
+  ready = other125.ready;
+  leaving = other125.leaving;
+  capacity = other125.capacity;
+  __isset = other125.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -1976,15 +2022,15 @@
   swap(a.__isset, b.__isset);
 }
 
-StateVersion::StateVersion(const StateVersion& other118) noexcept {
-  revision = other118.revision;
-  ageMillis = other118.ageMillis;
-  __isset = other118.__isset;
+StateVersion::StateVersion(const StateVersion& other126) noexcept {
+  revision = other126.revision;
+  ageMillis = other126.ageMillis;
+  __isset = other126.__isset;
 }
-StateVersion& StateVersion::operator=(const StateVersion& other119) noexcept {
-  revision = other119.revision;
-  ageMillis = other119.ageMillis;
-  __isset = other119.__isset;
+StateVersion& StateVersion::operator=(const StateVersion& other127) noexcept {
+  revision = other127.revision;
+  ageMillis = other127.ageMillis;
+  __isset = other127.__isset;
   return *this;
 }
 void StateVersion::printTo(std::ostream& out) const {
@@ -2173,25 +2219,25 @@
   swap(a.__isset, b.__isset);
 }
 
-Sender::Sender(const Sender& other120) {
-  member = other120.member;
-  zone = other120.zone;
-  incarnation = other120.incarnation;
-  sequence = other120.sequence;
-  trueMillis = other120.trueMillis;
-  configuration = other120.configuration;
-  engines = other120.engines;
-  __isset = other120.__isset;
-}
-Sender& Sender::operator=(const Sender& other121) {
-  member = other121.member;
-  zone = other121.zone;
-  incarnation = other121.incarnation;
-  sequence = other121.sequence;
-  trueMillis = other121.trueMillis;
-  configuration = other121.configuration;
-  engines = other121.engines;
-  __isset = other121.__isset;
+Sender::Sender(const Sender& other128) {
+  member = other128.member;
+  zone = other128.zone;
+  incarnation = other128.incarnation;
+  sequence = other128.sequence;
+  trueMillis = other128.trueMillis;
+  configuration = other128.configuration;
+  engines = other128.engines;
+  __isset = other128.__isset;
+}
+Sender& Sender::operator=(const Sender& other129) {
+  member = other129.member;
+  zone = other129.zone;
+  incarnation = other129.incarnation;
+  sequence = other129.sequence;
+  trueMillis = other129.trueMillis;
+  configuration = other129.configuration;
+  engines = other129.engines;
+  __isset = other129.__isset;
   return *this;
 }
 void Sender::printTo(std::ostream& out) const {
@@ -2271,14 +2317,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unheard.clear();
-            uint32_t _size122;
-            ::apache::thrift::protocol::TType _etype125;
-            xfer += iprot->readListBegin(_etype125, _size122);
-            this->unheard.resize(_size122);
-            uint32_t _i126;
-            for (_i126 = 0; _i126 < _size122; ++_i126)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->unheard.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += iprot->readString(this->unheard[_i126]);
+              xfer += iprot->readString(this->unheard[_i134]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2315,10 +2361,10 @@
   xfer += oprot->writeFieldBegin("unheard", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->unheard.size()));
-    std::vector<std::string> ::const_iterator _iter127;
-    for (_iter127 = this->unheard.begin(); _iter127 != this->unheard.end(); ++_iter127)
+    std::vector<std::string> ::const_iterator _iter135;
+    for (_iter135 = this->unheard.begin(); _iter135 != this->unheard.end(); ++_iter135)
     {
-      xfer += oprot->writeString((*_iter127));
+      xfer += oprot->writeString((*_iter135));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2337,17 +2383,17 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberReport::MemberReport(const MemberReport& other128) {
-  tally = other128.tally;
-  wantsDigest = other128.wantsDigest;
-  unheard = other128.unheard;
-  __isset = other128.__isset;
+MemberReport::MemberReport(const MemberReport& other136) {
+  tally = other136.tally;
+  wantsDigest = other136.wantsDigest;
+  unheard = other136.unheard;
+  __isset = other136.__isset;
 }
-MemberReport& MemberReport::operator=(const MemberReport& other129) {
-  tally = other129.tally;
-  wantsDigest = other129.wantsDigest;
-  unheard = other129.unheard;
-  __isset = other129.__isset;
+MemberReport& MemberReport::operator=(const MemberReport& other137) {
+  tally = other137.tally;
+  wantsDigest = other137.wantsDigest;
+  unheard = other137.unheard;
+  __isset = other137.__isset;
   return *this;
 }
 void MemberReport::printTo(std::ostream& out) const {
@@ -2436,14 +2482,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size130;
-            ::apache::thrift::protocol::TType _etype133;
-            xfer += iprot->readListBegin(_etype133, _size130);
-            this->members.resize(_size130);
-            uint32_t _i134;
-            for (_i134 = 0; _i134 < _size130; ++_i134)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->members.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += this->members[_i134].read(iprot);
+              xfer += this->members[_i142].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2485,10 +2531,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<Member> ::const_iterator _iter135;
-      for (_iter135 = this->members.begin(); _iter135 != this->members.end(); ++_iter135)
+      std::vector<Member> ::const_iterator _iter143;
+      for (_iter143 = this->members.begin(); _iter143 != this->members.end(); ++_iter143)
       {
-        xfer += (*_iter135).write(oprot);
+        xfer += (*_iter143).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2508,19 +2554,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ZoneReport::ZoneReport(const ZoneReport& other136) {
-  tally = other136.tally;
-  nodes = other136.nodes;
-  silent = other136.silent;
-  members = other136.members;
-  __isset = other136.__isset;
+ZoneReport::ZoneReport(const ZoneReport& other144) {
+  tally = other144.tally;
+  nodes = other144.nodes;
+  silent = other144.silent;
+  members = other144.members;
+  __isset = other144.__isset;
 }
-ZoneReport& ZoneReport::operator=(const ZoneReport& other137) {
-  tally = other137.tally;
-  nodes = other137.nodes;
-  silent = other137.silent;
-  members = other137.members;
-  __isset = other137.__isset;
+ZoneReport& ZoneReport::operator=(const ZoneReport& other145) {
+  tally = other145.tally;
+  nodes = other145.nodes;
+  silent = other145.silent;
+  members = other145.members;
+  __isset = other145.__isset;
   return *this;
 }
 void ZoneReport::printTo(std::ostream& out) const {
@@ -2585,14 +2631,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->members.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _etype149;
+            xfer += iprot->readListBegin(_etype149, _size146);
+            this->members.resize(_size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
             {
-              xfer += this->members[_i142].read(iprot);
+              xfer += this->members[_i150].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2625,10 +2671,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter143;
-    for (_iter143 = this->members.begin(); _iter143 != this->members.end(); ++_iter143)
+    std::vector<Member> ::const_iterator _iter151;
+    for (_iter151 = this->members.begin(); _iter151 != this->members.end(); ++_iter151)
     {
-      xfer += (*_iter143).write(oprot);
+      xfer += (*_iter151).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2646,15 +2692,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ZoneMembers::ZoneMembers(const ZoneMembers& other144) {
-  zone = other144.zone;
-  members = other144.members;
-  __isset = other144.__isset;
+ZoneMembers::ZoneMembers(const ZoneMembers& other152) {
+  zone = other152.zone;
+  members = other152.members;
+  __isset = other152.__isset;
 }
-ZoneMembers& ZoneMembers::operator=(const ZoneMembers& other145) {
-  zone = other145.zone;
-  members = other145.members;
-  __isset = other145.__isset;
+ZoneMembers& ZoneMembers::operator=(const ZoneMembers& other153) {
+  zone = other153.zone;
+  members = other153.members;
+  __isset = other153.__isset;
   return *this;
 }
 void ZoneMembers::printTo(std::ostream& out) const {
@@ -2760,17 +2806,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->consumed.clear();
-            uint32_t _size146;
-            ::apache::thrift::protocol::TType _ktype147;
-            ::apache::thrift::protocol::TType _vtype148;
-            xfer += iprot->readMapBegin(_ktype147, _vtype148, _size146);
-            uint32_t _i150;
-            for (_i150 = 0; _i150 < _size146; ++_i150)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _ktype155;
+            ::apache::thrift::protocol::TType _vtype156;
+            xfer += iprot->readMapBegin(_ktype155, _vtype156, _size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              std::string _key151;
-              xfer += iprot->readString(_key151);
-              double& _val152 = this->consumed[_key151];
-              xfer += iprot->readDouble(_val152);
+              std::string _key159;
+              xfer += iprot->readString(_key159);
+              double& _val160 = this->consumed[_key159];
+              xfer += iprot->readDouble(_val160);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2783,17 +2829,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->engines.clear();
-            uint32_t _size153;
-            ::apache::thrift::protocol::TType _ktype154;
-            ::apache::thrift::protocol::TType _vtype155;
-            xfer += iprot->readMapBegin(_ktype154, _vtype155, _size153);
-            uint32_t _i157;
-            for (_i157 = 0; _i157 < _size153; ++_i157)
+            uint32_t _size161;
+            ::apache::thrift::protocol::TType _ktype162;
+            ::apache::thrift::protocol::TType _vtype163;
+            xfer += iprot->readMapBegin(_ktype162, _vtype163, _size161);
+            uint32_t _i165;
+            for (_i165 = 0; _i165 < _size161; ++_i165)
             {
-              std::string _key158;
-              xfer += iprot->readString(_key158);
-              EngineShare& _val159 = this->engines[_key158];
-              xfer += _val159.read(iprot);
+              std::string _key166;
+              xfer += iprot->readString(_key166);
+              EngineShare& _val167 = this->engines[_key166];
+              xfer += _val167.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2806,17 +2852,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->crashes.clear();
-            uint32_t _size160;
-            ::apache::thrift::protocol::TType _ktype161;
-            ::apache::thrift::protocol::TType _vtype162;
-            xfer += iprot->readMapBegin(_ktype161, _vtype162, _size160);
-            uint32_t _i164;
-            for (_i164 = 0; _i164 < _size160; ++_i164)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _ktype169;
+            ::apache::thrift::protocol::TType _vtype170;
+            xfer += iprot->readMapBegin(_ktype169, _vtype170, _size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              int64_t _key165;
-              xfer += iprot->readI64(_key165);
-              CrashShare& _val166 = this->crashes[_key165];
-              xfer += _val166.read(iprot);
+              int64_t _key173;
+              xfer += iprot->readI64(_key173);
+              CrashShare& _val174 = this->crashes[_key173];
+              xfer += _val174.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2853,14 +2899,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->zones.clear();
-            uint32_t _size167;
-            ::apache::thrift::protocol::TType _etype170;
-            xfer += iprot->readListBegin(_etype170, _size167);
-            this->zones.resize(_size167);
-            uint32_t _i171;
-            for (_i171 = 0; _i171 < _size167; ++_i171)
+            uint32_t _size175;
+            ::apache::thrift::protocol::TType _etype178;
+            xfer += iprot->readListBegin(_etype178, _size175);
+            this->zones.resize(_size175);
+            uint32_t _i179;
+            for (_i179 = 0; _i179 < _size175; ++_i179)
             {
-              xfer += this->zones[_i171].read(iprot);
+              xfer += this->zones[_i179].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2873,17 +2919,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->late.clear();
-            uint32_t _size172;
-            ::apache::thrift::protocol::TType _ktype173;
-            ::apache::thrift::protocol::TType _vtype174;
-            xfer += iprot->readMapBegin(_ktype173, _vtype174, _size172);
-            uint32_t _i176;
-            for (_i176 = 0; _i176 < _size172; ++_i176)
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _ktype181;
+            ::apache::thrift::protocol::TType _vtype182;
+            xfer += iprot->readMapBegin(_ktype181, _vtype182, _size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
             {
-              std::string _key177;
-              xfer += iprot->readString(_key177);
-              double& _val178 = this->late[_key177];
-              xfer += iprot->readDouble(_val178);
+              std::string _key185;
+              xfer += iprot->readString(_key185);
+              double& _val186 = this->late[_key185];
+              xfer += iprot->readDouble(_val186);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2904,14 +2950,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size179;
-            ::apache::thrift::protocol::TType _etype182;
-            xfer += iprot->readListBegin(_etype182, _size179);
-            this->versions.resize(_size179);
-            uint32_t _i183;
-            for (_i183 = 0; _i183 < _size179; ++_i183)
+            uint32_t _size187;
+            ::apache::thrift::protocol::TType _etype190;
+            xfer += iprot->readListBegin(_etype190, _size187);
+            this->versions.resize(_size187);
+            uint32_t _i191;
+            for (_i191 = 0; _i191 < _size187; ++_i191)
             {
-              xfer += this->versions[_i183].read(iprot);
+              xfer += this->versions[_i191].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2924,14 +2970,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rolloutSteps.clear();
-            uint32_t _size184;
-            ::apache::thrift::protocol::TType _etype187;
-            xfer += iprot->readListBegin(_etype187, _size184);
-            this->rolloutSteps.resize(_size184);
-            uint32_t _i188;
-            for (_i188 = 0; _i188 < _size184; ++_i188)
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->rolloutSteps.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
             {
-              xfer += this->rolloutSteps[_i188].read(iprot);
+              xfer += this->rolloutSteps[_i196].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2964,11 +3010,11 @@
   xfer += oprot->writeFieldBegin("consumed", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->consumed.size()));
-    std::map<std::string, double> ::const_iterator _iter189;
-    for (_iter189 = this->consumed.begin(); _iter189 != this->consumed.end(); ++_iter189)
+    std::map<std::string, double> ::const_iterator _iter197;
+    for (_iter197 = this->consumed.begin(); _iter197 != this->consumed.end(); ++_iter197)
     {
-      xfer += oprot->writeString(_iter189->first);
-      xfer += oprot->writeDouble(_iter189->second);
+      xfer += oprot->writeString(_iter197->first);
+      xfer += oprot->writeDouble(_iter197->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2977,11 +3023,11 @@
   xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::map<std::string, EngineShare> ::const_iterator _iter190;
-    for (_iter190 = this->engines.begin(); _iter190 != this->engines.end(); ++_iter190)
+    std::map<std::string, EngineShare> ::const_iterator _iter198;
+    for (_iter198 = this->engines.begin(); _iter198 != this->engines.end(); ++_iter198)
     {
-      xfer += oprot->writeString(_iter190->first);
-      xfer += _iter190->second.write(oprot);
+      xfer += oprot->writeString(_iter198->first);
+      xfer += _iter198->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2990,11 +3036,11 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::map<int64_t, CrashShare> ::const_iterator _iter191;
-    for (_iter191 = this->crashes.begin(); _iter191 != this->crashes.end(); ++_iter191)
+    std::map<int64_t, CrashShare> ::const_iterator _iter199;
+    for (_iter199 = this->crashes.begin(); _iter199 != this->crashes.end(); ++_iter199)
     {
-      xfer += oprot->writeI64(_iter191->first);
-      xfer += _iter191->second.write(oprot);
+      xfer += oprot->writeI64(_iter199->first);
+      xfer += _iter199->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3016,10 +3062,10 @@
     xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->zones.size()));
-      std::vector<ZoneMembers> ::const_iterator _iter192;
-      for (_iter192 = this->zones.begin(); _iter192 != this->zones.end(); ++_iter192)
+      std::vector<ZoneMembers> ::const_iterator _iter200;
+      for (_iter200 = this->zones.begin(); _iter200 != this->zones.end(); ++_iter200)
       {
-        xfer += (*_iter192).write(oprot);
+        xfer += (*_iter200).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3028,11 +3074,11 @@
   xfer += oprot->writeFieldBegin("late", ::apache::thrift::protocol::T_MAP, 9);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_DOUBLE, static_cast<uint32_t>(this->late.size()));
-    std::map<std::string, double> ::const_iterator _iter193;
-    for (_iter193 = this->late.begin(); _iter193 != this->late.end(); ++_iter193)
+    std::map<std::string, double> ::const_iterator _iter201;
+    for (_iter201 = this->late.begin(); _iter201 != this->late.end(); ++_iter201)
     {
-      xfer += oprot->writeString(_iter193->first);
-      xfer += oprot->writeDouble(_iter193->second);
+      xfer += oprot->writeString(_iter201->first);
+      xfer += oprot->writeDouble(_iter201->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3046,10 +3092,10 @@
     xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
-      std::vector<VersionEvidence> ::const_iterator _iter194;
-      for (_iter194 = this->versions.begin(); _iter194 != this->versions.end(); ++_iter194)
+      std::vector<VersionEvidence> ::const_iterator _iter202;
+      for (_iter202 = this->versions.begin(); _iter202 != this->versions.end(); ++_iter202)
       {
-        xfer += (*_iter194).write(oprot);
+        xfer += (*_iter202).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3059,10 +3105,10 @@
     xfer += oprot->writeFieldBegin("rolloutSteps", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rolloutSteps.size()));
-      std::vector<RolloutStep> ::const_iterator _iter195;
-      for (_iter195 = this->rolloutSteps.begin(); _iter195 != this->rolloutSteps.end(); ++_iter195)
+      std::vector<RolloutStep> ::const_iterator _iter203;
+      for (_iter203 = this->rolloutSteps.begin(); _iter203 != this->rolloutSteps.end(); ++_iter203)
       {
-        xfer += (*_iter195).write(oprot);
+        xfer += (*_iter203).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3090,35 +3136,35 @@
   swap(a.__isset, b.__isset);
 }
 
-Digest::Digest(const Digest& other196) {
-  acknowledged = other196.acknowledged;
-  consumed = other196.consumed;
-  engines = other196.engines;
-  crashes = other196.crashes;
-  nodes = other196.nodes;
-  silent = other196.silent;
-  counted = other196.counted;
-  zones = other196.zones;
-  late = other196.late;
-  prompts = other196.prompts;
-  versions = other196.versions;
-  rolloutSteps = other196.rolloutSteps;
-  __isset = other196.__isset;
-}
-Digest& Digest::operator=(const Digest& other197) {
-  acknowledged = other197.acknowledged;
-  consumed = other197.consumed;
-  engines = other197.engines;
-  crashes = other197.crashes;
-  nodes = other197.nodes;
-  silent = other197.silent;
-  counted = other197.counted;
-  zones = other197.zones;
-  late = other197.late;
-  prompts = other197.prompts;
-  versions = other197.versions;
-  rolloutSteps = other197.rolloutSteps;
-  __isset = other197.__isset;
+Digest::Digest(const Digest& other204) {
+  acknowledged = other204.acknowledged;
+  consumed = other204.consumed;
+  engines = other204.engines;
+  crashes = other204.crashes;
+  nodes = other204.nodes;
+  silent = other204.silent;
+  counted = other204.counted;
+  zones = other204.zones;
+  late = other204.late;
+  prompts = other204.prompts;
+  versions = other204.versions;
+  rolloutSteps = other204.rolloutSteps;
+  __isset = other204.__isset;
+}
+Digest& Digest::operator=(const Digest& other205) {
+  acknowledged = other205.acknowledged;
+  consumed = other205.consumed;
+  engines = other205.engines;
+  crashes = other205.crashes;
+  nodes = other205.nodes;
+  silent = other205.silent;
+  counted = other205.counted;
+  zones = other205.zones;
+  late = other205.late;
+  prompts = other205.prompts;
+  versions = other205.versions;
+  rolloutSteps = other205.rolloutSteps;
+  __isset = other205.__isset;
   return *this;
 }
 void Digest::printTo(std::ostream& out) const {
@@ -3289,21 +3335,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other198) {
-  version = other198.version;
-  sender = other198.sender;
-  member = other198.member;
-  zone = other198.zone;
-  digest = other198.digest;
-  __isset = other198.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other199) {
-  version = other199.version;
-  sender = other199.sender;
-  member = other199.member;
-  zone = other199.zone;
-  digest = other199.digest;
-  __isset = other199.__isset;
+Datagram::Datagram(const Datagram& other206) {
+  version = other206.version;
+  sender = other206.sender;
+  member = other206.member;
+  zone = other206.zone;
+  digest = other206.digest;
+  __isset = other206.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other207) {
+  version = other207.version;
+  sender = other207.sender;
+  member = other207.member;
+  zone = other207.zone;
+  digest = other207.digest;
+  __isset = other207.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -3444,19 +3490,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplicatedObject::ReplicatedObject(const ReplicatedObject& other200) {
-  name = other200.name;
-  revision = other200.revision;
-  removed = other200.removed;
-  content = other200.content;
-  __isset = other200.__isset;
+ReplicatedObject::ReplicatedObject(const ReplicatedObject& other208) {
+  name = other208.name;
+  revision = other208.revision;
+  removed = other208.removed;
+  content = other208.content;
+  __isset = other208.__isset;
 }
-ReplicatedObject& ReplicatedObject::operator=(const ReplicatedObject& other201) {
-  name = other201.name;
-  revision = other201.revision;
-  removed = other201.removed;
-  content = other201.content;
-  __isset = other201.__isset;
+ReplicatedObject& ReplicatedObject::operator=(const ReplicatedObject& other209) {
+  name = other209.name;
+  revision = other209.revision;
+  removed = other209.removed;
+  content = other209.content;
+  __isset = other209.__isset;
   return *this;
 }
 void ReplicatedObject::printTo(std::ostream& out) const {
@@ -3533,14 +3579,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size202;
-            ::apache::thrift::protocol::TType _etype205;
-            xfer += iprot->readListBegin(_etype205, _size202);
-            this->objects.resize(_size202);
-            uint32_t _i206;
-            for (_i206 = 0; _i206 < _size202; ++_i206)
+            uint32_t _size210;
+            ::apache::thrift::protocol::TType _etype213;
+            xfer += iprot->readListBegin(_etype213, _size210);
+            this->objects.resize(_size210);
+            uint32_t _i214;
+            for (_i214 = 0; _i214 < _size210; ++_i214)
             {
-              xfer += this->objects[_i206].read(iprot);
+              xfer += this->objects[_i214].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3577,10 +3623,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<ReplicatedObject> ::const_iterator _iter207;
-    for (_iter207 = this->objects.begin(); _iter207 != this->objects.end(); ++_iter207)
+    std::vector<ReplicatedObject> ::const_iterator _iter215;
+    for (_iter215 = this->objects.begin(); _iter215 != this->objects.end(); ++_iter215)
     {
-      xfer += (*_iter207).write(oprot);
+      xfer += (*_iter215).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3599,17 +3645,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplicaUpdate::ReplicaUpdate(const ReplicaUpdate& other208) {
-  version = other208.version;
-  complete = other208.complete;
-  objects = other208.objects;
-  __isset = other208.__isset;
+ReplicaUpdate::ReplicaUpdate(const ReplicaUpdate& other216) {
+  version = other216.version;
+  complete = other216.complete;
+  objects = other216.objects;
+  __isset = other216.__isset;
 }
-ReplicaUpdate& ReplicaUpdate::operator=(const ReplicaUpdate& other209) {
-  version = other209.version;
-  complete = other209.complete;
-  objects = other209.objects;
-  __isset = other209.__isset;
+ReplicaUpdate& ReplicaUpdate::operator=(const ReplicaUpdate& other217) {
+  version = other217.version;
+  complete = other217.complete;
+  objects = other217.objects;
+  __isset = other217.__isset;
   return *this;
 }
 void ReplicaUpdate::printTo(std::ostream& out) const {
--- a/Generated/exchange_types.h
+++ b/Generated/exchange_types.h
@@ -588,7 +588,7 @@
 std::ostream& operator<<(std::ostream& out, const PromptEvidence& obj);
 
 typedef struct _Tally__isset {
-  _Tally__isset() : consumed(false), began(false), engines(false), crashes(false), refused(false), late(false), prompts(false), versions(false), rolloutSteps(false) {}
+  _Tally__isset() : consumed(false), began(false), engines(false), crashes(false), refused(false), late(false), prompts(false), versions(false), rolloutSteps(false), promptTokens(false) {}
   bool consumed :1;
   bool began :1;
   bool engines :1;
@@ -598,6 +598,7 @@
   bool prompts :1;
   bool versions :1;
   bool rolloutSteps :1;
+  bool promptTokens :1;
 } _Tally__isset;
 
 /**
@@ -642,6 +643,10 @@
    */
   std::vector<VersionEvidence>  versions;
   std::vector<RolloutStep>  rolloutSteps;
+  /**
+   * Prompt tokens of the requests that callers sent, by service.
+   */
+  std::map<std::string, int64_t>  promptTokens;
 
   _Tally__isset __isset;
 
@@ -663,6 +668,8 @@
 
   void __set_rolloutSteps(const std::vector<RolloutStep> & val);
 
+  void __set_promptTokens(const std::map<std::string, int64_t> & val);
+
   bool operator == (const Tally & rhs) const
   {
     if (!(consumed == rhs.consumed))
@@ -687,6 +694,10 @@
       return false;
     else if (__isset.rolloutSteps && !(rolloutSteps == rhs.rolloutSteps))
       return false;
+    if (__isset.promptTokens != rhs.__isset.promptTokens)
+      return false;
+    else if (__isset.promptTokens && !(promptTokens == rhs.promptTokens))
+      return false;
     return true;
   }
   bool operator != (const Tally &rhs) const {
--- a/Interface/exchange.thrift
+++ b/Interface/exchange.thrift
@@ -90,6 +90,8 @@
   /** Counters of roll-outs in progress, since the counters started at zero. */
   8: optional list<VersionEvidence> versions
   9: optional list<RolloutStep> rolloutSteps
+  /** Prompt tokens of the requests that callers sent, by service. */
+  10: optional map<string, i64> promptTokens
 }
 
 /** A node as the other nodes know it. */
--- a/Source/Core/Capacity/engineplanner.cpp
+++ b/Source/Core/Capacity/engineplanner.cpp
@@ -7,7 +7,7 @@
 
 bool EnginePlanner::observeDemand(const ServiceSpec &service,
                                   const std::vector<EngineState *> &engines,
-                                  double refusedPerSecond, Timestamp now)
+                                  const ServiceDemand &demand, Timestamp now)
 {
     if (!service.scaling || service.scaling->zonePrices.empty())
         return false;
@@ -15,15 +15,13 @@
         m_firstObservedAt = now;
     if (now - m_firstObservedAt < m_options.registrationTime)
         return false;
-    m_plannedEngines = estimateNeededEngines(*service.scaling, engines, refusedPerSecond, now);
+    m_plannedEngines = estimateNeededEngines(*service.scaling, engines, demand, now);
     return true;
 }
 
 void EnginePlanner::adoptNeed(int engines, Timestamp now)
 {
-    while (!m_recentNeeds.empty() && m_recentNeeds.back().second <= engines)
-        m_recentNeeds.pop_back();
-    m_recentNeeds.emplace_back(now, engines);
+    m_needs.add(engines, m_options.demandWindow, now);
 }
 
 void EnginePlanner::clearOrders()
@@ -35,10 +33,10 @@
 
 std::vector<EngineOrder> EnginePlanner::plan(const ServiceSpec &service,
                                              const std::vector<EngineState *> &engines,
-                                             double refusedPerSecond, Timestamp now)
+                                             const ServiceDemand &demand, Timestamp now)
 {
     std::vector<EngineOrder> orders;
-    if (!observeDemand(service, engines, refusedPerSecond, now))
+    if (!observeDemand(service, engines, demand, now))
         return orders;
     const ScalingSpec &scaling = *service.scaling;
     std::map<std::string, EngineCounts> countsByZone;
@@ -175,9 +173,9 @@
 */
 int EnginePlanner::estimateNeededEngines(const ScalingSpec &scaling,
                                          const std::vector<EngineState *> &engines,
-                                         double refusedPerSecond, Timestamp now)
+                                         const ServiceDemand &demand, Timestamp now)
 {
-    double load = refusedPerSecond * m_options.secondsPerRequest;
+    double load = demand.refusedPerSecond * m_options.secondsPerRequest;
     for (const EngineState *engine : engines) {
         load += engine->ownLoad.requests + engine->peerLoad.requests;
         m_slotsPerEngine = std::max(m_slotsPerEngine, engine->entry.slots);
@@ -196,9 +194,8 @@
     const int present = std::max(spot, static_cast<int>(engines.size()) - spot);
     if (m_initialEngines == 0)
         m_initialEngines = present;
-    const double loadPerEngine = plannedLoadPerEngine();
     int need = static_cast<int>(
-            std::ceil(m_averageLoad / loadPerEngine * m_options.zoneLossFactor));
+            std::ceil(m_averageLoad / plannedLoadPerEngine() * m_options.zoneLossFactor));
     // Requests accumulate while engines start. Limiting the growth keeps the plan from treating
     // this backlog as demand.
     const int floor = m_options.growthFloorPerZone * static_cast<int>(scaling.zonePrices.size());
@@ -209,25 +206,17 @@
     // The present engines are kept until there has been any load to estimate the demand from.
     if (!m_hasSeenLoad)
         need = std::max(need, m_initialEngines);
-    while (!m_recentNeeds.empty() && m_recentNeeds.back().second <= need)
-        m_recentNeeds.pop_back();
-    m_recentNeeds.emplace_back(now, need);
-    while (now - m_recentNeeds.front().first > m_options.demandWindow)
-        m_recentNeeds.pop_front();
-    m_onDemandNeed = largestNeed(m_options.onDemandWindow, now);
-    return m_recentNeeds.front().second;
-}
-
-/*!
-    Returns the largest need within \a window, which must not be longer than the demand window.
-*/
-int EnginePlanner::largestNeed(Duration window, Timestamp now) const
-{
-    const auto found = std::find_if(m_recentNeeds.begin(), m_recentNeeds.end(),
-                                    [&](const auto &need) {
-                                        return now - need.first <= window;
-                                    });
-    return found == m_recentNeeds.end() ? 0 : found->second;
+    m_needs.add(need, m_options.demandWindow, now);
+    m_onDemandNeed = m_needs.largest(m_options.onDemandWindow, now);
+    if (demand.busyEngines && m_hasSeenLoad) {
+        m_readingNeeds.add(
+                static_cast<int>(std::ceil(*demand.busyEngines / m_options.readingUtilization
+                                           * m_options.zoneLossFactor)),
+                m_options.demandWindow, now);
+        m_onDemandNeed = std::min(m_onDemandNeed,
+                                  m_readingNeeds.largest(m_options.onDemandWindow, now));
+    }
+    return m_needs.largest(m_options.demandWindow, now);
 }
 
 /*!
--- a/Source/Core/Capacity/engineplanner.h
+++ b/Source/Core/Capacity/engineplanner.h
@@ -1,11 +1,12 @@
 #pragma once
 
+#include "Core/Capacity/slidingmaximum.h"
 #include "Core/enginedirectory.h"
 #include "Core/ports.h"
 #include "Core/servingconfig.h"
 
-#include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,6 +24,18 @@
     bool spot = false; //!< True for spot engines, false for on-demand engines.
 };
 
+/*!
+    Demand for a service over all nodes, besides the requests in progress at its engines.
+*/
+struct ServiceDemand
+{
+    double refusedPerSecond = 0.0; //!< Requests that are refused for lack of capacity.
+    //! Number of engines that reading the prompts of all requests keeps busy; unset if it is not
+    //! known. It does not grow when engines become slow or lose requests, as the requests in
+    //! progress do.
+    std::optional<double> busyEngines {};
+};
+
 enum class OrderResult {
     Accepted,
     NoneAvailable, //!< No engines of this kind are available in the zone now.
@@ -41,6 +54,10 @@
     //! it has, because it reads prompts one after the other.
     double maxLoadPerEngine = 6.0;
     double maxUtilization = 0.5; //!< Limit of the share of the slots for minLoadPerEngine.
+    //! Share of the time that an engine is planned to read prompts. Limits the on-demand engines
+    //! if the busy engines are known: requests in progress pile up while engines are lost, and
+    //! on-demand engines that answered this pile would cost more than they serve.
+    double readingUtilization = 0.4;
     //! Factor on the needed engines that covers the loss of one of four availability zones.
     double zoneLossFactor = 1.34;
     //! Limit for the planned engines, as a multiple of the present engines.
@@ -85,7 +102,7 @@
         still register, or if the service cannot be scaled.
     */
     bool observeDemand(const ServiceSpec &service, const std::vector<EngineState *> &engines,
-                       double refusedPerSecond, Timestamp now);
+                       const ServiceDemand &demand, Timestamp now);
 
     /*!
         Takes over that an earlier holder of the duty needed \a engines engines until \a now, so
@@ -100,11 +117,10 @@
 
     /*!
         Returns the orders to send now for \a service, whose engines are \a engines.
-        \a refusedPerSecond is the rate of requests that all nodes refuse for lack of capacity.
     */
     std::vector<EngineOrder> plan(const ServiceSpec &service,
                                   const std::vector<EngineState *> &engines,
-                                  double refusedPerSecond, Timestamp now);
+                                  const ServiceDemand &demand, Timestamp now);
 
     /*!
         Records the \a result of \a order.
@@ -130,11 +146,10 @@
     using OrderKey = std::pair<std::string, bool>; //!< Zone, and true for spot engines.
 
     int estimateNeededEngines(const ScalingSpec &scaling, const std::vector<EngineState *> &engines,
-                              double refusedPerSecond, Timestamp now);
+                              const ServiceDemand &demand, Timestamp now);
     double plannedLoadPerEngine() const;
     int planOnDemandEngines(const ScalingSpec &scaling, int spot, int onDemand,
                             int unplacedSpot) const;
-    int largestNeed(Duration window, Timestamp now) const;
     static std::map<std::string, int>
     placeOnDemandEngines(const ScalingSpec &scaling,
                          const std::map<std::string, EngineCounts> &countsByZone, int total);
@@ -147,8 +162,8 @@
                        Timestamp now);
 
     EnginePlannerOptions m_options;
-    //! Needed engines within the demand window, in decreasing order (sliding window maximum).
-    std::deque<std::pair<Timestamp, int>> m_recentNeeds;
+    SlidingMaximum m_needs; //!< Needed engines by the requests in progress.
+    SlidingMaximum m_readingNeeds; //!< Needed engines by ServiceDemand::busyEngines.
     double m_averageLoad = 0.0;
     int m_slotsPerEngine = 1; //!< Largest number of slots of an engine so far.
     int m_initialEngines = 0; //!< Number of engines at the first plan.
@@ -156,7 +171,8 @@
     Timestamp m_firstObservedAt;
     Timestamp m_lastEstimateAt;
     int m_plannedEngines = 0;
-    int m_onDemandNeed = 0; //!< Largest need within EnginePlannerOptions::onDemandWindow.
+    //! Largest need within EnginePlannerOptions::onDemandWindow.
+    int m_onDemandNeed = 0;
     std::map<OrderKey, PlacedOrder> m_placedOrders;
     std::map<OrderKey, Timestamp> m_retryAt;
     //! Zones that refused an order of spot engines and have had too few of them since.
--- a/Source/Core/deploymenttally.cpp
+++ b/Source/Core/deploymenttally.cpp
@@ -87,6 +87,7 @@
     addTo(m_zoneTotal.consumed, growth.consumed);
     addTo(m_zoneTotal.late, growth.late);
     addTo(m_zoneTotal.refused, growth.refused);
+    addTo(m_zoneTotal.promptTokens, growth.promptTokens);
     addToTotal(growth);
     return m_isAggregator ? growth : TallyGrowth {};
 }
@@ -198,6 +199,10 @@
     addTo(tally.consumed, m_zoneTotal.late);
     tally.late = m_zoneTotal.late;
     addTo(tally.refused, m_zoneTotal.refused);
+    if (own.__isset.promptTokens) {
+        tally.__set_promptTokens(own.promptTokens);
+        addTo(tally.promptTokens, m_zoneTotal.promptTokens);
+    }
     addLoads(tally, own);
     addCrashes(tally, own);
     addMembers(tally, now);
@@ -385,10 +390,12 @@
         growth.late = wasSilent ? growth.consumed : growthOf(counters.late, tally.late);
         splitLate(growth);
         growth.refused = growthOf(counters.refused, tally.refused);
+        growth.promptTokens = growthOf(counters.promptTokens, tally.promptTokens);
     }
     counters.consumed = tally.consumed;
     counters.late = tally.late;
     counters.refused = tally.refused;
+    counters.promptTokens = tally.promptTokens;
     return growth;
 }
 
--- a/Source/Core/deploymenttally.h
+++ b/Source/Core/deploymenttally.h
@@ -24,6 +24,8 @@
     //! Quota units that are reported after a silence, besides consumed.
     std::map<std::string, double> late;
     std::map<std::string, std::int64_t> refused; //!< Refused requests by service.
+    //! Prompt tokens of callers' requests by service.
+    std::map<std::string, std::int64_t> promptTokens;
 };
 
 /*!
@@ -155,6 +157,7 @@
         std::map<std::string, double> consumed;
         std::map<std::string, double> late;
         std::map<std::string, std::int64_t> refused;
+        std::map<std::string, std::int64_t> promptTokens;
     };
     struct MemberEntry
     {
--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -4,7 +4,7 @@
 //! threads or clocks.
 
 #include "Core/Capacity/engineplanner.h"
-#include "Core/Capacity/refusalmeter.h"
+#include "Core/Capacity/serviceratemeter.h"
 #include "Core/admissioncontroller.h"
 #include "Core/backendtable.h"
 #include "Core/backoff.h"
--- a/Source/Serving/nodeexchange.cpp
+++ b/Source/Serving/nodeexchange.cpp
@@ -110,6 +110,8 @@
     });
     tally.prompts = m_state.promptCrashes.ownEvidence(m_state.commonMillis());
     tally.refused = m_state.refusals.ownCounters();
+    if (m_state.settings.hasUnevenEngines)
+        tally.__set_promptTokens(m_state.promptTokens.ownCounters());
     return tally;
 }
 
@@ -209,7 +211,9 @@
             quota->second.chargeLateUsage(n);
     }
     for (const auto &[service, n] : growth.refused)
-        m_state.refusals.recordPeerRefusals(service, n, steadyNow());
+        m_state.refusals.recordPeers(service, n, steadyNow());
+    for (const auto &[service, n] : growth.promptTokens)
+        m_state.promptTokens.recordPeers(service, n, steadyNow());
 }
 
 void NodeExchange::mergeUsage(const wire::Datagram &datagram)
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -71,6 +71,8 @@
         sendLocalResponse(admission.refusal());
         return;
     }
+    if (m_requestInfo.hasTokenCounts)
+        m_state.promptTokens.record(selectService(), m_requestInfo.work.promptTokens, steadyNow());
     m_state.openRequests.emplace(this, weak_from_this());
     m_caller->setClosedHandler([self = shared_from_this()] {
         self->onCallerDisconnected();
@@ -149,7 +151,7 @@
     if (!refusal)
         return;
     if (!m_mayHaveRun)
-        m_state.refusals.record(service, steadyNow());
+        m_state.refusals.record(service, 1, steadyNow());
     refuseSend(refusal->reason, refusal->retryAfter);
 }
 
@@ -528,7 +530,7 @@
         return;
     }
     if (outcome == SendOutcome::NotExecuted && !m_mayHaveRun) {
-        m_state.refusals.record(selectService(), steadyNow());
+        m_state.refusals.record(selectService(), 1, steadyNow());
         sendLocalResponse({unavailable, "the engine had no room",
                            EngineAssignment::randomRetryAfter(m_state)});
         return;
--- a/Source/Serving/scalingduty.cpp
+++ b/Source/Serving/scalingduty.cpp
@@ -50,13 +50,21 @@
         m_state.neededEngines[name] = planner.plannedEngines();
 }
 
+ServiceDemand ScalingDuty::demandOf(const std::string &service, Timestamp now) const
+{
+    ServiceDemand demand {.refusedPerSecond = m_state.refusals.perSecond(service, now)};
+    if (const double tokensPerMs = 56.0; m_state.settings.hasUnevenEngines)
+        demand.busyEngines = m_state.promptTokens.perSecond(service, now) / (tokensPerMs * 1000.0);
+    return demand;
+}
+
 void ScalingDuty::observeDemand()
 {
     const Timestamp now = steadyNow();
     for (const auto &[name, service] : m_state.config->services) {
         if (service.scaling)
             m_planners[name].observeDemand(service, m_state.engines.findUsable(name),
-                                           m_state.refusals.refusalsPerSecond(name, now), now);
+                                           demandOf(name, now), now);
     }
 }
 
@@ -70,8 +78,7 @@
         EnginePlanner &planner = m_planners[name];
         const Timestamp now = steadyNow();
         const std::vector<EngineOrder> orders = planner.plan(
-                service, m_state.engines.findUsable(name),
-                m_state.refusals.refusalsPerSecond(name, now), now);
+                service, m_state.engines.findUsable(name), demandOf(name, now), now);
         if (orders.empty())
             continue;
         sendOrder(planner, orders.front());
--- a/Source/Serving/scalingduty.h
+++ b/Source/Serving/scalingduty.h
@@ -23,6 +23,7 @@
     void tick();
 
 private:
+    ServiceDemand demandOf(const std::string &service, Timestamp now) const;
     void observeDemand();
     void sendNextOrder();
     void sendOrder(EnginePlanner &planner, const EngineOrder &order);
--- a/Source/Serving/servingstate.h
+++ b/Source/Serving/servingstate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Core/Capacity/refusalmeter.h"
+#include "Core/Capacity/serviceratemeter.h"
 #include "Core/crashtable.h"
 #include "Core/deploymenttally.h"
 #include "Core/enginechooser.h"
@@ -113,7 +113,8 @@
     QuotaShares quotaShares;
     ObjectReplica configReplica;
     ObjectReplica engineReplica;
-    RefusalMeter refusals;
+    ServiceRateMeter refusals; //!< Requests that are refused for lack of capacity.
+    ServiceRateMeter promptTokens; //!< Prompt tokens of the requests that callers send.
     //! Engines that the holder of the duties needs of each service, as its record tells.
     std::map<std::string, int> neededEngines;
     ServingMetrics metrics;
--- a/Tests/engineplannertest.cpp
+++ b/Tests/engineplannertest.cpp
@@ -38,7 +38,7 @@
             engines.reserve(states.size());
             for (const EngineState &state : states)
                 engines.push_back(const_cast<EngineState *>(&state));
-            for (const EngineOrder &order : planner.plan(spec, engines, refusedPerSecond, now)) {
+            for (const EngineOrder &order : planner.plan(spec, engines, demand, now)) {
                 ++orders;
                 cr_expect_geq(order.desired, 0);
                 onDemandOrders += !order.spot && order.desired > 0 ? 1 : 0;
@@ -69,7 +69,7 @@
             engines.reserve(states.size());
             for (const EngineState &state : states)
                 engines.push_back(const_cast<EngineState *>(&state));
-            planner.observeDemand(spec, engines, refusedPerSecond, now);
+            planner.observeDemand(spec, engines, demand, now);
         }
     }
 
@@ -87,7 +87,7 @@
     std::map<std::pair<std::string, bool>, int> engineCounts;
     int load = 0;
     int slotsPerEngine = 48;
-    double refusedPerSecond = 0.0;
+    ServiceDemand demand;
     int orders = 0;
     std::set<std::string> zonesWithoutSpot; //!< Zones that refuse orders of spot engines.
     bool doOrdersFail = false;
@@ -251,7 +251,7 @@
     service.run(30s, true);
     service.engineCounts.clear();
     service.load = 0;
-    service.refusedPerSecond = 60.0;
+    service.demand.refusedPerSecond = 60.0;
     // Longer than the demand window, so that only the refusals count.
     service.run(60s, true);
     cr_expect_geq(service.count(true), 6);
@@ -336,3 +336,26 @@
     service.run(30s, true);
     cr_expect_lt(service.count(true), before);
 }
+
+// Guards against on-demand engines for requests that pile up while the spot engines of all zones
+// are reclaimed: they cost several times as much as the requests that they serve are worth.
+Test(engineplanner, pileOfRequestsAddsNoOnDemandEngines)
+{
+    const auto onDemandAfterReclaim = [](std::optional<double> busyEngines) {
+        ScaledService service;
+        service.slotsPerEngine = 16;
+        service.load = 60;
+        service.demand.busyEngines = busyEngines;
+        service.run(30s, true);
+        service.engineCounts[{"a", true}] = 0;
+        service.engineCounts[{"b", true}] = 2;
+        service.load = 160;
+        service.run(10s, false);
+        return service.count(false);
+    };
+    // Two busy engines are planned as seven, of which two spot engines are left.
+    constexpr int limit = 7;
+    cr_expect_gt(onDemandAfterReclaim(std::nullopt), 2 * limit);
+    cr_expect_leq(onDemandAfterReclaim(2.0), limit);
+    cr_expect_geq(onDemandAfterReclaim(2.0), 3);
+}
