--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -13,7 +13,7 @@
 #include "Core/crashtable.h"
 #include "Core/deploymenttally.h"
 #include "Core/dutyterm.h"
-#include "Core/enginechooser.h"
+#include "Core/Placement/enginechooser.h"
 #include "Core/enginedirectory.h"
 #include "Core/engineentry.h"
 #include "Core/enginenotices.h"
--- a/Source/Serving/requestformat.h
+++ b/Source/Serving/requestformat.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Core/enginechooser.h"
+#include "Core/Placement/enginechooser.h"
 #include "Core/servingconfig.h"
 #include "Http/httptypes.h"
 
--- a/Source/Serving/servingstate.h
+++ b/Source/Serving/servingstate.h
@@ -2,7 +2,7 @@
 
 #include "Core/crashtable.h"
 #include "Core/deploymenttally.h"
-#include "Core/enginechooser.h"
+#include "Core/Placement/enginechooser.h"
 #include "Core/enginedirectory.h"
 #include "Core/enginenotices.h"
 #include "Core/objectreplica.h"
--- a/Tests/enginechoosertest.cpp
+++ b/Tests/enginechoosertest.cpp
@@ -1,4 +1,4 @@
-#include "Core/enginechooser.h"
+#include "Core/Placement/enginechooser.h"
 
 #include <criterion/criterion.h>
 
