Choose engines by learned cost where they may be uneven

Engines of one service can differ in speed, and the constants of EngineChooser fit only one kind of machine. EngineCostModel learns the speeds of each service and the delay factor of each engine process from the times to the first event, counts unread prompt tokens of all nodes, and predicts the time to the first event. The exchange carries unread tokens and the observed delays as sums. The load header may have a fourth number, the delay of the machine. Only deployments with uneven engines use it.

Measured: the existing tests of the chooser, the directory and the platform format pass.

--- a/Source/Core/Placement/enginechooser.cpp
+++ b/Source/Core/Placement/enginechooser.cpp
@@ -24,7 +24,8 @@
                                    const RequestSize &work, const ChoiceConditions &conditions,
                                    std::span<const std::string> tried, Timestamp now) const
 {
-    const std::vector<EngineState *> preferredEngines = findPreferredEngines(candidates, work);
+    const std::vector<EngineState *> preferredEngines = findPreferredEngines(candidates, work,
+                                                                             conditions, now);
     if (conditions.nodes > m_options.maxNodesForAllEngines
         && candidates.size() > m_options.comparedEngines) {
         std::vector<EngineState *> compared = sampleEngines(candidates, conditions.random);
@@ -58,6 +59,12 @@
     EngineChoice best;
     best.failure = EngineChoiceFailure::NoEngine;
     const std::int64_t unsharedTokens = work.parts.empty() ? 0 : work.parts.back().tokens;
+    const EngineCostModel *model = conditions.model;
+    const bool isLearned = model && !candidates.empty()
+            && model->isUneven(candidates.front()->entry.service);
+    std::minstd_rand generator(static_cast<std::minstd_rand::result_type>(conditions.random + 1));
+    std::uniform_real_distribution<double> jitter(
+            1.0, conditions.nodes > 1 ? 1.0 + m_options.costJitter : 1.0);
     bool isBestAvoided = true;
     for (EngineState *engine : candidates) {
         if (std::find(tried.begin(), tried.end(), engine->entry.id) != tried.end())
@@ -76,37 +83,84 @@
         double cost = static_cast<double>(tokensToPrefill) / m_options.prefillTokensPerMs;
         cost += m_options.msPerRequest * requests
                 + m_options.msPerThousandTokens * heldTokens / 1000.0;
-        cost += engine->entry.zone == conditions.zone ? 0.0 : m_options.zoneCrossingMs;
-        cost += m_options.failurePenaltyMs * engine->failureRate;
-        cost += static_cast<double>(
-                        std::min<std::int64_t>(engine->entry.warmupMs, maxCountedWarmupMs))
-                / warmupMsPerCostMs;
+        FirstEventPrediction prediction;
+        if (model)
+            prediction = model->predict(*engine, workAt(*engine, work, isPreferred, now), now);
+        if (isLearned)
+            cost = jitter(generator) * model->costMs(*engine, prediction);
+        cost += commonCostMs(*engine, conditions);
         // An avoided engine is chosen only if all other candidates are avoided too.
         const bool isAvoided = engine->avoidUntil > now;
         if (best.engine && std::pair(isBestAvoided, best.costMs) <= std::pair(isAvoided, cost))
             continue;
-        best = {.engine = engine, .costMs = cost};
+        best = {.engine = engine, .costMs = cost, .prediction = prediction};
         isBestAvoided = isAvoided;
     }
     return best;
 }
 
+/*!
+    Returns the part of the cost of \a engine that does not depend on the request.
+*/
+double EngineChooser::commonCostMs(const EngineState &engine,
+                                   const ChoiceConditions &conditions) const
+{
+    const auto warmupMs = std::min<std::int64_t>(engine.entry.warmupMs, maxCountedWarmupMs);
+    return (engine.entry.zone == conditions.zone ? 0.0 : m_options.zoneCrossingMs)
+            + m_options.failurePenaltyMs * engine.failureRate
+            + static_cast<double>(warmupMs) / warmupMsPerCostMs;
+}
+
+/*!
+    Returns what the time to the first event of \a work at \a engine depends on. A preferred engine
+    is expected to cache the shared parts of the prompt.
+*/
+WorkAtEngine EngineChooser::workAt(const EngineState &engine, const RequestSize &work,
+                                   bool isPreferred, Timestamp now)
+{
+    const auto least = static_cast<double>(work.unsharedTokens());
+    const auto most = static_cast<double>(work.promptTokens);
+    return {.readTokens = isPreferred ? least : most,
+            .leastTokens = std::min(least, most),
+            .mostTokens = most,
+            .unreadTokens = static_cast<double>(engine.ownLoad.unreadTokens
+                                                + engine.peerLoad.unreadTokens),
+            .requests = static_cast<double>(engine.requests(now)),
+            .heldTokens = static_cast<double>(engine.ownLoad.tokens + engine.peerLoad.tokens)};
+}
+
+/*!
+    Returns the number of engines that are expected to cache the prefix of \a work: enough that its
+    prompts keep each of them busy for a limited share of its time.
+*/
+std::size_t EngineChooser::preferredCount(const std::string &service, const RequestSize &work,
+                                          const ChoiceConditions &conditions, Timestamp now) const
+{
+    const std::size_t least = m_options.preferredEnginesPerPrefix;
+    if (!conditions.model || !conditions.model->isUneven(service))
+        return least;
+    const double busy = conditions.model->busyEngines(service, work.sharedPrefix().value_or(0),
+                                                      conditions.nodes, now);
+    return std::max(least, static_cast<std::size_t>(busy / m_options.maxPrefixUtilization));
+}
+
 std::vector<EngineState *>
 EngineChooser::findPreferredEngines(std::span<EngineState *const> candidates,
-                                    const RequestSize &work) const
+                                    const RequestSize &work, const ChoiceConditions &conditions,
+                                    Timestamp now) const
 {
-    // The last part is specific to the request. The id of the part before it identifies the
-    // longest prefix that other requests may have in common.
-    if (work.parts.size() < 2)
+    if (!work.sharedPrefix() || candidates.empty())
         return {};
-    const std::uint64_t prefix = work.parts[work.parts.size() - 2].id;
+    const std::uint64_t prefix = *work.sharedPrefix();
     std::vector<std::pair<std::uint64_t, EngineState *>> ranked;
     ranked.reserve(candidates.size());
     for (EngineState *engine : candidates) {
         const std::string &id = engine->entry.id;
         ranked.emplace_back(XXH3_64bits_withSeed(id.data(), id.size(), prefix), engine);
     }
-    const std::size_t n = std::min(m_options.preferredEnginesPerPrefix, ranked.size());
+    const std::size_t n = std::min(
+            preferredCount(candidates.front()->entry.service, work, conditions, now),
+            ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n), ranked.end(),
                       std::greater<>());
     std::vector<EngineState *> preferredEngines;
--- a/Source/Core/Placement/enginechooser.h
+++ b/Source/Core/Placement/enginechooser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Placement/enginecostmodel.h"
 #include "Core/enginedirectory.h"
 
 #include <span>
@@ -27,6 +28,21 @@
     std::int64_t outputTokens = 0; //!< Upper limit.
 
     std::int64_t tokens() const { return promptTokens + outputTokens; }
+
+    //! Returns the number of prompt tokens that no other request has in common.
+    std::int64_t unsharedTokens() const
+    {
+        return parts.empty() ? promptTokens : parts.back().tokens;
+    }
+
+    /*!
+        Returns the id that identifies the longest prefix which other requests may have in common:
+        the part before the last one, which is specific to the request.
+    */
+    std::optional<std::uint64_t> sharedPrefix() const
+    {
+        return parts.size() < 2 ? std::nullopt : std::optional(parts[parts.size() - 2].id);
+    }
 };
 
 struct EngineChooserOptions
@@ -48,6 +64,12 @@
     //! are older than the time between two requests, so all nodes would choose the same engine.
     int maxNodesForAllEngines = 16;
     std::size_t comparedEngines = 4; //!< Engines that a node of a larger deployment compares.
+    //! Share of its time that an engine should spend on the prompts of one prefix. Above it, more
+    //! engines are expected to cache the prefix.
+    double maxPrefixUtilization = 0.25;
+    //! A choice among learned costs multiplies each by a random factor up to 1 plus this, so that
+    //! nodes with the same reports do not all choose the same engine.
+    double costJitter = 0.15;
 };
 
 /*!
@@ -59,6 +81,8 @@
     std::string_view zone {}; //!< Zone of this node.
     int nodes = 1; //!< Nodes that send to the engines, with this one.
     std::uint64_t random = 0; //!< Random number of this choice.
+    //! What was learned of the engines; null where the engines of a service are alike.
+    const EngineCostModel *model = nullptr;
 };
 
 enum class EngineChoiceFailure {
@@ -71,11 +95,14 @@
 {
     EngineState *engine = nullptr;
     double costMs = 0.0; //!< Estimated cost of the choice, in milliseconds of delay.
+    //! Predicted time from sending the request to its first event. Zero without a cost model.
+    FirstEventPrediction prediction {};
     EngineChoiceFailure failure = EngineChoiceFailure::None;
 };
 
 /*!
-    Chooses the engine with the least estimated cost for a request.
+    Chooses the engine with the least estimated cost for a request. The cost is estimated with the
+    cost model where that has learned that a service's engines differ from the constants.
 
     The shared parts of prompts are assigned to engines by rendezvous hashing. All nodes therefore
     expect a part in the caches of the same engines without communicating with each other.
@@ -94,6 +121,11 @@
                         Timestamp now) const;
 
 private:
+    static WorkAtEngine workAt(const EngineState &engine, const RequestSize &work, bool isPreferred,
+                               Timestamp now);
+    double commonCostMs(const EngineState &engine, const ChoiceConditions &conditions) const;
+    std::size_t preferredCount(const std::string &service, const RequestSize &work,
+                               const ChoiceConditions &conditions, Timestamp now) const;
     EngineChoice chooseOf(std::span<EngineState *const> candidates,
                           std::span<EngineState *const> preferredEngines, const RequestSize &work,
                           const ChoiceConditions &conditions, std::span<const std::string> tried,
@@ -101,7 +133,9 @@
     std::vector<EngineState *> sampleEngines(std::span<EngineState *const> candidates,
                                              std::uint64_t random) const;
     std::vector<EngineState *> findPreferredEngines(std::span<EngineState *const> candidates,
-                                                    const RequestSize &work) const;
+                                                    const RequestSize &work,
+                                                    const ChoiceConditions &conditions,
+                                                    Timestamp now) const;
     bool hasRoom(const EngineState &engine, const RequestSize &work, std::int64_t memoryTokens,
                  Timestamp now) const;
 
--- a/Source/Core/deploymenttally.cpp
+++ b/Source/Core/deploymenttally.cpp
@@ -58,9 +58,24 @@
         wire::EngineShare &total = sum.engines[id];
         total.requests += share.requests;
         total.tokens += share.tokens;
+        // Nodes without uneven engines report no unread tokens and no delays.
+        if (share.__isset.unreadTokens)
+            total.__set_unreadTokens(total.unreadTokens + share.unreadTokens);
+        if (share.__isset.delayWeight && share.__isset.weightedLogDelay) {
+            total.__set_delayWeight(total.delayWeight + share.delayWeight);
+            total.__set_weightedLogDelay(total.weightedLogDelay + share.weightedLogDelay);
+        }
     }
 }
 
+EngineLoad loadOf(const wire::EngineShare &share)
+{
+    EngineLoad load {.requests = share.requests, .tokens = share.tokens};
+    load.unreadTokens = share.unreadTokens;
+    load.delay = {.weight = share.delayWeight, .weightedLog = share.weightedLogDelay};
+    return load;
+}
+
 void addCrashes(wire::Tally &sum, const wire::Tally &part)
 {
     for (const auto &[fingerprint, share] : part.crashes) {
@@ -276,19 +291,23 @@
     std::unordered_map<std::string, EngineLoad> loads;
     if (m_isAggregator) {
         for (const auto &[id, share] : sumOfPeers(now).engines)
-            loads[id] = {.requests = share.requests, .tokens = share.tokens};
+            loads[id] = loadOf(share);
         return loads;
     }
     if (now - m_digestAt >= loadRetention)
         return loads;
     const wire::Tally *own = ownReport(m_digest.acknowledged);
     for (const auto &[id, share] : m_digest.engines) {
-        EngineLoad load {.requests = share.requests, .tokens = share.tokens};
+        EngineLoad load = loadOf(share);
         if (own) {
             const auto part = own->engines.find(id);
             if (part != own->engines.end()) {
                 load.requests = std::max(load.requests - part->second.requests, 0);
                 load.tokens = std::max<std::int64_t>(load.tokens - part->second.tokens, 0);
+                load.unreadTokens = std::max<std::int64_t>(
+                        load.unreadTokens - part->second.unreadTokens, 0);
+                load.delay.weight -= part->second.delayWeight;
+                load.delay.weightedLog -= part->second.weightedLogDelay;
             }
         }
         loads[id] = load;
--- a/Source/Core/enginedirectory.cpp
+++ b/Source/Core/enginedirectory.cpp
@@ -29,6 +29,7 @@
         engine.avoidUntil = {};
         engine.connectFailures = 0;
         engine.failureRate = 0.0;
+        engine.delay = {};
     }
     engine.entry = entry;
     engine.usable = !entry.draining;
@@ -63,15 +64,17 @@
 {
     const int counted = ownLoad.requests + peerLoad.requests;
     return statedAt != Timestamp {} && now - statedAt < statedLoadLifetime
-            ? std::max(counted, statedRequests)
+            ? std::max(counted, statedLoad.requests())
             : counted;
 }
 
-void EngineDirectory::recordStatedLoad(const std::string &id, int requests, Timestamp now)
+void EngineDirectory::recordStatedLoad(const std::string &id, const StatedLoad &load, Timestamp now)
 {
     if (EngineState *engine = find(id)) {
-        engine->statedRequests = requests;
+        engine->statedLoad = load;
         engine->statedAt = now;
+        if (load.delayPercent)
+            engine->delay.recordStated(*load.delayPercent, now);
     }
 }
 
@@ -80,6 +83,7 @@
     if (EngineState *engine = find(id)) {
         engine->ownLoad.requests += load.requests;
         engine->ownLoad.tokens += load.tokens;
+        engine->ownLoad.unreadTokens += load.unreadTokens;
     }
 }
 
@@ -90,15 +94,24 @@
         return;
     engine->ownLoad.requests -= load.requests;
     engine->ownLoad.tokens -= load.tokens;
+    engine->ownLoad.unreadTokens -= load.unreadTokens;
     if (!engine->usable)
         removeIfUnused(id);
 }
 
-void EngineDirectory::setPeerLoads(const std::unordered_map<std::string, EngineLoad> &loads)
+void EngineDirectory::removeUnread(const std::string &id, std::int64_t tokens)
+{
+    if (EngineState *engine = find(id))
+        engine->ownLoad.unreadTokens -= tokens;
+}
+
+void EngineDirectory::setPeerLoads(const std::unordered_map<std::string, EngineLoad> &loads,
+                                   Timestamp now)
 {
     for (auto &[id, engine] : m_engines) {
         const auto found = loads.find(id);
         engine.peerLoad = found == loads.end() ? EngineLoad {} : found->second;
+        engine.delay.setPeerSums(engine.peerLoad.delay, now);
     }
 }
 
--- a/Source/Core/enginedirectory.h
+++ b/Source/Core/enginedirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Placement/enginedelay.h"
 #include "Core/engineentry.h"
 #include "Core/ports.h"
 
@@ -18,6 +19,22 @@
 {
     int requests = 0; //!< Requests in progress.
     std::int64_t tokens = 0; //!< Tokens that these requests hold in the engine's memory.
+    std::int64_t unreadTokens = 0; //!< Prompt tokens of requests that have no first event yet.
+    DelaySums delay; //!< Delays that the nodes observed.
+};
+
+/*!
+    Load that an engine states about itself.
+*/
+struct StatedLoad
+{
+    int running = 0; //!< Requests that it processes.
+    int waiting = 0; //!< Requests that wait in it.
+    int slots = 0; //!< Requests that it can process at the same time.
+    //! Time that work takes on the machine at this moment, where 100 means as usual.
+    std::optional<double> delayPercent {};
+
+    int requests() const { return running + waiting; }
 };
 
 /*!
@@ -35,8 +52,9 @@
     double firstByteMs = 0.0; //!< Moving average of the time to the first byte.
     EngineLoad ownLoad; //!< Load that this node causes.
     EngineLoad peerLoad; //!< Load that the other nodes reported.
-    int statedRequests = 0; //!< Requests that the engine itself stated in a response at statedAt.
+    StatedLoad statedLoad; //!< Load that the engine itself stated in a response at statedAt.
     Timestamp statedAt {}; //!< Zero if the engine has stated nothing.
+    EngineDelay delay; //!< Forgotten with a new incarnation.
 
     /*!
         Returns the number of requests at the engine at \a now. If the engine has recently stated
@@ -80,10 +98,15 @@
     void addLoad(const std::string &id, EngineLoad load);
     void removeLoad(const std::string &id, EngineLoad load);
 
+    /*!
+        Removes \a tokens from the prompt tokens that the engine \a id has not read.
+    */
+    void removeUnread(const std::string &id, std::int64_t tokens);
+
     /*!
         Replaces the load that the peers cause at each engine by \a loads.
     */
-    void setPeerLoads(const std::unordered_map<std::string, EngineLoad> &loads);
+    void setPeerLoads(const std::unordered_map<std::string, EngineLoad> &loads, Timestamp now);
 
     /*!
         Records a failed connection. The engine is avoided for a time that doubles with each
@@ -97,9 +120,9 @@
     void recordAnswer(const std::string &id, bool success, Duration firstByte);
 
     /*!
-        Records that the engine \a id stated that it has \a requests requests.
+        Records the \a load that the engine \a id stated.
     */
-    void recordStatedLoad(const std::string &id, int requests, Timestamp now);
+    void recordStatedLoad(const std::string &id, const StatedLoad &load, Timestamp now);
 
     /*!
         Avoids the engine \a id for a short time after it refused a request for lack of capacity.
--- a/Source/Serving/engineassignment.cpp
+++ b/Source/Serving/engineassignment.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace sesame {
 
@@ -40,7 +41,8 @@
             .memoryTokens = demand.spec && demand.spec->isModel ? demand.spec->memoryTokens : 0,
             .zone = m_state.settings.zone,
             .nodes = m_state.quotaShares.nodes,
-            .random = m_state.random()};
+            .random = m_state.random(),
+            .model = m_state.settings.hasUnevenEngines ? &m_state.costModel : nullptr};
     EngineChoice choice;
     while (demand.spec) {
         choice = m_state.chooser.choose(candidates, demand.work, conditions, m_tried, steadyNow());
@@ -88,8 +90,11 @@
     m_engineId = engine.entry.id;
     m_inputs = {.requests = engine.ownLoad.requests + engine.peerLoad.requests,
                 .tokens = engine.ownLoad.tokens + engine.peerLoad.tokens,
-                .costMs = choice.costMs};
+                .costMs = choice.costMs,
+                .predictedMs = choice.prediction.ms};
+    m_prediction = choice.prediction;
     m_load = {.requests = 1, .tokens = demand.work.tokens()};
+    m_load.unreadTokens = static_cast<std::int64_t>(m_prediction.work.readTokens);
     m_state.engines.addLoad(m_engineId, m_load);
     // Each node may use its share of the engine's connections, but at least one.
     const int most = demand.spec->maxConnections;
@@ -112,8 +117,57 @@
     return started;
 }
 
+void EngineAssignment::recordSent(const RequestSize &work)
+{
+    EngineState *engine = m_state.engines.find(m_engineId);
+    if (!engine || !m_state.settings.hasUnevenEngines)
+        return;
+    m_sentAt = steadyNow();
+    m_sentIncarnation = engine->entry.incarnation;
+    engine->delay.begin(sendId(), m_prediction.nominalMs, *m_sentAt);
+    if (const auto prefix = work.sharedPrefix())
+        m_state.costModel.recordPrefix(*prefix, static_cast<double>(work.unsharedTokens()),
+                                       *m_sentAt);
+}
+
+std::optional<FirstEventTimes> EngineAssignment::recordFirstEvent()
+{
+    if (!m_sentAt)
+        return std::nullopt;
+    const Timestamp now = steadyNow();
+    const FirstEventTimes times {.predictedMs = m_prediction.ms, .observedMs = msSinceSent(now)};
+    if (EngineState *engine = endWaiting())
+        m_state.costModel.recordFirstEvent(*engine, m_prediction, times.observedMs, now);
+    return times;
+}
+
+double EngineAssignment::msSinceSent(Timestamp now) const
+{
+    return std::chrono::duration<double, std::milli>(now - *m_sentAt).count();
+}
+
+/*!
+    Ends the time in which the request waits for its first event. Returns the engine if its process
+    is still the one that the request was sent to, or null.
+*/
+EngineState *EngineAssignment::endWaiting()
+{
+    m_sentAt.reset();
+    m_state.engines.removeUnread(m_engineId, std::exchange(m_load.unreadTokens, 0));
+    EngineState *engine = m_state.engines.find(m_engineId);
+    if (engine)
+        engine->delay.end(sendId());
+    return engine && engine->entry.incarnation == m_sentIncarnation ? engine : nullptr;
+}
+
 void EngineAssignment::release(bool keepConnection)
 {
+    if (m_sentAt) {
+        const Timestamp now = steadyNow();
+        const double elapsedMs = msSinceSent(now);
+        if (EngineState *engine = endWaiting())
+            EngineCostModel::recordNoEvent(*engine, m_prediction, elapsedMs, now);
+    }
     if (m_connection) {
         if (!keepConnection)
             m_connection->close();
--- a/Source/Serving/engineassignment.h
+++ b/Source/Serving/engineassignment.h
@@ -31,6 +31,15 @@
     Milliseconds retryAfter {0};
 };
 
+/*!
+    Predicted and observed time from sending a request to its first event.
+*/
+struct FirstEventTimes
+{
+    double predictedMs = 0.0;
+    double observedMs = 0.0;
+};
+
 /*!
     The engine to which a request is assigned, with the load that it causes there and a connection.
     Chooses another engine for each assignment of the same request.
@@ -47,6 +56,7 @@
         int requests = 0; //!< Requests of all nodes at the engine when it was chosen.
         std::int64_t tokens = 0; //!< Tokens of these requests.
         double costMs = 0.0; //!< Cost of the choice in milliseconds.
+        double predictedMs = 0.0; //!< Predicted time to the first event; 0 without a cost model.
     };
 
     /*!
@@ -64,6 +74,17 @@
     */
     std::optional<EngineRefusal> assign(const EngineDemand &demand, const Completion &completion);
 
+    /*!
+        Records that the request, of the size \a work, was sent on the connection.
+    */
+    void recordSent(const RequestSize &work);
+
+    /*!
+        Records the first event of a stream, or the beginning of another successful response, and
+        returns its times. Returns std::nullopt if it was recorded before or nothing is learned.
+    */
+    std::optional<FirstEventTimes> recordFirstEvent();
+
     /*!
         Ends the assignment. Closes the connection unless \a keepConnection is set.
     */
@@ -89,6 +110,10 @@
 private:
     bool reserve(const EngineChoice &choice, const EngineDemand &demand,
                  const Completion &completion);
+    //! Returns a number that tells this assignment's sends from those of others.
+    std::uint64_t sendId() const { return reinterpret_cast<std::uintptr_t>(this); }
+    double msSinceSent(Timestamp now) const;
+    EngineState *endWaiting();
     EngineRefusal makeRefusal(const EngineDemand &demand, bool isWithheld, bool isKnown) const;
 
     ServingState &m_state;
@@ -96,6 +121,9 @@
     std::string m_engineId;
     EngineLoad m_load;
     ChoiceInputs m_inputs;
+    FirstEventPrediction m_prediction;
+    std::optional<Timestamp> m_sentAt; //!< Set while the request has no first event.
+    std::int64_t m_sentIncarnation = 0; //!< Of the engine that the request was sent to.
     Connection m_connection;
     std::vector<std::string> m_tried; //!< Engines in the order in which they were chosen.
 };
--- a/Source/Serving/nodeexchange.cpp
+++ b/Source/Serving/nodeexchange.cpp
@@ -100,6 +100,12 @@
         wire::EngineShare share;
         share.requests = engine.ownLoad.requests;
         share.tokens = engine.ownLoad.tokens;
+        if (m_state.settings.hasUnevenEngines) {
+            const DelaySums delay = engine.delay.ownSums(steadyNow());
+            share.__set_unreadTokens(engine.ownLoad.unreadTokens);
+            share.__set_delayWeight(delay.weight);
+            share.__set_weightedLogDelay(delay.weightedLog);
+        }
         tally.engines[id] = share;
     }
     m_state.crashes.visitOwn([&](std::uint64_t fingerprint, const CrashCount &count) {
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -228,6 +228,7 @@
     m_responseBody.clear();
     m_responseStatus = 0;
     m_eventSplitter.dropPartial();
+    m_assignment.recordSent(m_requestInfo.work);
     m_assignment.connection()->send(std::move(text), method == "HEAD", makeResponseSink());
     restartStallTimer();
     logSend(engineRequest.remainingTime);
@@ -246,6 +247,7 @@
               {"engine_requests", static_cast<std::int64_t>(m_assignment.inputs().requests)},
               {"engine_tokens", m_assignment.inputs().tokens},
               {"estimate_ms", m_assignment.inputs().costMs},
+              {"predicted_ms", m_assignment.inputs().predictedMs},
               {"silent_peers", m_state.quotaShares.silentShare()},
               {"after", m_eventSplitter.lastId()},
               {"remaining_ms", static_cast<std::int64_t>(remainingTime.count())}});
@@ -300,9 +302,8 @@
                                       .status = m_responseStatus,
                                       .info = info});
     m_state.metrics.recordFirstByte(selectService(), steadyNow() - m_sendStartTime);
-    if (info.engineRequests)
-        m_state.engines.recordStatedLoad(m_assignment.engineId(), *info.engineRequests,
-                                         steadyNow());
+    if (info.engineLoad)
+        m_state.engines.recordStatedLoad(m_assignment.engineId(), *info.engineLoad, steadyNow());
     // An answer without an id may belong to an earlier request on the connection. Only events can
     // continue a stream of which the caller has received some.
     const bool isUnidentified = info.id.empty() && !m_requestInfo.id.empty();
@@ -316,6 +317,8 @@
         || (m_isStreamStarted && !isSuccessStatus(m_responseStatus) && !info.notExecuted)) {
         m_assignment.connection()->close();
         handleUnsuccessfulSend(isInvalid ? SendOutcome::Unknown : SendOutcome::Failed);
+    } else if (isSuccessStatus(m_responseStatus) && !info.isEventStream) {
+        recordFirstEvent();
     }
     return ResponseSink::Verdict::Take;
 }
@@ -356,6 +359,7 @@
         return;
     if (!m_isStreamStarted)
         m_firstEventTime = steadyNow();
+    recordFirstEvent();
     countUsageOnce();
     if (m_eventSplitter.eventCount() > eventsOfBeginning)
         recordAnswerOnce();
@@ -365,6 +369,16 @@
         m_assignment.connection()->setPaused(true);
 }
 
+/*!
+    Records the time to the first event of the current send.
+*/
+void ProxiedRequest::recordFirstEvent()
+{
+    if (const auto times = m_assignment.recordFirstEvent())
+        m_state.metrics.recordPrediction(routeKindName(route().kind), times->predictedMs,
+                                         times->observedMs);
+}
+
 void ProxiedRequest::beginStreamRelay()
 {
     if (m_isStreamStarted)
--- a/Source/Serving/proxiedrequest.h
+++ b/Source/Serving/proxiedrequest.h
@@ -64,6 +64,7 @@
     void logExchangeFailure(std::string_view reason) const;
     void checkForCrash();
     void relayEvents(const std::string &events);
+    void recordFirstEvent();
     void beginStreamRelay();
     void relayBufferedResponse();
     static std::string_view sendOutcomeName(SendOutcome outcome);
--- a/Source/Serving/requestformat.h
+++ b/Source/Serving/requestformat.h
@@ -58,8 +58,8 @@
     //! The body has a content encoding, so that its bytes are not those of the engine.
     bool isEncoded = false;
     bool isEventStream = false;
-    //! Requests at the engine when it began the response; unset if it does not tell its load.
-    std::optional<int> engineRequests {};
+    //! Load of the engine when it began the response; unset if it does not tell it.
+    std::optional<StatedLoad> engineLoad {};
     bool isLeaving = false; //!< The engine is going to end.
     RetryTime retryAfter;
 };
--- a/Source/Serving/servingmetrics.cpp
+++ b/Source/Serving/servingmetrics.cpp
@@ -37,7 +37,7 @@
 {
     const std::string label = "kind=\"" + std::string(kind) + "\"";
     ++m_counters["sesame_requests_total{" + label + ",status=\"" + std::to_string(status) + "\"}"];
-    recordLatency(m_requestSeconds, label, duration);
+    recordLatency(m_requestSeconds, label, std::chrono::duration<double>(duration).count());
 }
 
 void ServingMetrics::recordSend(std::string_view service, std::string_view result)
@@ -54,16 +54,23 @@
 
 void ServingMetrics::recordFirstByte(std::string_view service, Duration duration)
 {
-    recordLatency(m_firstByteSeconds, "service=\"" + std::string(service) + "\"", duration);
+    recordLatency(m_firstByteSeconds, "service=\"" + std::string(service) + "\"",
+                  std::chrono::duration<double>(duration).count());
+}
+
+void ServingMetrics::recordPrediction(std::string_view kind, double predictedMs, double observedMs)
+{
+    if (predictedMs > 0.0)
+        recordLatency(m_predictionRatios, "kind=\"" + std::string(kind) + "\"",
+                      observedMs / predictedMs);
 }
 
 void ServingMetrics::recordLatency(LatencyHistograms &histograms, const std::string &label,
-                                   Duration duration)
+                                   double value)
 {
     LatencyHistogram &histogram = histograms[label];
-    const double seconds = std::chrono::duration<double>(duration).count();
-    histogram.buckets(seconds);
-    histogram.sum += seconds;
+    histogram.buckets(value);
+    histogram.sum += value;
 }
 
 void ServingMetrics::renderLatencies(std::string &text, const std::string &name,
@@ -94,6 +101,7 @@
         absl::StrAppend(&text, "sesame_", series, " ", value, "\n");
     renderLatencies(text, "sesame_request_seconds", m_requestSeconds);
     renderLatencies(text, "sesame_engine_first_byte_seconds", m_firstByteSeconds);
+    renderLatencies(text, "sesame_first_event_observed_to_predicted", m_predictionRatios);
     return text;
 }
 
--- a/Source/Serving/servingmetrics.h
+++ b/Source/Serving/servingmetrics.h
@@ -43,6 +43,12 @@
     */
     void recordFirstByte(std::string_view service, Duration duration);
 
+    /*!
+        Records that the first event of a request to a route of \a kind was predicted after
+        \a predictedMs and arrived after \a observedMs.
+    */
+    void recordPrediction(std::string_view kind, double predictedMs, double observedMs);
+
     /*!
         Sets a gauge. \a series is its name without the "sesame_" prefix, followed by its labels in
         braces, if any.
@@ -62,13 +68,13 @@
         LatencyHistogram();
 
         Buckets buckets;
-        double sum = 0.0; //!< Seconds.
+        double sum = 0.0; //!< Seconds, or a ratio of times.
     };
     //! Histograms by label pair.
     using LatencyHistograms = std::map<std::string, LatencyHistogram, std::less<>>;
 
     static void recordLatency(LatencyHistograms &histograms, const std::string &label,
-                              Duration duration);
+                              double value);
     static void renderLatencies(std::string &text, const std::string &name,
                                 const LatencyHistograms &histograms);
 
@@ -76,6 +82,7 @@
     std::map<std::string, double> m_gauges; //!< The key is the series.
     LatencyHistograms m_requestSeconds;
     LatencyHistograms m_firstByteSeconds;
+    LatencyHistograms m_predictionRatios; //!< Observed divided by predicted time.
 };
 
 /*!
--- a/Source/Serving/servingstate.cpp
+++ b/Source/Serving/servingstate.cpp
@@ -83,7 +83,7 @@
 void ServingState::refreshPeerState()
 {
     const Timestamp now = steadyNow();
-    engines.setPeerLoads(tally.peerLoads(now));
+    engines.setPeerLoads(tally.peerLoads(now), now);
     for (const auto &[fingerprint, count] : tally.peerCrashCounts(now))
         crashes.setPeerCount(fingerprint, count, now);
     const std::size_t refusals = promptCrashes.refusals().size();
--- a/Source/Serving/servingstate.h
+++ b/Source/Serving/servingstate.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "Core/Placement/enginechooser.h"
+#include "Core/Placement/enginecostmodel.h"
 #include "Core/crashtable.h"
 #include "Core/deploymenttally.h"
-#include "Core/Placement/enginechooser.h"
 #include "Core/enginedirectory.h"
 #include "Core/enginenotices.h"
 #include "Core/objectreplica.h"
@@ -100,6 +101,7 @@
     EngineDirectory engines;
     EngineNotices engineNotices; //!< Times are from the clock that counts suspension.
     EngineChooser chooser;
+    EngineCostModel costModel; //!< Used where the engines of a service may be uneven.
     EngineConnectionPool connectionPool;
     ResendBudget resendBudget;
     std::unordered_map<std::string, QuotaBucket> quotas; //!< The key is the account.
--- a/Tests/enginechoosertest.cpp
+++ b/Tests/enginechoosertest.cpp
@@ -108,7 +108,7 @@
     Engines engines(2);
     const EngineChooser chooser;
     const Timestamp now {1h};
-    engines.states[0].statedRequests = 7;
+    engines.states[0].statedLoad.running = 7;
     engines.states[0].statedAt = now;
     engines.states[1].ownLoad.requests = 1;
     EngineChoice choice = chooser.choose(engines.pointers, {}, {.zone = "z"}, {}, now + 100ms);
--- a/Tests/platformformattest.cpp
+++ b/Tests/platformformattest.cpp
@@ -100,13 +100,22 @@
 {
     const platform::PlatformRequestFormat format;
     ResponseHead head;
-    cr_expect_not(format.readResponse(head).engineRequests.has_value());
+    cr_expect_not(format.readResponse(head).engineLoad.has_value());
     head.set("Sesameproxy-Instance-Load", "12,3,64");
-    cr_expect_eq(format.readResponse(head).engineRequests.value_or(-1), 15);
-    for (const auto *bad :
-         {"", "12", "12,3", "a,3,64", "12,-3,64", "12,3,64,1", "12,99999999,64"}) {
+    std::optional<StatedLoad> load = format.readResponse(head).engineLoad;
+    cr_assert(load.has_value());
+    cr_expect_eq(load->requests(), 15);
+    cr_expect_eq(load->slots, 64);
+    cr_expect_not(load->delayPercent.has_value());
+    head.set("Sesameproxy-Instance-Load", "12,3,64,250");
+    load = format.readResponse(head).engineLoad;
+    cr_assert(load.has_value());
+    cr_expect_eq(load->requests(), 15);
+    cr_expect_eq(load->delayPercent.value_or(0.0), 250.0);
+    for (const auto *bad : {"", "12", "12,3", "a,3,64", "12,-3,64", "12,3,64,0", "12,3,64,-5",
+                            "12,3,64,nan", "12,3,64,", "12,3,64,100,1", "12,99999999,64"}) {
         head.set("Sesameproxy-Instance-Load", bad);
-        cr_expect_not(format.readResponse(head).engineRequests.has_value(), "%s", bad);
+        cr_expect_not(format.readResponse(head).engineLoad.has_value(), "%s", bad);
     }
 }
 
