--- a/Source/Serving/scalingduty.cpp
+++ b/Source/Serving/scalingduty.cpp
@@ -53,8 +53,13 @@
 ServiceDemand ScalingDuty::demandOf(const std::string &service, Timestamp now) const
 {
     ServiceDemand demand {.refusedPerSecond = m_state.refusals.perSecond(service, now)};
-    if (const double tokensPerMs = 56.0; m_state.settings.hasUnevenEngines)
-        demand.busyEngines = m_state.promptTokens.perSecond(service, now) / (tokensPerMs * 1000.0);
+    const std::optional<double> msPerToken = m_state.settings.hasUnevenEngines
+            ? m_state.costModel.msPerPromptToken(service)
+            : std::nullopt;
+    constexpr double msPerSecond = 1000.0;
+    if (msPerToken)
+        demand.busyEngines = m_state.promptTokens.perSecond(service, now) * *msPerToken
+                / msPerSecond;
     return demand;
 }
 
