Average the peers' unread tokens and delays over their reports

Most prompts that a report counts as unread have been read when it arrives, so nodes avoided engines for work that was done and met at others. The mean over a second predicts better, unless much more waits than can have been read. Reports name an engine only while its node has a request there, so their delays are added up over time.

--- a/Source/Core/Placement/enginechooser.cpp
+++ b/Source/Core/Placement/enginechooser.cpp
@@ -17,6 +17,20 @@
 constexpr double warmupMsPerCostMs = 10.0;
 //! Factor by which the tokens held by requests may exceed the planned share of the memory.
 constexpr double memoryOvercommit = 1.5;
+//! Prompt tokens that an engine reads until a report of them arrives, at least.
+constexpr double tokensReadPerReport = 10000.0;
+
+/*!
+    Returns the prompt tokens of other requests that \a engine is expected to read first. Most of
+    what other nodes reported has been read when the report arrives, and others have come, so that
+    their average tells more, unless much more is waiting than can have been read.
+*/
+double unreadTokensAt(const EngineState &engine)
+{
+    const auto reported = static_cast<double>(engine.peerLoad.unreadTokens);
+    return static_cast<double>(engine.ownLoad.unreadTokens)
+            + std::max(engine.usualPeerUnread, reported - tokensReadPerReport);
+}
 
 } // namespace
 
@@ -28,8 +42,12 @@
                                                                              conditions, now);
     if (conditions.nodes > m_options.maxNodesForAllEngines
         && candidates.size() > m_options.comparedEngines) {
-        std::vector<EngineState *> compared = sampleEngines(candidates, conditions.random);
-        compared.insert(compared.end(), preferredEngines.begin(), preferredEngines.end());
+        std::vector<EngineState *> compared = sampleEngines(candidates, m_options.comparedEngines,
+                                                            conditions.random);
+        // Of many engines that cache the prefix, nodes with the same reports would choose the same.
+        const std::vector<EngineState *> cached = sampleEngines(
+                preferredEngines, m_options.preferredEnginesPerPrefix, conditions.random + 1);
+        compared.insert(compared.end(), cached.begin(), cached.end());
         const EngineChoice choice = chooseOf(compared, preferredEngines, work, conditions, tried,
                                              now);
         if (choice.engine && choice.engine->avoidUntil <= now)
@@ -39,15 +57,14 @@
 }
 
 /*!
-    Returns some engines of \a candidates, chosen by \a random.
+    Returns \a n engines of \a candidates, chosen by \a random.
 */
 std::vector<EngineState *> EngineChooser::sampleEngines(std::span<EngineState *const> candidates,
-                                                        std::uint64_t random) const
+                                                        std::size_t n, std::uint64_t random)
 {
     std::minstd_rand generator(static_cast<std::minstd_rand::result_type>(random));
     std::vector<EngineState *> sample;
-    std::sample(candidates.begin(), candidates.end(), std::back_inserter(sample),
-                m_options.comparedEngines, generator);
+    std::sample(candidates.begin(), candidates.end(), std::back_inserter(sample), n, generator);
     return sample;
 }
 
@@ -123,8 +140,7 @@
     return {.readTokens = isPreferred ? least : most,
             .leastTokens = std::min(least, most),
             .mostTokens = most,
-            .unreadTokens = static_cast<double>(engine.ownLoad.unreadTokens
-                                                + engine.peerLoad.unreadTokens),
+            .unreadTokens = unreadTokensAt(engine),
             .requests = static_cast<double>(engine.requests(now)),
             .heldTokens = static_cast<double>(engine.ownLoad.tokens + engine.peerLoad.tokens)};
 }
--- a/Source/Core/Placement/enginechooser.h
+++ b/Source/Core/Placement/enginechooser.h
@@ -130,8 +130,8 @@
                           std::span<EngineState *const> preferredEngines, const RequestSize &work,
                           const ChoiceConditions &conditions, std::span<const std::string> tried,
                           Timestamp now) const;
-    std::vector<EngineState *> sampleEngines(std::span<EngineState *const> candidates,
-                                             std::uint64_t random) const;
+    static std::vector<EngineState *> sampleEngines(std::span<EngineState *const> candidates,
+                                                    std::size_t n, std::uint64_t random);
     std::vector<EngineState *> findPreferredEngines(std::span<EngineState *const> candidates,
                                                     const RequestSize &work,
                                                     const ChoiceConditions &conditions,
--- a/Source/Core/Placement/enginedelay.cpp
+++ b/Source/Core/Placement/enginedelay.cpp
@@ -14,13 +14,16 @@
 constexpr Duration fadeTime = 8s;
 //! Time in which the recent part falls to 37%. Disturbances by other work last less than a second.
 constexpr Duration recentFadeTime = 500ms;
+//! Time for which a node's reports name an engine after a request, about. Reports name only engines
+//! that have requests, so that each contains the observations of a few nodes.
+constexpr Duration peerNamingTime = 1s;
 //! Weight of the service's mean, at which an engine without observations starts.
-constexpr double priorWeight = 2.0;
+constexpr double priorWeight = 5.0;
 //! Limits of a single observation: a request behind a stopped engine says nothing about speed.
 constexpr double minLog = -1.2;
 constexpr double maxLog = 2.0;
 //! Smaller excesses over the mean are within the usual spread of answers.
-constexpr double recentThreshold = 0.4;
+constexpr double recentThreshold = 0.7;
 //! Time for which a stated delay is used; it changes many times a second.
 constexpr Duration statedDelayLifetime = 300ms;
 
@@ -49,10 +52,14 @@
 
 void EngineDelay::setPeerSums(const DelaySums &sums, Timestamp now)
 {
-    const double kept = m_peers.weight * decay(m_peersAt, now, fadeTime);
-    if (sums.weight <= 0.0 || sums.weight < kept)
-        return;
-    m_peers = sums;
+    const double kept = decay(m_peersAt, now, fadeTime);
+    const double share = m_peersAt == Timestamp {}
+            ? 0.0
+            : std::min(std::chrono::duration<double>(now - m_peersAt)
+                               / std::chrono::duration<double>(peerNamingTime),
+                       1.0);
+    m_peers.weight = kept * m_peers.weight + share * sums.weight;
+    m_peers.weightedLog = kept * m_peers.weightedLog + share * sums.weightedLog;
     m_peersAt = now;
 }
 
--- a/Source/Core/enginedirectory.cpp
+++ b/Source/Core/enginedirectory.cpp
@@ -1,6 +1,7 @@
 #include "Core/enginedirectory.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sesame {
 
@@ -15,6 +16,8 @@
 constexpr Duration noCapacityAvoidTime = 40ms;
 //! Time for which the load that an engine stated is newer than the reports of other nodes.
 constexpr Duration statedLoadLifetime = 500ms;
+//! Time over which the unread tokens of the other nodes are averaged.
+constexpr Duration unreadAverageTime = 1s;
 //! Weight of the newest request in the moving averages.
 constexpr double newestSampleWeight = 0.1;
 
@@ -68,6 +71,19 @@
             : counted;
 }
 
+void EngineState::setPeerLoad(const EngineLoad &load, Timestamp now)
+{
+    const double age = std::chrono::duration<double>(now - peerLoadAt).count();
+    const double kept = peerLoadAt == Timestamp {}
+            ? 0.0
+            : std::exp(-age / std::chrono::duration<double>(unreadAverageTime).count());
+    usualPeerUnread = kept * usualPeerUnread
+            + (1.0 - kept) * static_cast<double>(load.unreadTokens);
+    peerLoad = load;
+    peerLoadAt = now;
+    delay.setPeerSums(load.delay, now);
+}
+
 void EngineDirectory::recordStatedLoad(const std::string &id, const StatedLoad &load, Timestamp now)
 {
     if (EngineState *engine = find(id)) {
@@ -110,8 +126,7 @@
 {
     for (auto &[id, engine] : m_engines) {
         const auto found = loads.find(id);
-        engine.peerLoad = found == loads.end() ? EngineLoad {} : found->second;
-        engine.delay.setPeerSums(engine.peerLoad.delay, now);
+        engine.setPeerLoad(found == loads.end() ? EngineLoad {} : found->second, now);
     }
 }
 
--- a/Source/Core/enginedirectory.h
+++ b/Source/Core/enginedirectory.h
@@ -52,6 +52,8 @@
     double firstByteMs = 0.0; //!< Moving average of the time to the first byte.
     EngineLoad ownLoad; //!< Load that this node causes.
     EngineLoad peerLoad; //!< Load that the other nodes reported.
+    double usualPeerUnread = 0.0; //!< Moving average of the unread tokens that they reported.
+    Timestamp peerLoadAt {}; //!< Time of the last report.
     StatedLoad statedLoad; //!< Load that the engine itself stated in a response at statedAt.
     Timestamp statedAt {}; //!< Zero if the engine has stated nothing.
     EngineDelay delay; //!< Forgotten with a new incarnation.
@@ -62,6 +64,11 @@
         missing.
     */
     int requests(Timestamp now) const;
+
+    /*!
+        Replaces the load that the other nodes reported.
+    */
+    void setPeerLoad(const EngineLoad &load, Timestamp now);
 };
 
 /*!
