Limit the delays in a datagram and test the cost model and the placement

A digest with the delays of 1,400 engines would come near the size limit of a datagram, so each one contains those of about 100 engines in turn.

--- a/Source/Core/Placement/enginechooser.cpp
+++ b/Source/Core/Placement/enginechooser.cpp
@@ -17,20 +17,6 @@
 constexpr double warmupMsPerCostMs = 10.0;
 //! Factor by which the tokens held by requests may exceed the planned share of the memory.
 constexpr double memoryOvercommit = 1.5;
-//! Prompt tokens that an engine reads until a report of them arrives, at least.
-constexpr double tokensReadPerReport = 10000.0;
-
-/*!
-    Returns the prompt tokens of other requests that \a engine is expected to read first. Most of
-    what other nodes reported has been read when the report arrives, and others have come, so that
-    their average tells more, unless much more is waiting than can have been read.
-*/
-double unreadTokensAt(const EngineState &engine)
-{
-    const auto reported = static_cast<double>(engine.peerLoad.unreadTokens);
-    return static_cast<double>(engine.ownLoad.unreadTokens)
-            + std::max(engine.usualPeerUnread, reported - tokensReadPerReport);
-}
 
 } // namespace
 
@@ -128,12 +114,24 @@
             + static_cast<double>(warmupMs) / warmupMsPerCostMs;
 }
 
+/*!
+    Returns the prompt tokens of other requests that \a engine is expected to read first. Most of
+    what other nodes reported has been read when the report arrives, and others have come, so that
+    their average tells more, unless much more is waiting than can have been read.
+*/
+double EngineChooser::unreadTokensAt(const EngineState &engine) const
+{
+    const auto reported = static_cast<double>(engine.peerLoad.unreadTokens);
+    return static_cast<double>(engine.ownLoad.unreadTokens)
+            + std::max(engine.usualPeerUnread, reported - m_options.tokensReadPerReport);
+}
+
 /*!
     Returns what the time to the first event of \a work at \a engine depends on. A preferred engine
     is expected to cache the shared parts of the prompt.
 */
 WorkAtEngine EngineChooser::workAt(const EngineState &engine, const RequestSize &work,
-                                   bool isPreferred, Timestamp now)
+                                   bool isPreferred, Timestamp now) const
 {
     const auto least = static_cast<double>(work.unsharedTokens());
     const auto most = static_cast<double>(work.promptTokens);
--- a/Source/Core/Placement/enginechooser.h
+++ b/Source/Core/Placement/enginechooser.h
@@ -67,6 +67,8 @@
     //! Share of its time that an engine should spend on the prompts of one prefix. Above it, more
     //! engines are expected to cache the prefix.
     double maxPrefixUtilization = 0.25;
+    //! Prompt tokens that an engine reads at least until a report of them arrives.
+    double tokensReadPerReport = 10000.0;
     //! A choice among learned costs multiplies each by a random factor up to 1 plus this, so that
     //! nodes with the same reports do not all choose the same engine.
     double costJitter = 0.15;
@@ -121,8 +123,9 @@
                         Timestamp now) const;
 
 private:
-    static WorkAtEngine workAt(const EngineState &engine, const RequestSize &work, bool isPreferred,
-                               Timestamp now);
+    double unreadTokensAt(const EngineState &engine) const;
+    WorkAtEngine workAt(const EngineState &engine, const RequestSize &work, bool isPreferred,
+                        Timestamp now) const;
     double commonCostMs(const EngineState &engine, const ChoiceConditions &conditions) const;
     std::size_t preferredCount(const std::string &service, const RequestSize &work,
                                const ChoiceConditions &conditions, Timestamp now) const;
--- a/Source/Core/Placement/enginedelay.cpp
+++ b/Source/Core/Placement/enginedelay.cpp
@@ -50,8 +50,10 @@
     m_recentAt = now;
 }
 
-void EngineDelay::setPeerSums(const DelaySums &sums, Timestamp now)
+void EngineDelay::addPeerSums(const DelaySums &sums, Timestamp now)
 {
+    if (sums.weight <= 0.0)
+        return;
     const double kept = decay(m_peersAt, now, fadeTime);
     const double share = m_peersAt == Timestamp {}
             ? 0.0
--- a/Source/Core/Placement/enginedelay.h
+++ b/Source/Core/Placement/enginedelay.h
@@ -34,10 +34,11 @@
     void record(double logDelay, double weight, Timestamp now);
 
     /*!
-        Replaces what the peers observed by \a sums. Sums without weight leave the earlier ones,
-        which fade: the reports name only engines that have requests.
+        Adds what the peers observed to what they reported before. Reports name only engines that
+        have requests, so that each holds the observations of other nodes. \a sums without weight
+        are ignored.
     */
-    void setPeerSums(const DelaySums &sums, Timestamp now);
+    void addPeerSums(const DelaySums &sums, Timestamp now);
 
     /*!
         Records that the engine stated that work takes \a percent of the usual time.
--- a/Source/Core/deploymenttally.cpp
+++ b/Source/Core/deploymenttally.cpp
@@ -16,6 +16,11 @@
 //! closer to the truth than none.
 constexpr Duration loadRetention = 2s;
 
+//! Engines whose delays a datagram contains, about. Each takes 20 bytes.
+constexpr std::size_t maxDelaysPerDatagram = 100;
+//! Time after which the delays of other engines are reported, at least the interval of reports.
+constexpr Duration delayRotation = 200ms;
+
 template <typename Map>
 void addTo(Map &sum, const Map &growth)
 {
@@ -68,11 +73,28 @@
     }
 }
 
+/*!
+    Keeps the observed delays of some of \a engines, of others at another time. They change slowly,
+    and a datagram with those of all engines would be too large in large deployments.
+*/
+void limitDelays(std::map<std::string, wire::EngineShare> &engines, Timestamp now)
+{
+    const std::size_t parts = 1 + engines.size() / maxDelaysPerDatagram;
+    const auto part = static_cast<std::size_t>(now.time_since_epoch() / delayRotation) % parts;
+    std::size_t i = 0;
+    for (auto &[id, share] : engines) {
+        const bool isKept = i++ % parts == part;
+        share.__isset.delayWeight = share.__isset.delayWeight && isKept;
+        share.__isset.weightedLogDelay = share.__isset.weightedLogDelay && isKept;
+    }
+}
+
 EngineLoad loadOf(const wire::EngineShare &share)
 {
     EngineLoad load {.requests = share.requests, .tokens = share.tokens};
     load.unreadTokens = share.unreadTokens;
-    load.delay = {.weight = share.delayWeight, .weightedLog = share.weightedLogDelay};
+    if (share.__isset.delayWeight && share.__isset.weightedLogDelay)
+        load.delay = {.weight = share.delayWeight, .weightedLog = share.weightedLogDelay};
     return load;
 }
 
@@ -216,6 +238,7 @@
     addLoads(tally, own);
     addCrashes(tally, own);
     addMembers(tally, now);
+    limitDelays(tally.engines, now);
     report.nodes = nodesInZone(m_peers.zone(), now);
     report.silent = silentInZone(m_peers.zone(), now);
     return report;
@@ -227,6 +250,7 @@
     wire::Tally sum = sumOfPeers(now);
     addLoads(sum, own);
     addCrashes(sum, own);
+    limitDelays(sum.engines, now);
     digest.engines = std::move(sum.engines);
     digest.crashes = std::move(sum.crashes);
     digest.prompts = sum.prompts;
--- a/Source/Core/enginedirectory.cpp
+++ b/Source/Core/enginedirectory.cpp
@@ -81,7 +81,7 @@
             + (1.0 - kept) * static_cast<double>(load.unreadTokens);
     peerLoad = load;
     peerLoadAt = now;
-    delay.setPeerSums(load.delay, now);
+    delay.addPeerSums(load.delay, now);
 }
 
 void EngineDirectory::recordStatedLoad(const std::string &id, const StatedLoad &load, Timestamp now)
