--- a/Source/Core/Placement/enginechooser.cpp
+++ b/Source/Core/Placement/enginechooser.cpp
@@ -28,8 +28,12 @@
                                                                              conditions, now);
     if (conditions.nodes > m_options.maxNodesForAllEngines
         && candidates.size() > m_options.comparedEngines) {
-        std::vector<EngineState *> compared = sampleEngines(candidates, conditions.random);
-        compared.insert(compared.end(), preferredEngines.begin(), preferredEngines.end());
+        std::vector<EngineState *> compared = sampleEngines(candidates, m_options.comparedEngines,
+                                                            conditions.random);
+        // Of many engines that cache the prefix, nodes with the same reports would choose the same.
+        const std::vector<EngineState *> cached = sampleEngines(
+                preferredEngines, m_options.preferredEnginesPerPrefix, conditions.random + 1);
+        compared.insert(compared.end(), cached.begin(), cached.end());
         const EngineChoice choice = chooseOf(compared, preferredEngines, work, conditions, tried,
                                              now);
         if (choice.engine && choice.engine->avoidUntil <= now)
@@ -39,15 +43,14 @@
 }
 
 /*!
-    Returns some engines of \a candidates, chosen by \a random.
+    Returns \a n engines of \a candidates, chosen by \a random.
 */
 std::vector<EngineState *> EngineChooser::sampleEngines(std::span<EngineState *const> candidates,
-                                                        std::uint64_t random) const
+                                                        std::size_t n, std::uint64_t random)
 {
     std::minstd_rand generator(static_cast<std::minstd_rand::result_type>(random));
     std::vector<EngineState *> sample;
-    std::sample(candidates.begin(), candidates.end(), std::back_inserter(sample),
-                m_options.comparedEngines, generator);
+    std::sample(candidates.begin(), candidates.end(), std::back_inserter(sample), n, generator);
     return sample;
 }
 
@@ -87,7 +90,8 @@
         if (model)
             prediction = model->predict(*engine, workAt(*engine, work, isPreferred, now), now);
         if (isLearned)
-            cost = jitter(generator) * model->costMs(*engine, prediction);
+            cost = jitter(generator) * slowStartFactor(*engine, now)
+                    * model->costMs(*engine, prediction);
         cost += commonCostMs(*engine, conditions);
         // An avoided engine is chosen only if all other candidates are avoided too.
         const bool isAvoided = engine->avoidUntil > now;
@@ -99,6 +103,16 @@
     return best;
 }
 
+double EngineChooser::slowStartFactor(const EngineState &engine, Timestamp now) const
+{
+    const Duration age = engine.knownSince == Timestamp {} ? Duration::zero()
+                                                           : now - engine.knownSince;
+    const double left = 1.0
+            - std::chrono::duration<double>(age)
+                    / std::chrono::duration<double>(m_options.slowStartTime);
+    return 1.0 + m_options.slowStartCost * std::clamp(left, 0.0, 1.0);
+}
+
 /*!
     Returns the part of the cost of \a engine that does not depend on the request.
 */
@@ -111,20 +125,31 @@
             + static_cast<double>(warmupMs) / warmupMsPerCostMs;
 }
 
+/*!
+    Returns the prompt tokens of other requests that \a engine is expected to read first. Most of
+    what other nodes reported has been read when the report arrives, and others have come, so that
+    their average tells more, unless much more is waiting than can have been read.
+*/
+double EngineChooser::unreadTokensAt(const EngineState &engine) const
+{
+    const auto reported = static_cast<double>(engine.peerLoad.unreadTokens);
+    return static_cast<double>(engine.ownLoad.unreadTokens)
+            + std::max(engine.usualPeerUnread, reported - m_options.tokensReadPerReport);
+}
+
 /*!
     Returns what the time to the first event of \a work at \a engine depends on. A preferred engine
     is expected to cache the shared parts of the prompt.
 */
 WorkAtEngine EngineChooser::workAt(const EngineState &engine, const RequestSize &work,
-                                   bool isPreferred, Timestamp now)
+                                   bool isPreferred, Timestamp now) const
 {
     const auto least = static_cast<double>(work.unsharedTokens());
     const auto most = static_cast<double>(work.promptTokens);
     return {.readTokens = isPreferred ? least : most,
             .leastTokens = std::min(least, most),
             .mostTokens = most,
-            .unreadTokens = static_cast<double>(engine.ownLoad.unreadTokens
-                                                + engine.peerLoad.unreadTokens),
+            .unreadTokens = unreadTokensAt(engine),
             .requests = static_cast<double>(engine.requests(now)),
             .heldTokens = static_cast<double>(engine.ownLoad.tokens + engine.peerLoad.tokens)};
 }
--- a/Source/Core/Placement/enginechooser.h
+++ b/Source/Core/Placement/enginechooser.h
@@ -67,6 +67,12 @@
     //! Share of its time that an engine should spend on the prompts of one prefix. Above it, more
     //! engines are expected to cache the prefix.
     double maxPrefixUtilization = 0.25;
+    //! Prompt tokens that an engine reads at least until a report of them arrives.
+    double tokensReadPerReport = 10000.0;
+    //! Share by which a learned cost is higher at the boot of an engine, whose caches are empty and
+    //! whose first requests many nodes may send at once.
+    double slowStartCost = 1.0;
+    Duration slowStartTime = std::chrono::seconds(2); //!< Time until the addition has fallen to 0.
     //! A choice among learned costs multiplies each by a random factor up to 1 plus this, so that
     //! nodes with the same reports do not all choose the same engine.
     double costJitter = 0.15;
@@ -121,8 +127,10 @@
                         Timestamp now) const;
 
 private:
-    static WorkAtEngine workAt(const EngineState &engine, const RequestSize &work, bool isPreferred,
-                               Timestamp now);
+    double unreadTokensAt(const EngineState &engine) const;
+    WorkAtEngine workAt(const EngineState &engine, const RequestSize &work, bool isPreferred,
+                        Timestamp now) const;
+    double slowStartFactor(const EngineState &engine, Timestamp now) const;
     double commonCostMs(const EngineState &engine, const ChoiceConditions &conditions) const;
     std::size_t preferredCount(const std::string &service, const RequestSize &work,
                                const ChoiceConditions &conditions, Timestamp now) const;
@@ -130,8 +138,8 @@
                           std::span<EngineState *const> preferredEngines, const RequestSize &work,
                           const ChoiceConditions &conditions, std::span<const std::string> tried,
                           Timestamp now) const;
-    std::vector<EngineState *> sampleEngines(std::span<EngineState *const> candidates,
-                                             std::uint64_t random) const;
+    static std::vector<EngineState *> sampleEngines(std::span<EngineState *const> candidates,
+                                                    std::size_t n, std::uint64_t random);
     std::vector<EngineState *> findPreferredEngines(std::span<EngineState *const> candidates,
                                                     const RequestSize &work,
                                                     const ChoiceConditions &conditions,
