Let requests wait in the node when all engines are full

A request that found all engines full was refused with a random Retry-After of 100 to 400 ms, also when a place became free within a few milliseconds and the request's aim left time for it. The node now keeps such requests in a queue for each service, where the settings list the contract for uneven engines. The queue orders by rank, announced returns, fair shares of the accounts and end of use; it accepts a request only if the drain of the places at the engines lets it begin in time, checks that again at each tick, and announces return times from the drain, one place after the other. Requests are sent on releases of this node's own requests, on a share of the free places at each tick and when an engine joins.

requestwaitingprocesstest: 12 requests at once for 6 places are all answered with the contract; 6 are refused without it. Callers that leave free their place, and a stopping node answers what waits.

--- a/Emulator/emulatedplatform.cpp
+++ b/Emulator/emulatedplatform.cpp
@@ -101,6 +101,11 @@
     const std::string revocation = m_revocationLimit ? "  revokeFailClosed: true\n  revokeMs: "
                     + std::to_string(m_revocationLimit->count()) + "\n"
                                                      : "";
+    std::string contracts;
+    for (const std::string &contract : m_contracts)
+        contracts += (contracts.empty() ? "contracts: [\"" : ", \"") + contract + "\"";
+    if (!contracts.empty())
+        contracts += "]\n";
     const int exchange = m_firstPort + firstNodePortOffset + 3;
     return "nodeName: \"node-" + std::to_string(index) + "\"\nzone: \"z\"\nlisten:\n  frontend: "
             + format(entryAddress(index)) + "  readiness: " + format(readinessAddress(index))
@@ -111,7 +116,7 @@
             + std::to_string(m_stopGrace.count()) + "\n  reportWindowS: 1\n  retrySlack: 54\n"
             + revocation + "platform:\n  address: " + format(endpoint(m_firstPort))
             + "cloud:\n  address: " + format(endpoint(m_firstPort + 1))
-            + "  duties: [\"metering\", \"autoscale\"]\n";
+            + "  duties: [\"metering\", \"autoscale\"]\n" + contracts;
 }
 
 } // namespace sesame
--- a/Emulator/emulatedplatform.h
+++ b/Emulator/emulatedplatform.h
@@ -74,6 +74,11 @@
     */
     void setStopGrace(std::chrono::seconds grace) { m_stopGrace = grace; }
 
+    /*!
+        Sets the contracts that the settings list. Applies to settings formatted afterwards.
+    */
+    void setContracts(std::vector<std::string> contracts) { m_contracts = std::move(contracts); }
+
     EmulatedStore store;
     EmulatedDuties duties;
     std::vector<std::unique_ptr<EmulatedEngine>> engines; //!< The model engines come first.
@@ -87,6 +92,7 @@
     EngineCapacity m_engineCapacity;
     std::optional<std::chrono::milliseconds> m_revocationLimit;
     std::chrono::seconds m_stopGrace {3};
+    std::vector<std::string> m_contracts;
 };
 
 } // namespace sesame
--- a/Source/Serving/engineassignment.cpp
+++ b/Source/Serving/engineassignment.cpp
@@ -50,7 +50,9 @@
             return std::nullopt;
     }
     const bool isKnown = choice.failure != EngineChoiceFailure::NoEngine || !candidates.empty();
-    return makeRefusal(demand, candidates.empty() && !withheld.empty(), isKnown);
+    EngineRefusal refusal = makeRefusal(demand, candidates.empty() && !withheld.empty(), isKnown);
+    refusal.isFull = choice.failure == EngineChoiceFailure::NoRoom;
+    return refusal;
 }
 
 /*!
@@ -86,6 +88,8 @@
     if (!address)
         return false;
     m_engineId = engine.entry.id;
+    m_service = demand.service;
+    m_assignedAt = steadyNow();
     m_inputs = {.requests = engine.ownLoad.requests + engine.peerLoad.requests,
                 .tokens = engine.ownLoad.tokens + engine.peerLoad.tokens,
                 .costMs = choice.costMs};
@@ -114,6 +118,7 @@
 
 void EngineAssignment::release(bool keepConnection)
 {
+    const bool hadConnection = m_connection != nullptr;
     if (m_connection) {
         if (!keepConnection)
             m_connection->close();
@@ -123,6 +128,8 @@
     if (!m_engineId.empty())
         m_state.engines.removeLoad(m_engineId, m_load);
     m_engineId.clear();
+    if (hadConnection && m_state.waiting)
+        m_state.waiting->recordRelease(m_service, steadyNow() - m_assignedAt);
 }
 
 } // namespace sesame
--- a/Source/Serving/engineassignment.h
+++ b/Source/Serving/engineassignment.h
@@ -29,6 +29,7 @@
 {
     std::string_view reason; //!< Refers to a string literal.
     Milliseconds retryAfter {0};
+    bool isFull = false; //!< There are engines, but none has room.
 };
 
 /*!
@@ -94,6 +95,8 @@
     ServingState &m_state;
     std::string m_request;
     std::string m_engineId;
+    std::string m_service; //!< Service of the engine.
+    Timestamp m_assignedAt {};
     EngineLoad m_load;
     ChoiceInputs m_inputs;
     Connection m_connection;
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -101,17 +101,29 @@
 }
 
 void ProxiedRequest::sendToEngine()
+{
+    // Requests that wait for the service go first, in the order of the queue.
+    const bool mustWait = m_state.waiting && m_state.waiting->isBusy(selectService());
+    if (!(mustWait && waitForEngine()) && !assignEngine() && !waitForEngine())
+        refuseFull();
+}
+
+/*!
+    Sends the request to an engine, or finishes it if it must not be sent. Returns false if all
+    engines are full.
+*/
+bool ProxiedRequest::assignEngine()
 {
     if (remainingTime() < minUsefulTime) {
         onDeadlineExpired();
-        return;
+        return true;
     }
     // The request may have crashed an engine itself, or others may have since it was admitted.
     const auto crashRefusalTime = m_state.crashRefusalTime(m_admitted.fingerprint,
                                                            m_requestInfo.work.parts);
     if (crashRefusalTime) {
         refuseSend("requests like this one crash engines", *crashRefusalTime);
-        return;
+        return true;
     }
     const std::string &service = selectService();
     const auto refusal = m_assignment.assign(
@@ -126,10 +138,27 @@
                 });
             });
     if (!refusal)
-        return;
+        return true;
+    if (refusal->isFull)
+        return false;
     if (!m_mayHaveRun)
         m_state.refusals.record(service, steadyNow());
     refuseSend(refusal->reason, refusal->retryAfter);
+    return true;
+}
+
+/*!
+    Sends the request to an engine after it has waited. Returns false if all engines are full.
+*/
+bool ProxiedRequest::resumeFromQueue()
+{
+    bool hasLeft = true;
+    contain([&] {
+        hasLeft = assignEngine();
+    });
+    if (hasLeft)
+        m_waitingId = 0;
+    return hasLeft;
 }
 
 int ProxiedRequest::requestPriority() const
@@ -326,8 +355,7 @@
     }
     if (outcome == SendOutcome::NotExecuted && !m_mayHaveRun) {
         m_state.refusals.record(selectService(), steadyNow());
-        sendLocalResponse({unavailable, "the engine had no room",
-                           EngineAssignment::randomRetryAfter(m_state)});
+        sendLocalResponse({unavailable, "the engine had no room", retryAfterFull()});
         return;
     }
     sendLocalResponse({badGateway, "the engine did not answer"});
@@ -453,6 +481,8 @@
 {
     m_isFinished = true;
     m_state.openRequests.erase(this);
+    if (m_waitingId != 0)
+        m_state.waiting->withdraw(std::exchange(m_waitingId, 0));
     m_deadlineTimer.cancel();
     m_stallTimer.cancel();
     if (account() && m_admitted.quotaCost > 0.0 && !m_mayHaveRun)
--- a/Source/Serving/proxiedrequest.h
+++ b/Source/Serving/proxiedrequest.h
@@ -49,6 +49,13 @@
     void startDeadlineTimer();
     const std::string &selectService() const;
     void sendToEngine();
+    bool assignEngine();
+    bool resumeFromQueue();
+    bool waitForEngine();
+    void refuseWaiting(std::string_view reason, Milliseconds retryAfter);
+    void refuseFull();
+    WaitingDemand waitingDemand() const;
+    Milliseconds retryAfterFull();
     void refuseSend(std::string_view reason, Milliseconds retryAfter);
     void onConnectionResult(const boost::system::error_code &ec);
     void sendRequest();
@@ -113,6 +120,7 @@
     bool m_isAnswerRecorded = false;
     bool m_isStreamStarted = false; //!< The response head has been sent for a streamed response.
     bool m_isFinished = false;
+    std::uint64_t m_waitingId = 0; //!< Id in the queue of waiting requests; 0 if it does not wait.
     EventSplitter m_eventSplitter;
 };
 
--- a/Source/Serving/proxiedrequestrelay.cpp
+++ b/Source/Serving/proxiedrequestrelay.cpp
@@ -108,8 +108,12 @@
 {
     if (events.empty())
         return;
-    if (!m_isStreamStarted)
+    if (!m_isStreamStarted) {
         m_firstEventTime = steadyNow();
+        if (m_state.waiting)
+            m_state.waiting->recordFirstEvent(selectService(), route(),
+                                              m_firstEventTime - m_sendStartTime);
+    }
     countUsageOnce();
     if (m_eventSplitter.eventCount() > eventsOfBeginning)
         recordAnswerOnce();
@@ -165,6 +169,9 @@
     m_state.engines.recordAnswer(m_assignment.engineId(), true, steadyNow() - m_sendStartTime);
     releaseEngine(true);
     if (!isStream) {
+        if (m_state.waiting)
+            m_state.waiting->recordFirstEvent(selectService(), route(),
+                                              steadyNow() - m_sendStartTime);
         relayBufferedResponse();
         return;
     }
--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -328,6 +328,8 @@
         return;
     if (!isUsable)
         m_state.connectionPool.closeIdle(object.name);
+    else if (m_state.waiting)
+        m_state.waiting->scheduleDispatch();
     logEvent(LogLevel::Info, isUsable ? "engine.joined" : "engine.left",
              {{"engine", object.name}, {"removed", object.removed}, {"revision", object.revision}});
 }
@@ -412,6 +414,8 @@
     }
     for (const auto &[account, quota] : m_state.quotas)
         metrics.setGauge(formatSeries("quota_level", "account", account), quota.level());
+    if (m_state.waiting)
+        m_state.waiting->updateMetrics();
     HttpFields fields;
     fields.set("Content-Type", "text/plain; version=0.0.4");
     connection->sendResponse(ok, fields, metrics.render());
@@ -529,6 +533,8 @@
     applyEngines(m_state.engineReplica.removeExpired(bootNow()));
     updateFollowing();
     m_state.refreshPeerState();
+    if (m_state.waiting)
+        m_state.waiting->tick();
     m_state.crashes.removeExpired(now);
     m_state.promptCrashes.removeExpired(m_state.commonMillis());
     m_state.connectionPool.closeExpired();
@@ -575,6 +581,8 @@
         return;
     m_state.stop.emplace(steadyNow(), m_state.settings.stopGrace);
     m_dutyCoordinator.withdraw();
+    if (m_state.waiting)
+        m_state.waiting->refuseAll();
     m_exchange.setReady(false);
     m_exchange.sendReports();
     m_entryListener.announceClose();
--- a/Source/Serving/servingstate.cpp
+++ b/Source/Serving/servingstate.cpp
@@ -34,6 +34,8 @@
       usage(nodeSettings.zone), trueTime(wallNow(), bootMillis()),
       peers(selfMember(nodeSettings), nodeSettings.zone), tally(peers)
 {
+    if (settings.hasUnevenEngines)
+        waiting.emplace(*this);
 }
 
 void ServingState::adoptConfig(std::shared_ptr<const ServingConfig> newConfig)
--- a/Source/Serving/servingstate.h
+++ b/Source/Serving/servingstate.h
@@ -17,6 +17,7 @@
 #include "Core/usageledger.h"
 #include "Serving/engineconnectionpool.h"
 #include "Serving/requestformat.h"
+#include "Serving/requestwaiting.h"
 #include "Serving/servingmetrics.h"
 #include "Serving/servingsettings.h"
 
@@ -120,6 +121,8 @@
     std::optional<StopSchedule> stop; //!< Set when the node begins to shut down.
     //! Admitted requests without an answer.
     std::map<const ProxiedRequest *, std::weak_ptr<ProxiedRequest>> openRequests;
+    //! Requests that wait for engines; unset if requests are refused when all engines are full.
+    std::optional<RequestWaiting> waiting;
     std::minstd_rand random {std::random_device {}()};
 
 private:
--- a/Tests/support/platformdeployment.h
+++ b/Tests/support/platformdeployment.h
@@ -28,6 +28,8 @@
     //! Time after which nodes that may have missed a revocation refuse keys; unset for never.
     std::optional<std::chrono::milliseconds> revocationLimit {};
     std::chrono::seconds stopGrace {3};
+    EmulatedPlatform::EngineCapacity engineCapacity {};
+    std::vector<std::string> contracts {}; //!< Contracts that the settings of the nodes list.
 };
 
 /*!
@@ -54,8 +56,9 @@
     */
     PlatformDeployment(std::uint16_t firstPort, int nodes,
                        const PlatformDeploymentOptions &options = {})
-        : platform(context, firstPort)
+        : platform(context, firstPort, options.engineCapacity)
     {
+        platform.setContracts(options.contracts);
         if (options.revocationLimit)
             platform.setRevocationLimit(*options.revocationLimit);
         platform.setStopGrace(options.stopGrace);
