--- a/Source/Serving/engineassignment.cpp
+++ b/Source/Serving/engineassignment.cpp
@@ -52,7 +52,9 @@
             return std::nullopt;
     }
     const bool isKnown = choice.failure != EngineChoiceFailure::NoEngine || !candidates.empty();
-    return makeRefusal(demand, candidates.empty() && !withheld.empty(), isKnown);
+    EngineRefusal refusal = makeRefusal(demand, candidates.empty() && !withheld.empty(), isKnown);
+    refusal.isFull = choice.failure == EngineChoiceFailure::NoRoom;
+    return refusal;
 }
 
 /*!
@@ -88,6 +90,8 @@
     if (!address)
         return false;
     m_engineId = engine.entry.id;
+    m_service = demand.service;
+    m_assignedAt = steadyNow();
     m_inputs = {.requests = engine.ownLoad.requests + engine.peerLoad.requests,
                 .tokens = engine.ownLoad.tokens + engine.peerLoad.tokens,
                 .costMs = choice.costMs,
@@ -162,6 +166,7 @@
 
 void EngineAssignment::release(bool keepConnection)
 {
+    const bool hadConnection = m_connection != nullptr;
     if (m_sentAt) {
         const Timestamp now = steadyNow();
         const double elapsedMs = msSinceSent(now);
@@ -177,6 +182,8 @@
     if (!m_engineId.empty())
         m_state.engines.removeLoad(m_engineId, m_load);
     m_engineId.clear();
+    if (hadConnection && m_state.waiting)
+        m_state.waiting->recordRelease(m_service, steadyNow() - m_assignedAt);
 }
 
 } // namespace sesame
