Add roll-outs of new versions: decision, exposure, steps and duty

A deployment with the contract 'rollout' moves the requests of a service to a new version in steps. Each aggregator compares the versions' failures and times; the holder of the duties records steps in the store. Not tested yet.

--- a/Generated/exchange_types.cpp
+++ b/Generated/exchange_types.cpp
@@ -467,6 +467,10 @@
 void RolloutStep::__set_share(const int32_t val) {
   this->share = val;
 }
+
+void RolloutStep::__set_target(const std::string& val) {
+  this->target = val;
+}
 std::ostream& operator<<(std::ostream& out, const RolloutStep& obj)
 {
   obj.printTo(out);
@@ -535,6 +539,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -572,6 +584,10 @@
   xfer += oprot->writeI32(this->share);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -584,6 +600,7 @@
   swap(a.number, b.number);
   swap(a.state, b.state);
   swap(a.share, b.share);
+  swap(a.target, b.target);
   swap(a.__isset, b.__isset);
 }
 
@@ -593,6 +610,7 @@
   number = other4.number;
   state = other4.state;
   share = other4.share;
+  target = other4.target;
   __isset = other4.__isset;
 }
 RolloutStep& RolloutStep::operator=(const RolloutStep& other5) {
@@ -601,6 +619,7 @@
   number = other5.number;
   state = other5.state;
   share = other5.share;
+  target = other5.target;
   __isset = other5.__isset;
   return *this;
 }
@@ -612,6 +631,7 @@
   out << ", " << "number=" << to_string(number);
   out << ", " << "state=" << to_string(state);
   out << ", " << "share=" << to_string(share);
+  out << ", " << "target=" << to_string(target);
   out << ")";
 }
 
@@ -2027,6 +2047,11 @@
 void Sender::__set_engines(const StateVersion& val) {
   this->engines = val;
 }
+
+void Sender::__set_rollouts(const StateVersion& val) {
+  this->rollouts = val;
+__isset.rollouts = true;
+}
 std::ostream& operator<<(std::ostream& out, const Sender& obj)
 {
   obj.printTo(out);
@@ -2111,6 +2136,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rollouts.read(iprot);
+          this->__isset.rollouts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2156,6 +2189,11 @@
   xfer += this->engines.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.rollouts) {
+    xfer += oprot->writeFieldBegin("rollouts", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->rollouts.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2170,6 +2208,7 @@
   swap(a.trueMillis, b.trueMillis);
   swap(a.configuration, b.configuration);
   swap(a.engines, b.engines);
+  swap(a.rollouts, b.rollouts);
   swap(a.__isset, b.__isset);
 }
 
@@ -2181,6 +2220,7 @@
   trueMillis = other120.trueMillis;
   configuration = other120.configuration;
   engines = other120.engines;
+  rollouts = other120.rollouts;
   __isset = other120.__isset;
 }
 Sender& Sender::operator=(const Sender& other121) {
@@ -2191,6 +2231,7 @@
   trueMillis = other121.trueMillis;
   configuration = other121.configuration;
   engines = other121.engines;
+  rollouts = other121.rollouts;
   __isset = other121.__isset;
   return *this;
 }
@@ -2204,6 +2245,7 @@
   out << ", " << "trueMillis=" << to_string(trueMillis);
   out << ", " << "configuration=" << to_string(configuration);
   out << ", " << "engines=" << to_string(engines);
+  out << ", " << "rollouts="; (__isset.rollouts ? (out << to_string(rollouts)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Generated/exchange_types.h
+++ b/Generated/exchange_types.h
@@ -258,12 +258,13 @@
 std::ostream& operator<<(std::ostream& out, const VersionEvidence& obj);
 
 typedef struct _RolloutStep__isset {
-  _RolloutStep__isset() : serviceName(false), order(false), number(false), state(false), share(false) {}
+  _RolloutStep__isset() : serviceName(false), order(false), number(false), state(false), share(false), target(false) {}
   bool serviceName :1;
   bool order :1;
   bool number :1;
   bool state :1;
   bool share :1;
+  bool target :1;
 } _RolloutStep__isset;
 
 /**
@@ -279,7 +280,8 @@
                 order(0),
                 number(0),
                 state(0),
-                share(0) {
+                share(0),
+                target() {
   }
 
   virtual ~RolloutStep() noexcept;
@@ -297,6 +299,10 @@
    * Share of the service's requests that may go to the target, in thousandths.
    */
   int32_t share;
+  /**
+   * Version to which the service's requests move.
+   */
+  std::string target;
 
   _RolloutStep__isset __isset;
 
@@ -310,6 +316,8 @@
 
   void __set_share(const int32_t val);
 
+  void __set_target(const std::string& val);
+
   bool operator == (const RolloutStep & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -322,6 +330,8 @@
       return false;
     if (!(share == rhs.share))
       return false;
+    if (!(target == rhs.target))
+      return false;
     return true;
   }
   bool operator != (const RolloutStep &rhs) const {
@@ -851,7 +861,7 @@
 std::ostream& operator<<(std::ostream& out, const StateVersion& obj);
 
 typedef struct _Sender__isset {
-  _Sender__isset() : member(false), zone(false), incarnation(false), sequence(false), trueMillis(false), configuration(false), engines(false) {}
+  _Sender__isset() : member(false), zone(false), incarnation(false), sequence(false), trueMillis(false), configuration(false), engines(false), rollouts(false) {}
   bool member :1;
   bool zone :1;
   bool incarnation :1;
@@ -859,6 +869,7 @@
   bool trueMillis :1;
   bool configuration :1;
   bool engines :1;
+  bool rollouts :1;
 } _Sender__isset;
 
 /**
@@ -890,6 +901,10 @@
   int64_t trueMillis;
   StateVersion configuration;
   StateVersion engines;
+  /**
+   * Orders of roll-outs; absent if the deployment has none.
+   */
+  StateVersion rollouts;
 
   _Sender__isset __isset;
 
@@ -907,6 +922,8 @@
 
   void __set_engines(const StateVersion& val);
 
+  void __set_rollouts(const StateVersion& val);
+
   bool operator == (const Sender & rhs) const
   {
     if (!(member == rhs.member))
@@ -923,6 +940,10 @@
       return false;
     if (!(engines == rhs.engines))
       return false;
+    if (__isset.rollouts != rhs.__isset.rollouts)
+      return false;
+    else if (__isset.rollouts && !(rollouts == rhs.rollouts))
+      return false;
     return true;
   }
   bool operator != (const Sender &rhs) const {
--- a/Interface/exchange.thrift
+++ b/Interface/exchange.thrift
@@ -38,6 +38,8 @@
   4: i32 state
   /** Share of the service's requests that may go to the target, in thousandths. */
   5: i32 share
+  /** Version to which the service's requests move. */
+  6: string target
 }
 
 /** How often a request was running when its engine crashed, and how often it succeeded. */
@@ -124,6 +126,8 @@
   5: i64 trueMillis
   6: StateVersion configuration
   7: StateVersion engines
+  /** Orders of roll-outs; absent if the deployment has none. */
+  8: optional StateVersion rollouts
 }
 
 /** Report of a node to the aggregators of its zone. */
--- a/Source/Core/deploymenttally.cpp
+++ b/Source/Core/deploymenttally.cpp
@@ -71,6 +71,27 @@
     mergePromptEvidence(sum.prompts, part.prompts);
 }
 
+//! Adds the evidence of roll-outs. A deployment has few roll-outs at a time, so the lists are short.
+void addVersions(wire::Tally &sum, const wire::Tally &part)
+{
+    for (const wire::VersionEvidence &item : part.versions) {
+        const auto found = std::find_if(
+                sum.versions.begin(), sum.versions.end(), [&](const wire::VersionEvidence &known) {
+                    return known.serviceName == item.serviceName && known.order == item.order
+                            && known.version == item.version && known.route == item.route;
+                });
+        if (found == sum.versions.end()) {
+            sum.versions.push_back(item);
+            continue;
+        }
+        found->sent += item.sent;
+        found->answers += item.answers;
+        found->failures += item.failures;
+        found->logTimeSum += item.logTimeSum;
+        found->logTimeSquareSum += item.logTimeSquareSum;
+    }
+}
+
 } // namespace
 
 TallyGrowth DeploymentTally::recordMember(const wire::Sender &sender,
@@ -200,7 +221,12 @@
     addTo(tally.refused, m_zoneTotal.refused);
     addLoads(tally, own);
     addCrashes(tally, own);
+    addVersions(tally, own);
     addMembers(tally, now);
+    tally.__isset.versions = !tally.versions.empty();
+    // An aggregator's own steps are the latest that it has heard of.
+    if (own.__isset.rolloutSteps)
+        tally.__set_rolloutSteps(own.rolloutSteps);
     report.nodes = nodesInZone(m_peers.zone(), now);
     report.silent = silentInZone(m_peers.zone(), now);
     return report;
@@ -215,6 +241,8 @@
     digest.engines = std::move(sum.engines);
     digest.crashes = std::move(sum.crashes);
     digest.prompts = sum.prompts;
+    if (own.__isset.rolloutSteps)
+        digest.__set_rolloutSteps(own.rolloutSteps);
     digest.consumed = own.consumed;
     addTo(digest.consumed, m_total.consumed);
     addTo(digest.consumed, m_total.late);
@@ -325,6 +353,14 @@
     return m_isAggregator ? sumOfPeers(now).prompts : m_digest.prompts;
 }
 
+std::vector<wire::VersionEvidence> DeploymentTally::versionEvidence(const wire::Tally &own,
+                                                                    Timestamp now) const
+{
+    wire::Tally sum = sumOfPeers(now);
+    addVersions(sum, own);
+    return sum.versions;
+}
+
 QuotaShares DeploymentTally::quotaShares(Timestamp now) const
 {
     QuotaShares shares {.nodes = 0, .silent = 0};
@@ -447,6 +483,7 @@
         if (!current)
             continue;
         addCrashes(sum, current->report.tally);
+        addVersions(sum, current->report.tally);
         if (isFresh(current->receivedAt, now))
             addLoads(sum, current->report.tally);
     }
@@ -461,6 +498,7 @@
 {
     for (const auto &[node, member] : m_members) {
         addCrashes(sum, member.report.tally);
+        addVersions(sum, member.report.tally);
         if (isFresh(member.receivedAt, now))
             addLoads(sum, member.report.tally);
     }
--- a/Source/Core/deploymenttally.h
+++ b/Source/Core/deploymenttally.h
@@ -129,6 +129,12 @@
     */
     wire::PromptEvidence peerPromptEvidence(Timestamp now) const;
 
+    /*!
+        Returns the evidence of roll-outs of all nodes, of which \a own is this node's part. Only an
+        aggregator knows the other nodes' part.
+    */
+    std::vector<wire::VersionEvidence> versionEvidence(const wire::Tally &own, Timestamp now) const;
+
     /*!
         Returns how the quotas are shared.
     */
--- a/Source/Core/objectreplica.h
+++ b/Source/Core/objectreplica.h
@@ -95,6 +95,11 @@
     */
     std::optional<Duration> age(Timestamp now) const;
 
+    /*!
+        Returns the revision of the store that the state reflects.
+    */
+    std::int64_t stateRevision() const { return m_stateRevision; }
+
     bool hasState() const { return m_knownAt.has_value(); }
     /*!
         Returns the highest revision at which an object changed, so that the state contains all
--- a/Source/Serving/engineassignment.cpp
+++ b/Source/Serving/engineassignment.cpp
@@ -31,7 +31,8 @@
                                                       const Completion &completion)
 {
     const EngineGate gate(m_state);
-    const std::vector<EngineState *> candidates = gate.openEngines(demand.service);
+    const std::vector<EngineState *> candidates = gate.openEngines(demand.service,
+                                                                   demand.prefersRolloutTarget);
     const std::string withheld = gate.describeWithheld(demand.service);
     if (!withheld.empty())
         logEvent(LogLevel::Info, "request.engines_withheld",
--- a/Source/Serving/engineassignment.h
+++ b/Source/Serving/engineassignment.h
@@ -20,6 +20,7 @@
     const RequestSize &work;
     int priority = 0; //!< 0 is the most urgent.
     bool isRepeatable = false; //!< The request may run more than once.
+    bool prefersRolloutTarget = false; //!< The request was chosen for the target of a roll-out.
 };
 
 /*!
--- a/Source/Serving/enginegate.cpp
+++ b/Source/Serving/enginegate.cpp
@@ -32,9 +32,12 @@
 
 } // namespace
 
-std::vector<EngineState *> EngineGate::openEngines(const std::string &service) const
+std::vector<EngineState *> EngineGate::openEngines(const std::string &service,
+                                                   bool prefersTarget) const
 {
     std::vector<EngineState *> engines = m_state.engines.findUsable(service);
+    if (m_state.settings.rollout)
+        m_state.rollouts.removeWithheld(engines, service, prefersTarget);
     if (m_state.engineNotices.size() == 0)
         return engines;
     const Timestamp now = bootNow();
@@ -46,7 +49,8 @@
 
 bool EngineGate::maySend(const EngineState &engine) const
 {
-    return engine.usable && m_state.engineNotices.requestLimit(bootOf(engine), bootNow()) > 0;
+    return engine.usable && !m_state.rollouts.isRolledBack(engine.entry)
+            && m_state.engineNotices.requestLimit(bootOf(engine), bootNow()) > 0;
 }
 
 std::optional<Milliseconds> EngineGate::timeUntilReturn(const std::string &service) const
--- a/Source/Serving/enginegate.h
+++ b/Source/Serving/enginegate.h
@@ -29,9 +29,11 @@
     explicit EngineGate(ServingState &state) : m_state(state) { }
 
     /*!
-        Returns the engines of \a service that may receive another request of this node.
+        Returns the engines of \a service that may receive another request of this node, which was
+        chosen for the target of the service's roll-out or not, as \a prefersTarget says.
     */
-    std::vector<EngineState *> openEngines(const std::string &service) const;
+    std::vector<EngineState *> openEngines(const std::string &service,
+                                           bool prefersTarget = false) const;
 
     /*!
         Returns whether a request that was assigned to \a engine may still be sent to it.
--- a/Source/Serving/nodeexchange.cpp
+++ b/Source/Serving/nodeexchange.cpp
@@ -79,6 +79,8 @@
     sender.trueMillis = m_state.trueTime.ownEstimate(bootMillis());
     sender.configuration = m_state.configReplica.version(bootNow());
     sender.engines = m_state.engineReplica.version(bootNow());
+    if (m_state.settings.rollout)
+        sender.__set_rollouts(m_state.rollouts.orderReplica.version(bootNow()));
     return sender;
 }
 
@@ -110,6 +112,7 @@
     });
     tally.prompts = m_state.promptCrashes.ownEvidence(m_state.commonMillis());
     tally.refused = m_state.refusals.ownCounters();
+    m_state.rollouts.report(tally);
     return tally;
 }
 
@@ -188,6 +191,7 @@
                  {{"peer", node}, {"incarnation", sender.incarnation}});
     m_state.trueTime.recordPeerEstimate(node, sender.trueMillis, bootMillis());
     mergeUsage(datagram);
+    mergeRolloutSteps(datagram);
     charge(m_reports.apply(datagram, now));
     if (now - m_peerStateRefreshedAt >= peerStateInterval) {
         m_peerStateRefreshedAt = now;
@@ -212,6 +216,20 @@
         m_state.refusals.recordPeerRefusals(service, n, steadyNow());
 }
 
+/*!
+    Takes over the steps of roll-outs that another node knows.
+*/
+void NodeExchange::mergeRolloutSteps(const wire::Datagram &datagram)
+{
+    if (!m_state.settings.rollout)
+        return;
+    for (const auto *steps : {&datagram.member.tally.rolloutSteps, &datagram.zone.tally.rolloutSteps,
+                              &datagram.digest.rolloutSteps}) {
+        for (const wire::RolloutStep &step : *steps)
+            m_state.rollouts.adoptStep(step, datagram.sender.member.node);
+    }
+}
+
 void NodeExchange::mergeUsage(const wire::Datagram &datagram)
 {
     const wire::Sender &sender = datagram.sender;
--- a/Source/Serving/nodeexchange.h
+++ b/Source/Serving/nodeexchange.h
@@ -51,6 +51,7 @@
     void handleDatagram(std::string_view bytes);
     void applyDatagram(const wire::Datagram &datagram);
     void charge(const TallyGrowth &growth);
+    void mergeRolloutSteps(const wire::Datagram &datagram);
     void mergeUsage(const wire::Datagram &datagram);
     void recordRun();
     wire::Sender makeSender() const;
--- a/Source/Serving/objectstoreclient.h
+++ b/Source/Serving/objectstoreclient.h
@@ -21,6 +21,7 @@
     std::uint64_t revision = 0;
     bool removed = false;
     std::shared_ptr<json_t> content; //!< Null if the object has no readable content.
+    std::shared_ptr<json_t> status; //!< Null if the object has no status.
 };
 
 /*!
@@ -95,6 +96,13 @@
                          std::optional<std::uint64_t> revision, WriteCompletion completion)
             = 0;
 
+    /*!
+        Replaces the status of an object and leaves its content as it is.
+    */
+    virtual void replaceStatus(const std::string &kind, const std::string &name,
+                               const json_t *status, WriteCompletion completion)
+            = 0;
+
     /*!
         Removes object \a name of \a kind.
     */
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -135,12 +135,15 @@
         return;
     }
     const std::string &service = selectService();
+    if (m_state.settings.rollout && !std::exchange(m_isVersionChosen, true))
+        m_prefersRolloutTarget = m_state.rollouts.choosesTarget(service);
     const auto refusal = m_assignment.assign(
             {.service = service,
              .spec = m_config->findService(service),
              .work = m_requestInfo.work,
              .priority = requestPriority(),
-             .isRepeatable = route().isRepeatable()},
+             .isRepeatable = route().isRepeatable(),
+             .prefersRolloutTarget = m_prefersRolloutTarget},
             [self = shared_from_this()](const boost::system::error_code &ec) {
                 self->contain([&] {
                     self->onConnectionResult(ec);
@@ -148,6 +151,11 @@
             });
     if (!refusal)
         return;
+    // A request that the target has no room for can be sent to the other versions.
+    if (std::exchange(m_prefersRolloutTarget, false)) {
+        sendToEngine();
+        return;
+    }
     if (!m_mayHaveRun)
         m_state.refusals.record(service, steadyNow());
     refuseSend(refusal->reason, refusal->retryAfter);
@@ -228,6 +236,7 @@
     m_responseBody.clear();
     m_responseStatus = 0;
     m_eventSplitter.dropPartial();
+    recordVersionSend();
     m_assignment.connection()->send(std::move(text), method == "HEAD", makeResponseSink());
     restartStallTimer();
     logSend(engineRequest.remainingTime);
@@ -356,6 +365,7 @@
         return;
     if (!m_isStreamStarted)
         m_firstEventTime = steadyNow();
+    recordVersionOutcome(SendEvidence::Answered);
     countUsageOnce();
     if (m_eventSplitter.eventCount() > eventsOfBeginning)
         recordAnswerOnce();
@@ -408,6 +418,7 @@
     m_state.metrics.recordSend(selectService(), "complete");
     m_state.crashes.recordSuccess(m_admitted.fingerprint);
     recordAnswerOnce();
+    recordVersionOutcome(SendEvidence::Answered);
     m_state.engines.recordAnswer(m_assignment.engineId(), true, steadyNow() - m_sendStartTime);
     releaseEngine(true);
     if (!isStream) {
@@ -509,6 +520,8 @@
         if (outcome == SendOutcome::Failed || route().kind != RouteKind::Streaming)
             countUsageOnce();
     }
+    recordVersionOutcome(outcome == SendOutcome::NotExecuted ? SendEvidence::Unfinished
+                                                             : SendEvidence::Failed);
     releaseEngine(outcome != SendOutcome::Unknown);
     resendOrFinish(outcome);
 }
@@ -545,6 +558,29 @@
             selectService(), static_cast<std::size_t>(m_state.quotaShares.nodes), steadyNow());
 }
 
+void ProxiedRequest::recordVersionSend()
+{
+    const EngineState *engine = m_state.engines.find(m_assignment.engineId());
+    m_needsVersionOutcome = m_state.settings.rollout && engine;
+    if (m_needsVersionOutcome)
+        m_state.rollouts.recordSend(engine->entry, route().name);
+}
+
+/*!
+    Records the outcome of the current send as evidence for the version of its engine. A stream that
+    breaks off after its first event counts a second time, as a failure.
+*/
+void ProxiedRequest::recordVersionOutcome(SendEvidence outcome)
+{
+    const EngineState *engine = m_state.engines.find(m_assignment.engineId());
+    const bool isBreak = outcome == SendEvidence::Failed && m_isStreamStarted;
+    if (!m_state.settings.rollout || !engine
+        || (!std::exchange(m_needsVersionOutcome, false) && !isBreak))
+        return;
+    m_state.rollouts.recordOutcome(engine->entry, route().name, outcome,
+                                   steadyNow() - m_sendStartTime);
+}
+
 void ProxiedRequest::countUsageOnce()
 {
     if (m_isUsageCounted)
@@ -570,12 +606,16 @@
 {
     if (m_isFinished)
         return;
+    // The answer would have taken longer than the caller waited.
+    if (m_mayHaveRun && steadyNow() - m_sendStartTime > 2 * route().targetLatency)
+        recordVersionOutcome(SendEvidence::Answered);
     releaseEngine(false);
     finish("caller_gone", 0);
 }
 
 void ProxiedRequest::onDeadlineExpired()
 {
+    recordVersionOutcome(SendEvidence::Failed);
     endUnanswered(m_mayHaveRun ? "the engine did not answer in time" : "no engine was free in time",
                   gatewayTimeout);
 }
--- a/Source/Serving/proxiedrequest.h
+++ b/Source/Serving/proxiedrequest.h
@@ -70,6 +70,8 @@
     void handleUnsuccessfulSend(SendOutcome outcome);
     void resendOrFinish(SendOutcome outcome);
     bool canResend(SendOutcome outcome);
+    void recordVersionSend();
+    void recordVersionOutcome(SendEvidence outcome);
     void countUsageOnce();
     void recordAnswerOnce();
     void releaseEngine(bool keepConnection);
@@ -106,6 +108,9 @@
 
     int m_sendCount = 0; //!< Number of times that the request was sent to an engine.
     int m_connectFailureCount = 0;
+    bool m_isVersionChosen = false; //!< m_prefersRolloutTarget has been decided.
+    bool m_prefersRolloutTarget = false; //!< Chosen for the target of the service's roll-out.
+    bool m_needsVersionOutcome = false; //!< The current send is no evidence of its version yet.
     bool m_mayHaveRun = false; //!< An engine may have executed the request.
     bool m_mayHaveRunEarlier = false; //!< Value of m_mayHaveRun before the current send.
     bool m_isUsageCounted = false; //!< The request is counted in the account's usage.
--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -31,6 +31,9 @@
 //! Minimum change of the clock offset that is logged. Smaller changes result from varying delays of
 //! datagrams.
 constexpr std::int64_t minLoggedClockChangeMillis = 50;
+//! A node that has heard no other node for this time sends nothing to the target of a roll-out. It
+//! may have missed a roll-back. Datagrams arrive several times a second.
+constexpr Duration contactLimit = 1500ms;
 constexpr std::size_t maxControlConnections = 256;
 //! File descriptors that are not available to callers: those reserved by the platform and those of
 //! connections to engines.
@@ -68,6 +71,8 @@
     converted.reserve(objects.size());
     for (const StoredObject &object : objects) {
         const bool hasContent = !object.removed && object.content;
+        if (hasContent && object.status)
+            json_object_set(object.content.get(), "status", object.status.get());
         converted.push_back({.name = object.name,
                              .revision = static_cast<std::int64_t>(object.revision),
                              .removed = object.removed,
@@ -142,6 +147,8 @@
       m_nodeStoreClient(m_environment.makeStoreClient()),
       m_dutyCoordinator(m_state, m_environment.makeStoreClient(), *m_environment.dutyClient),
       m_scalingDuty(m_state, m_dutyCoordinator, *m_environment.dutyClient),
+      m_rolloutDuty(m_state, m_dutyCoordinator, m_environment.makeStoreClient(),
+                    m_environment.rollouts),
       m_signals(context, SIGTERM, SIGINT, SIGHUP), m_tickTimer(context), m_stopTimer(context)
 {
 }
@@ -190,6 +197,15 @@
                                   m_state.configReplica, applyConfigChanges);
     m_engineWatcher = makeWatcher(m_environment.engineKind, watchWait, m_state.engineReplica,
                                   applyEngineChanges);
+    if (settings.rollout) {
+        const auto applyRolloutChanges = [this](std::span<const ReplicaObject> objects) {
+            applyRollouts(objects);
+        };
+        m_stateExchange.addReplica("rollouts", m_state.rollouts.orderReplica,
+                                   &wire::Sender::rollouts, Duration::zero(), applyRolloutChanges);
+        m_rolloutWatcher = makeWatcher(m_environment.rollouts.kind, watchWait,
+                                       m_state.rollouts.orderReplica, applyRolloutChanges);
+    }
     m_dutyCoordinator.start();
     waitForSignals();
     tick();
@@ -266,6 +282,8 @@
         logEvent(LogLevel::Info, "store.left", {});
         m_configWatcher->stop();
         m_engineWatcher->stop();
+        if (m_rolloutWatcher)
+            m_rolloutWatcher->stop();
         return;
     }
     logEvent(LogLevel::Info, "store.followed",
@@ -275,6 +293,8 @@
                inputs.age ? std::chrono::duration_cast<Milliseconds>(*inputs.age).count() : -1}});
     m_configWatcher->start();
     m_engineWatcher->start();
+    if (m_rolloutWatcher)
+        m_rolloutWatcher->start();
 }
 
 void ServingNode::applyConfig(std::span<const ReplicaObject> objects)
@@ -303,6 +323,35 @@
                                .idleTimeout = limits.idleTimeout});
 }
 
+void ServingNode::applyRollouts(std::span<const ReplicaObject> objects)
+{
+    for (const ReplicaObject &object : objects)
+        containError(object, [&] {
+            applyRollout(object);
+        });
+}
+
+void ServingNode::applyRollout(const ReplicaObject &object)
+{
+    auto order = object.removed
+            ? std::nullopt
+            : m_environment.readRollout(object.name, parseJson(object.content).get());
+    if (!order) {
+        if (!object.removed)
+            logEvent(LogLevel::Warning, "rollout.unreadable",
+                     {{"object", object.name}, {"revision", object.revision}});
+        m_state.rollouts.book.removeOrder(object.name);
+        return;
+    }
+    order->revision = object.revision;
+    m_state.rollouts.book.setOrder(*order);
+    logEvent(LogLevel::Info, "rollout.order_known",
+             {{"service", order->service},
+              {"target", order->target},
+              {"duration_ms", static_cast<std::int64_t>(order->duration.count())},
+              {"revision", object.revision}});
+}
+
 void ServingNode::applyEngines(std::span<const ReplicaObject> objects)
 {
     for (const ReplicaObject &object : objects)
@@ -318,6 +367,8 @@
             : m_environment.readEngine(object.name, parseJson(object.content).get());
     const EngineState *known = m_state.engines.find(object.name);
     const bool wasUsable = known && known->usable;
+    if (entry && m_state.settings.rollout)
+        m_state.rollouts.noteEngine(*entry, object.revision);
     if (entry)
         m_state.engines.update(*entry);
     else
@@ -410,6 +461,11 @@
         metrics.setGauge(formatSeries("engines_leaving", "service", service), leaving[service]);
         metrics.setGauge(formatSeries("engines_paused", "service", service), paused[service]);
     }
+    for (const wire::RolloutStep &step : m_state.rollouts.book.steps()) {
+        metrics.setGauge(formatSeries("rollout_state", "service", step.serviceName), step.state);
+        metrics.setGauge(formatSeries("rollout_share", "service", step.serviceName),
+                         static_cast<double>(step.share) / RolloutBook::wholeShare);
+    }
     for (const auto &[account, quota] : m_state.quotas)
         metrics.setGauge(formatSeries("quota_level", "account", account), quota.level());
     HttpFields fields;
@@ -420,6 +476,7 @@
 bool ServingNode::isReady() const
 {
     return !m_state.stop && m_state.config && m_state.engineReplica.hasState()
+            && (!m_state.settings.rollout || m_state.rollouts.orderReplica.hasState())
             && m_state.acceptsKeys();
 }
 
@@ -527,12 +584,16 @@
     }
     applyConfig(m_state.configReplica.removeExpired(bootNow()));
     applyEngines(m_state.engineReplica.removeExpired(bootNow()));
+    applyRollouts(m_state.rollouts.orderReplica.removeExpired(bootNow()));
     updateFollowing();
     m_state.refreshPeerState();
     m_state.crashes.removeExpired(now);
     m_state.promptCrashes.removeExpired(m_state.commonMillis());
     m_state.connectionPool.closeExpired();
     m_scalingDuty.tick();
+    m_state.rollouts.setInTouch(m_state.peers.entryAddresses(now, false).empty()
+                                || now - m_exchange.lastHeardAt() < contactLimit);
+    m_rolloutDuty.tick();
     logClockOffset();
     m_exchange.setReady(isReady());
     scheduleTick();
--- a/Source/Serving/servingnode.h
+++ b/Source/Serving/servingnode.h
@@ -4,6 +4,7 @@
 #include "Http/listener.h"
 #include "Serving/dutycoordinator.h"
 #include "Serving/nodeexchange.h"
+#include "Serving/rolloutduty.h"
 #include "Serving/scalingduty.h"
 #include "Serving/servingstate.h"
 #include "Serving/stateexchange.h"
@@ -29,6 +30,9 @@
     std::function<std::shared_ptr<const ServingConfig>(const json_t *)> readConfig;
     //! Parses the entry of engine \a id; returns std::nullopt if it is invalid.
     std::function<std::optional<EngineEntry>(const std::string &id, const json_t *)> readEngine;
+    //! Parses the order of a roll-out from object \a name, with its status as the member "status".
+    std::function<std::optional<RolloutOrder>(const std::string &name, const json_t *)> readRollout;
+    RolloutFormat rollouts;
     //! Formats the directory response that lists entry addresses.
     std::function<std::string(const std::vector<std::string> &, double ttlSeconds)> formatAddresses;
     std::string configKind; //!< Kind of the object that holds the configuration.
@@ -69,6 +73,8 @@
     void applyConfig(std::span<const ReplicaObject> objects);
     void applyConfigObject(const ReplicaObject &object);
     void applyEngines(std::span<const ReplicaObject> objects);
+    void applyRollouts(std::span<const ReplicaObject> objects);
+    void applyRollout(const ReplicaObject &object);
     void applyEngine(const ReplicaObject &object);
     std::chrono::milliseconds configWatchWait() const;
     std::chrono::milliseconds maxStoreRetryDelay() const;
@@ -98,8 +104,10 @@
     std::unique_ptr<ObjectStoreClient> m_nodeStoreClient;
     std::unique_ptr<StoreWatcher> m_configWatcher;
     std::unique_ptr<StoreWatcher> m_engineWatcher;
+    std::unique_ptr<StoreWatcher> m_rolloutWatcher; //!< Null if there are no roll-outs.
     DutyCoordinator m_dutyCoordinator;
     ScalingDuty m_scalingDuty;
+    RolloutDuty m_rolloutDuty;
     std::int64_t m_loggedClockOffset = 0; //!< Last logged clock offset in milliseconds.
     asio::signal_set m_signals;
     asio::steady_timer m_tickTimer;
--- a/Source/Serving/servingstate.h
+++ b/Source/Serving/servingstate.h
@@ -17,6 +17,7 @@
 #include "Core/usageledger.h"
 #include "Serving/engineconnectionpool.h"
 #include "Serving/requestformat.h"
+#include "Serving/rolloutrecord.h"
 #include "Serving/servingmetrics.h"
 #include "Serving/servingsettings.h"
 
@@ -113,6 +114,7 @@
     QuotaShares quotaShares;
     ObjectReplica configReplica;
     ObjectReplica engineReplica;
+    RolloutRecord rollouts;
     RefusalMeter refusals;
     //! Engines that the holder of the duties needs of each service, as its record tells.
     std::map<std::string, int> neededEngines;
--- a/Source/Serving/stateexchange.cpp
+++ b/Source/Serving/stateexchange.cpp
@@ -59,7 +59,8 @@
                                      bootMillis());
     for (auto &[name, kind] : m_kinds) {
         const wire::StateVersion &version = sender.*kind.versionOf;
-        if (version.ageMillis < 0)
+        // A node that doesn't follow the kind sends an empty version.
+        if (version.ageMillis < 0 || version.revision <= 0)
             continue;
         const Timestamp knownAt = sentAt - Milliseconds(version.ageMillis);
         kind.peerKnownAt = kind.peerKnownAt ? std::max(*kind.peerKnownAt, knownAt) : knownAt;
