--- a/Emulator/emulatedengine.cpp
+++ b/Emulator/emulatedengine.cpp
@@ -47,6 +47,36 @@
     });
 }
 
+void EmulatedEngine::stop()
+{
+    m_listener.reset();
+    for (const auto &weak : std::exchange(m_connections, {})) {
+        if (const ConnectionPtr connection = weak.lock())
+            connection->abort();
+    }
+}
+
+int EmulatedEngine::runningCount() const
+{
+    return m_runningCount;
+}
+
+bool EmulatedEngine::isBadAnswer(const RequestMessage &request)
+{
+    const bool isBad = toStd(request.target()).starts_with(m_badVersion.pathPrefix)
+            && m_totalRunCount > m_badVersion.afterRequests
+            && m_runningCount >= m_badVersion.minRunning
+            && (m_badVersion.failureShare > 0.0
+                || m_badVersion.extraTime > std::chrono::milliseconds::zero());
+    if (!isBad)
+        return false;
+    m_failureSum += m_badVersion.failureShare;
+    const bool fails = m_failureSum >= 1.0;
+    m_failureSum -= fails ? 1.0 : 0.0;
+    m_badAnswerCount += fails || m_badVersion.failureShare == 0.0 ? 1 : 0;
+    return fails || m_badVersion.failureShare == 0.0;
+}
+
 void EmulatedEngine::crashLater()
 {
     const auto timer = std::make_shared<asio::steady_timer>(m_context, m_timeToAnswer);
@@ -151,6 +181,14 @@
     }
     ++m_runCounts[attempt];
     ++m_totalRunCount;
+    m_lastArrival = Clock::now();
+    const bool isBad = isBadAnswer(request);
+    if (isBad && m_badVersion.extraTime == std::chrono::milliseconds::zero()) {
+        connection->sendResponse(500, fields, "bad version\n");
+        return;
+    }
+    const std::chrono::milliseconds extraTime = isBad ? m_badVersion.extraTime
+                                                      : std::chrono::milliseconds::zero();
     connection->setClosedHandler([this] {
         ++m_cancelledCount;
     });
@@ -183,7 +221,7 @@
     }
     const bool isStream = toStd(request.target()).find("/stream/") != std::string_view::npos;
     if (!isStream || fault == Fault::Error || fault == Fault::PlainAnswer) {
-        sendPlainAnswer(connection, fault == Fault::Error ? 500 : 200, fields,
+        sendPlainAnswer(connection, fault == Fault::Error ? 500 : 200, extraTime, fields,
                         std::string(toStd(request.method_string())) + " "
                                 + std::string(toStd(request.target())) + " " + request.body());
         return;
@@ -193,21 +231,37 @@
         return;
     }
     fields.set("Content-Type", "text/event-stream");
-    connection->beginStream(200, fields);
     const std::string resumeAfter(fieldValue(request, "Last-Event-Id"));
-    sendEvents(connection, attempt, resumeAfter.empty() ? 1 : std::atoi(resumeAfter.c_str()) + 1,
-               fault);
+    const int first = resumeAfter.empty() ? 1 : std::atoi(resumeAfter.c_str()) + 1;
+    ++m_runningCount;
+    if (extraTime == std::chrono::milliseconds::zero()) {
+        connection->beginStream(200, fields);
+        sendEvents(connection, attempt, first, fault);
+        return;
+    }
+    const auto timer = std::make_shared<asio::steady_timer>(m_context, extraTime);
+    timer->async_wait([this, timer, connection, fields, attempt, first, fault](const auto &ec) {
+        if (ec)
+            return;
+        connection->beginStream(200, fields);
+        sendEvents(connection, attempt, first, fault);
+    });
 }
 
 void EmulatedEngine::sendPlainAnswer(const ConnectionPtr &connection, unsigned status,
+                                     std::chrono::milliseconds extraTime,
                                      const HttpFields &fields, std::string body)
 {
-    if (m_workTime == std::chrono::milliseconds::zero()) {
+    const std::chrono::milliseconds time = m_workTime + extraTime;
+    if (time == std::chrono::milliseconds::zero()) {
         connection->sendResponse(status, fields, body);
         return;
     }
-    const auto timer = std::make_shared<asio::steady_timer>(m_context, m_workTime);
-    timer->async_wait([timer, connection, status, fields, body = std::move(body)](const auto &ec) {
+    const auto timer = std::make_shared<asio::steady_timer>(m_context, time);
+    ++m_runningCount;
+    timer->async_wait([this, timer, connection, status, fields,
+                       body = std::move(body)](const auto &ec) {
+        --m_runningCount;
         if (!ec)
             connection->sendResponse(status, fields, body);
     });
@@ -239,6 +293,7 @@
     const std::string number = std::to_string(next);
     const bool breaksOff = fault == Fault::BrokenStream || fault == Fault::EndsInsideEvent;
     if (breaksOff && next > eventsBeforeBreak) {
+        --m_runningCount;
         connection->sendChunk("id: " + number + "\nda");
         if (fault == Fault::EndsInsideEvent) {
             connection->endStream();
@@ -254,6 +309,7 @@
     if (next <= m_eventCount)
         connection->sendChunk("id: " + number + "\ndata: piece " + number + "\n\n");
     if (next >= m_eventCount) {
+        --m_runningCount;
         connection->endStream();
         return;
     }
--- a/Emulator/emulatedengine.h
+++ b/Emulator/emulatedengine.h
@@ -52,6 +52,37 @@
     void setWorkTime(std::chrono::milliseconds time) { m_workTime = time; }
     void setEventInterval(std::chrono::milliseconds pause) { m_eventInterval = pause; }
 
+    //! How an engine of a bad version answers.
+    struct BadVersion
+    {
+        double failureShare = 0.0; //!< Share of the requests that are answered with status 500.
+        std::chrono::milliseconds extraTime {0}; //!< Additional time to the answer.
+        int afterRequests = 0; //!< Requests that are answered well before.
+        int minRunning = 0; //!< Requests in progress from which on answers are bad.
+        std::string pathPrefix; //!< Requests to other paths are answered well.
+    };
+    void setBadVersion(const BadVersion &badness) { m_badVersion = badness; }
+
+    /*!
+        Returns the number of requests that were answered badly.
+    */
+    int badAnswerCount() const { return m_badAnswerCount; }
+
+    /*!
+        Returns the number of requests in progress.
+    */
+    int runningCount() const;
+
+    /*!
+        Closes the engine and all its connections for good.
+    */
+    void stop();
+
+    /*!
+        Returns the time of the last request.
+    */
+    std::chrono::steady_clock::time_point lastArrival() const { return m_lastArrival; }
+
     /*!
         Adds to all answers from now on that the engine is leaving.
     */
@@ -91,12 +122,14 @@
     using ConnectionPtr = std::shared_ptr<ServerConnection>;
 
     void open();
+    bool isBadAnswer(const RequestMessage &request);
     void crash();
     void crashLater();
     bool isDeadly(const RequestMessage &request) const;
     bool turnAway(const ConnectionPtr &connection, HttpFields &fields);
     void serve(const ConnectionPtr &connection, RequestMessage &&request);
-    void sendPlainAnswer(const ConnectionPtr &connection, unsigned status, const HttpFields &fields,
+    void sendPlainAnswer(const ConnectionPtr &connection, unsigned status,
+                         std::chrono::milliseconds extraTime, const HttpFields &fields,
                          std::string body);
     void sendEvents(const ConnectionPtr &connection, const std::string &attempt, int next,
                     Fault fault);
@@ -121,6 +154,11 @@
     Clock::time_point m_pushBackEnd {};
     Clock::time_point m_turnedAwayAt {}; //!< Time of the first answer of the current push-back.
     int m_arrivalsDuringPushBack = 0;
+    BadVersion m_badVersion;
+    int m_badAnswerCount = 0;
+    Clock::time_point m_lastArrival {};
+    double m_failureSum = 0.0; //!< A request fails when it reaches 1.
+    int m_runningCount = 0; //!< Plain requests and streams that are being answered.
     Fault m_fault = Fault::None;
     int m_faultyRequests = 0;
     int m_eventCount = 5;
--- a/Emulator/emulatedplatform.cpp
+++ b/Emulator/emulatedplatform.cpp
@@ -12,12 +12,10 @@
 EmulatedPlatform::EmulatedPlatform(asio::io_context &context, std::uint16_t firstPort,
                                    EngineCapacity engineCapacity)
     : store(context, endpoint(firstPort)), duties(context, endpoint(firstPort + 1)),
-      m_firstPort(firstPort), m_engineCapacity(engineCapacity)
+      m_firstPort(firstPort), m_context(context), m_engineCapacity(engineCapacity)
 {
     for (int i = 0; i < modelEngineCount + plainEngineCount; ++i) {
-        engines.push_back(std::make_unique<EmulatedEngine>(
-                context, "i-" + std::to_string(i), engineEndpoint(static_cast<std::size_t>(i))));
-        putEngine(*engines.back(), "ready");
+        addEngines(i < modelEngineCount ? "model" : "plain", "v1", 1);
     }
     putConfig(1);
 }
@@ -44,16 +42,50 @@
     return address.address().to_string() + ":" + std::to_string(address.port());
 }
 
+std::size_t EmulatedPlatform::addEngines(const std::string &service, const std::string &version,
+                                         int count)
+{
+    const std::size_t first = engines.size();
+    for (int i = 0; i < count; ++i) {
+        const std::size_t index = engines.size();
+        engines.push_back(std::make_unique<EmulatedEngine>(
+                m_context, "i-" + std::to_string(index), engineEndpoint(index)));
+        m_engineKinds.push_back({.service = service, .version = version});
+        putEngine(*engines.back(), "ready");
+    }
+    return first;
+}
+
+int EmulatedPlatform::stopOtherEngines(const std::string &service, const std::string &version)
+{
+    int running = 0;
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        if (m_engineKinds[i].service != service || m_engineKinds[i].version == version)
+            continue;
+        running += engines[i]->runningCount();
+        engines[i]->stop();
+        store.erase("servers", engines[i]->id());
+    }
+    return running;
+}
+
+void EmulatedPlatform::orderRollout(const std::string &service, const std::string &target,
+                                    double seconds)
+{
+    store.put("rollouts", service,
+              R"({"service":")" + service + R"(","target":")" + target + R"(","durationS":)"
+                      + std::to_string(seconds) + "}");
+}
+
 void EmulatedPlatform::putEngine(const EmulatedEngine &engine, const std::string &state,
                                  std::int64_t incarnation)
 {
     std::size_t index = 0;
     while (engines[index].get() != &engine)
         ++index;
-    const bool isModel = index < static_cast<std::size_t>(modelEngineCount);
     store.put("servers", engine.id(),
-              std::string("{\"service\":\"") + (isModel ? "model" : "plain") + "\",\"address\":\""
-                      + engineAddress(index) + "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":"
+              std::string("{\"service\":\"") + m_engineKinds[index].service + "\",\"address\":\""
+                      + engineAddress(index) + "\",\"zone\":\"z\",\"version\":\"" + m_engineKinds[index].version + "\",\"slots\":"
                       + std::to_string(m_engineCapacity.slots) + ",\"state\":\"" + state
                       + "\",\"warmupLeftMs\":0,\"sequence\":1,\"born\":"
                       + std::to_string(incarnation) + "}");
@@ -111,7 +143,8 @@
             + std::to_string(m_stopGrace.count()) + "\n  reportWindowS: 1\n  retrySlack: 54\n"
             + revocation + "platform:\n  address: " + format(endpoint(m_firstPort))
             + "cloud:\n  address: " + format(endpoint(m_firstPort + 1))
-            + "  duties: [\"metering\", \"autoscale\"]\n";
+            + "  duties: [\"metering\", \"autoscale\"]\n"
+            + (m_hasRollouts ? "contracts: [\"rollout\"]\n" : "");
 }
 
 } // namespace sesame
--- a/Emulator/emulatedplatform.h
+++ b/Emulator/emulatedplatform.h
@@ -60,6 +60,29 @@
     Tcp::endpoint readinessAddress(int index) const { return nodeEndpoint(index, 1); }
     Tcp::endpoint directoryAddress(int index) const { return nodeEndpoint(index, 2); }
 
+    /*!
+        Starts \a count engines of \a version of the service "model" or "plain" and announces them.
+        Returns the index of the first one.
+    */
+    std::size_t addEngines(const std::string &service, const std::string &version, int count);
+
+    /*!
+        Closes the engines of \a service whose version is not \a version and all their connections,
+        and removes their entries, as the platform does when a roll-out is completed. Returns the
+        number of requests that were running there.
+    */
+    int stopOtherEngines(const std::string &service, const std::string &version);
+
+    /*!
+        Writes the order to roll out \a target of \a service within \a seconds.
+    */
+    void orderRollout(const std::string &service, const std::string &target, double seconds);
+
+    /*!
+        Makes formatSettings() ask for roll-outs.
+    */
+    void setRollouts(bool enabled) { m_hasRollouts = enabled; }
+
     Tcp::endpoint engineEndpoint(std::size_t index) const;
 
     /*!
@@ -83,7 +106,17 @@
     Tcp::endpoint nodeEndpoint(int index, int offset) const;
     std::string engineAddress(std::size_t index) const;
 
+    //! Service and version of each engine.
+    struct EngineKind
+    {
+        std::string service;
+        std::string version;
+    };
+
     int m_firstPort;
+    bool m_hasRollouts = false;
+    asio::io_context &m_context;
+    std::vector<EngineKind> m_engineKinds;
     EngineCapacity m_engineCapacity;
     std::optional<std::chrono::milliseconds> m_revocationLimit;
     std::chrono::seconds m_stopGrace {3};
--- a/Emulator/emulatedstore.cpp
+++ b/Emulator/emulatedstore.cpp
@@ -72,13 +72,12 @@
 void EmulatedStore::record(const std::string &kind, const std::string &name, bool deleted)
 {
     ++m_revision;
-    std::string spec;
+    Object object {.revision = m_revision};
     if (!deleted) {
-        Object &object = m_objects[kind][name];
-        object.revision = m_revision;
-        spec = object.spec;
+        m_objects[kind][name].revision = m_revision;
+        object = m_objects[kind][name];
     }
-    m_history.push_back({m_revision, kind, name, deleted, spec});
+    m_history.push_back({m_revision, kind, name, deleted, object});
     if (m_fault != Fault::None)
         return;
     std::erase_if(m_watches, [this](const auto &watch) {
@@ -137,7 +136,7 @@
             sendJson(connection, 404, "{}");
         else
             sendJson(connection, 200,
-                     formatObject(name, found->second.revision, found->second.spec));
+                     formatObject(name, found->second));
         return;
     }
     // Pages are small, so that readers have to request further pages.
@@ -147,7 +146,7 @@
     std::string entries;
     for (std::size_t i = 0; i < pageSize && next != objects.end(); ++i, ++next)
         entries += (entries.empty() ? "" : ",")
-                + formatObject(next->first, next->second.revision, next->second.spec);
+                + formatObject(next->first, next->second);
     sendJson(connection, 200,
              "{\"entries\":[" + entries
                      + "],\"hasMore\":" + (next == objects.end() ? "false" : "true")
@@ -191,7 +190,7 @@
             continue;
         events += (events.empty() ? "" : ",") + std::string("{\"deleted\":")
                 + (change.deleted ? "true" : "false")
-                + ",\"object\":" + formatObject(change.name, change.revision, change.spec) + "}";
+                + ",\"object\":" + formatObject(change.name, change.object) + "}";
     }
     if (events.empty() && !evenIfEmpty)
         return false;
@@ -205,6 +204,11 @@
                                const std::string &kind, const std::string &name)
 {
     const JsonPtr body = parseJson(request.body());
+    constexpr std::string_view statusPath = "/status";
+    if (name.ends_with(statusPath)) {
+        serveStatus(connection, kind, name.substr(0, name.size() - statusPath.size()), body.get());
+        return;
+    }
     const json_t *metadata = json_object_get(body.get(), "metadata");
     const bool creates = request.method() == beast::http::verb::post;
     const std::string target = creates ? jsonString(metadata, "name") : name;
@@ -217,7 +221,7 @@
         return;
     }
     if (exists && (creates || (expected != 0 && expected != found->second.revision))) {
-        sendJson(connection, 409, formatObject(target, found->second.revision, found->second.spec));
+        sendJson(connection, 409, formatObject(target, found->second));
         return;
     }
     if (request.method() == beast::http::verb::delete_) {
@@ -234,15 +238,39 @@
         return;
     }
     const Object &written = objects[target];
-    sendJson(connection, 200, formatObject(target, written.revision, written.spec));
+    sendJson(connection, 200, formatObject(target, written));
+}
+
+void EmulatedStore::serveStatus(const ConnectionPtr &connection, const std::string &kind,
+                                const std::string &name, const json_t *body)
+{
+    const auto found = m_objects[kind].find(name);
+    if (found == m_objects[kind].end()) {
+        sendJson(connection, 404, "{}");
+        return;
+    }
+    const json_t *status = json_object_get(body, "status");
+    found->second.status = dumpJson(status ? status : body);
+    record(kind, name, false);
+    sendJson(connection, 200, formatObject(name, found->second));
+}
+
+std::string EmulatedStore::status(const std::string &kind, const std::string &name) const
+{
+    const auto objects = m_objects.find(kind);
+    if (objects == m_objects.end())
+        return {};
+    const auto found = objects->second.find(name);
+    return found == objects->second.end() ? std::string() : found->second.status;
 }
 
-std::string EmulatedStore::formatObject(const std::string &name, std::uint64_t revision,
-                                        const std::string &spec)
+std::string EmulatedStore::formatObject(const std::string &name, const Object &object)
 {
-    return "{\"metadata\":{\"name\":\"" + name + "\",\"revision\":" + std::to_string(revision)
+    return "{\"metadata\":{\"name\":\"" + name
+            + "\",\"revision\":" + std::to_string(object.revision)
             + ",\"created\":1,\"finalizers\":[],\"deletionPending\":false},\"spec\":"
-            + (spec.empty() ? "null" : spec) + ",\"status\":null}";
+            + (object.spec.empty() ? "null" : object.spec)
+            + ",\"status\":" + (object.status.empty() ? "null" : object.status) + "}";
 }
 
 } // namespace sesame
--- a/Emulator/emulatedstore.h
+++ b/Emulator/emulatedstore.h
@@ -48,6 +48,11 @@
     void put(const std::string &kind, const std::string &name, const std::string &spec);
     void erase(const std::string &kind, const std::string &name);
 
+    /*!
+        Returns the status of an object as JSON text; empty if there is none.
+    */
+    std::string status(const std::string &kind, const std::string &name) const;
+
     std::size_t objectCount(const std::string &kind) const;
     std::int64_t callCount() const { return m_callCount; }
 
@@ -56,6 +61,7 @@
     {
         std::uint64_t revision = 0;
         std::string spec;
+        std::string status; //!< Empty if there is none.
     };
     struct Change
     {
@@ -63,7 +69,7 @@
         std::string kind;
         std::string name;
         bool deleted = false;
-        std::string spec;
+        Object object;
     };
     struct Watch
     {
@@ -83,8 +89,9 @@
                     const std::string &kind, const std::string &name);
     void record(const std::string &kind, const std::string &name, bool deleted);
     bool answerWatch(Watch &watch, bool evenIfEmpty);
-    static std::string formatObject(const std::string &name, std::uint64_t revision,
-                                    const std::string &spec);
+    void serveStatus(const ConnectionPtr &connection, const std::string &kind,
+                     const std::string &name, const json_t *body);
+    static std::string formatObject(const std::string &name, const Object &object);
 
     asio::io_context &m_context;
     Listener m_listener;
--- a/Source/Core/Rollout/rolloutdecision.cpp
+++ b/Source/Core/Rollout/rolloutdecision.cpp
@@ -41,7 +41,7 @@
 
 // Parts of the duration.
 constexpr double canaryEnd = 0.12;
-constexpr double smallShareEnd = 0.40;
+constexpr double smallShareEnd = 0.36;
 constexpr double minStepPart = 0.04;
 //! The old engines are given up when this part of the duration is left.
 constexpr double lastPart = 0.05;
@@ -53,7 +53,7 @@
 };
 
 constexpr std::array<WideningStep, 4> wideningSteps {
-        {{smallShareEnd, 150}, {0.44, 350}, {0.48, 700}, {0.52, RolloutBook::wholeShare}}};
+        {{smallShareEnd, 150}, {0.40, 350}, {0.44, 700}, {0.48, RolloutBook::wholeShare}}};
 
 std::string formatNumber(double number)
 {
--- a/Source/Serving/rolloutduty.cpp
+++ b/Source/Serving/rolloutduty.cpp
@@ -139,7 +139,7 @@
                     {.state = RolloutState::RolledBack, .share = 0, .reason = "order removed"});
         return true;
     }
-    if (dumpJson(formatRecord(name, *step).get()) != service.recordedText) {
+    if (json_equal(formatRecord(name, *step).get(), service.recorded.get()) == 0) {
         writeRecord(name, *step);
         return true;
     }
@@ -269,7 +269,7 @@
             return;
         for (auto &[name, service] : m_services) {
             service.recordRevision = 0;
-            service.recordedText.clear();
+            service.recorded.reset();
         }
         for (const StoredObject &object : result.objects)
             adoptRecord(object);
@@ -283,7 +283,7 @@
         return;
     Service &service = m_services[object.name];
     service.recordRevision = object.revision;
-    service.recordedText = dumpJson(object.content.get());
+    service.recorded = object.content;
     service.startMillis = jsonInteger(object.content.get(), "startMillis");
     service.duration = Milliseconds(jsonInteger(object.content.get(), "durationMs"));
     std::size_t i = 0;
@@ -319,12 +319,11 @@
         return;
     m_callPending = true;
     const std::shared_ptr<json_t> content = formatRecord(name, step);
-    const auto done = [this, name, step, term = m_term,
-                       text = dumpJson(content.get())](const StoreWriteResult &result) {
+    const auto done = [this, name, step, term = m_term, content](const StoreWriteResult &result) {
         m_callPending = false;
         if (result.status == StoreCallStatus::Ok) {
             m_services[name].recordRevision = result.revision;
-            m_services[name].recordedText = text;
+            m_services[name].recorded = content;
             if (m_duties.isHolder() && term == m_duties.term())
                 m_state.rollouts.adoptStep(step, "holder");
             return;
--- a/Source/Serving/rolloutduty.h
+++ b/Source/Serving/rolloutduty.h
@@ -49,7 +49,8 @@
         std::int64_t decidedOrder = 0; //!< Order of the decision.
         std::int64_t startMillis = 0; //!< Start of the latest order; 0 if unknown.
         Milliseconds duration {0}; //!< Duration of the latest order; 0 if unknown.
-        std::string recordedText; //!< Content of the record, as it was read or written last.
+        //! Content of the record, as it was read or written last; null if there is none.
+        std::shared_ptr<json_t> recorded;
         std::uint64_t recordRevision = 0; //!< 0 if there is no record.
         bool wasReportedFinal = false; //!< The status of the order has been seen to be final.
         Timestamp nextStatusTime {};
--- a/Tests/dutycoordinatortest.cpp
+++ b/Tests/dutycoordinatortest.cpp
@@ -47,6 +47,10 @@
         write(content, std::move(completion));
     }
 
+    void replaceStatus(const std::string & /*kind*/, const std::string & /*name*/,
+                       const json_t * /*status*/, WriteCompletion /*completion*/) override
+    {
+    }
     void remove(const std::string & /*kind*/, const std::string & /*name*/,
                 WriteCompletion /*completion*/) override
     {
--- /dev/null
+++ b/Tests/rolloutprocesstest.cpp
@@ -0,0 +1,155 @@
+#include "support/platformdeployment.h"
+
+#include <csignal>
+
+using namespace sesame;
+using namespace sesame::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int nodeCount = 3;
+constexpr int targetEngineCount = 2;
+constexpr double exposureShare = 0.1;
+constexpr double exposureSlack = 50.0;
+
+/*!
+    A deployment with roll-outs, and callers that send requests at a steady rate to all nodes.
+*/
+class RolloutRun
+{
+public:
+    explicit RolloutRun(std::uint16_t firstPort)
+        : deployment(firstPort, nodeCount, {.hasRollouts = true})
+    {
+        // The shares of the target are chosen by the requests seen, and the duties need a holder.
+        runFor(3s);
+    }
+
+    void order(const std::string &version, double seconds,
+               const EmulatedEngine::BadVersion &badness = {})
+    {
+        deployment.platform.orderRollout("plain", version, seconds);
+        runFor(300ms);
+        firstTarget = deployment.platform.addEngines("plain", version, targetEngineCount);
+        for (std::size_t i = firstTarget; i < firstTarget + targetEngineCount; ++i)
+            deployment.platform.engines[i]->setBadVersion(badness);
+    }
+
+    std::string status() { return deployment.platform.store.status("rollouts", "plain"); }
+
+    bool hasStatus(std::string_view state)
+    {
+        return status().find("\"" + std::string(state) + "\"") != std::string::npos;
+    }
+
+    /*!
+        Sends a request every few milliseconds until \a condition holds or \a limit has passed.
+    */
+    bool runUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit)
+    {
+        constexpr auto interval = 10ms;
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (std::chrono::steady_clock::now() < end) {
+            if (condition())
+                return true;
+            sendRequest();
+            deployment.runFor(interval);
+        }
+        return condition();
+    }
+
+    void runFor(std::chrono::milliseconds time)
+    {
+        runUntil(
+                [] {
+                    return false;
+                },
+                time);
+    }
+
+    int targetRequests() const
+    {
+        int n = 0;
+        for (std::size_t i = firstTarget; i < firstTarget + targetEngineCount; ++i)
+            n += deployment.platform.engines[i]->totalRunCount();
+        return n;
+    }
+
+    PlatformDeployment deployment;
+    std::size_t firstTarget = 0;
+    int deadNode = 0; //!< Callers leave out this node.
+    int sent = 0;
+    int served = 0;
+    int failed = 0; //!< Any other status than 200.
+    int lastFailure = 0;
+
+private:
+    void sendRequest()
+    {
+        const int n = ++sent;
+        int node = 1 + n % nodeCount;
+        if (node == deadNode)
+            node = 1 + node % nodeCount;
+        const auto caller = std::make_shared<HttpCaller>(deployment.context,
+                                                         deployment.platform.entryAddress(node));
+        const bool isSafe = n % 2 == 0;
+        caller->call(isSafe ? "GET" : "POST", isSafe ? "/read/x" : "/book/x",
+                     PlatformDeployment::requestFields("q-" + std::to_string(n), "key-large"), "",
+                     4s, [this, caller](const CallResponse &answer) {
+                         (answer.status == 200 ? served : failed) += 1;
+                         if (answer.status != 200)
+                             lastFailure = static_cast<int>(answer.status);
+                     });
+    }
+};
+
+} // namespace
+
+// Guards against a good version that isn't completed in two thirds of the time, and against requests
+// that are lost when the old engines stop.
+Test(rollout, goodVersionIsCompleted)
+{
+    RolloutRun run(25100);
+    run.deployment.platform.engines[3]->setWorkTime(20ms);
+    run.deployment.platform.engines[4]->setWorkTime(20ms);
+    const auto start = std::chrono::steady_clock::now();
+    run.order("v2", 12.0);
+    cr_expect(run.runUntil(
+            [&] {
+                return run.hasStatus("completed");
+            },
+            12s),
+              "status %s", run.status().c_str());
+    const std::chrono::duration<double> time = std::chrono::steady_clock::now() - start;
+    cr_expect_lt(time.count(), 8.0, "%.1f s", time.count());
+    cr_expect_eq(run.deployment.platform.stopOtherEngines("plain", "v2"), 0);
+    run.runFor(2s);
+    run.deployment.runFor(1s);
+    cr_expect_eq(run.failed, 0, "%d of %d, the last with status %d", run.failed, run.sent,
+                 run.lastFailure);
+    printf("completed after %.1f s, %d requests to the target of %d\n", time.count(),
+           run.targetRequests(), run.sent);
+}
+
+// Guards against a bad version that gets more requests than the bound, counted at its engines, or
+// that gets requests after it was rolled back.
+Test(rollout, badVersionIsRolledBack)
+{
+    RolloutRun run(25200);
+    const int before = run.sent;
+    run.order("v2", 12.0, {.failureShare = 0.4});
+    cr_expect(run.runUntil(
+            [&] {
+                return run.hasStatus("rolled_back");
+            },
+            12s),
+              "status %s", run.status().c_str());
+    const int atRollback = run.targetRequests();
+    printf("rolled back after %d requests to the target of %d\n", atRollback, run.sent - before);
+    const double bound = exposureShare * (run.sent - before) + exposureSlack;
+    cr_expect_leq(atRollback, bound / 2.0);
+    run.runFor(2s);
+    cr_expect_leq(run.targetRequests(), atRollback);
+    cr_expect(run.hasStatus("rolled_back"), "%s", run.status().c_str());
+}
--- a/Tests/support/platformdeployment.h
+++ b/Tests/support/platformdeployment.h
@@ -28,6 +28,7 @@
     //! Time after which nodes that may have missed a revocation refuse keys; unset for never.
     std::optional<std::chrono::milliseconds> revocationLimit {};
     std::chrono::seconds stopGrace {3};
+    bool hasRollouts = false;
 };
 
 /*!
@@ -58,6 +59,7 @@
     {
         if (options.revocationLimit)
             platform.setRevocationLimit(*options.revocationLimit);
+        platform.setRollouts(options.hasRollouts);
         platform.setStopGrace(options.stopGrace);
         std::string pattern = (std::filesystem::temp_directory_path() / "platformtest.XXXXXX");
         cr_assert_not_null(mkdtemp(pattern.data()));
