--- a/Source/Core/Rollout/rolloutdecision.cpp
+++ b/Source/Core/Rollout/rolloutdecision.cpp
@@ -13,7 +13,7 @@
 //! Sum at which the share does not grow.
 constexpr double suspiciousScore = 3.5;
 //! Failures beyond those of the other versions that make a version bad.
-constexpr double badFailureExcess = 0.25;
+constexpr double badFailureExcess = 0.2;
 //! Logarithm of the factor by which a bad version is slower.
 const double badSlowness = std::log(2.5);
 //! Smallest variance of the logarithm of times. Speeds of single engines differ for reasons that
@@ -23,15 +23,28 @@
 constexpr double maxLogDifference = 1.5;
 //! Largest number of answers of one interval that count as independent.
 constexpr double maxIndependentAnswers = 8.0;
-//! Answers of the other versions that the comparison remembers.
-constexpr double recentAnswers = 150.0;
+//! Time constants of the comparison with the other versions. The longer one gives steady values, the
+//! shorter one follows a burst of failures or of load that hits all versions.
+constexpr double recentMillis = 1500.0;
+constexpr double currentMillis = 250.0;
+//! Answers of the other versions below which nothing is known of the present moment.
+constexpr double fewAnswers = 3.0;
+//! Share of the target from which on the other versions have too few requests to show a burst.
+constexpr int largeShare = 700;
+//! Replaces badSlowness if nothing is known of the present moment, because load may have changed.
+const double badSlownessAlone = std::log(6.0);
 //! Prior of the other versions' failures: as many answers and failures.
-constexpr double priorAnswers = 10.0;
-constexpr double priorFailures = 0.2;
+constexpr double priorAnswers = 6.0;
+constexpr double priorFailures = 0.12;
+//! Answers of the other versions that a peak of their failures needs.
+constexpr double peakAnswers = 6.0;
 //! Fewest bad answers after which a version is rolled back.
 constexpr double minBadAnswers = 4.0;
 //! Answers of the target that each step needs while requests arrive.
 constexpr double answersPerStep = 8.0;
+//! The same for a step that has lasted for longPart of the duration, for services with few requests.
+constexpr double fewestAnswersPerStep = 2.0;
+constexpr double longPart = 0.12;
 //! Part of the exposure bound's share and slack that the small share uses.
 constexpr double smallSharePart = 0.35;
 constexpr double smallSlackPart = 0.25;
@@ -67,6 +80,12 @@
     return counts.answers > 0.0 ? counts.failures / counts.answers : 0.0;
 }
 
+//! Returns the share of failures, which is small if little is known.
+double estimateFailures(const VersionCounts &counts)
+{
+    return (counts.failures + priorFailures) / (counts.answers + priorAnswers);
+}
+
 //! Returns the number of answers with a time. Failures have none.
 double timedAnswers(const VersionCounts &counts)
 {
@@ -121,12 +140,21 @@
 std::optional<RolloutChange> RolloutDecision::update(const RolloutInputs &inputs,
                                                      std::int64_t nowMillis)
 {
+    m_intervalMillis = static_cast<double>(nowMillis - m_nowMillis);
     m_nowMillis = nowMillis;
     if (isFinal(m_state))
         return std::nullopt;
+    RouteEvidence sum;
     for (const auto &[name, evidence] : inputs.evidence) {
-        Route &route = m_routes[name];
-        judge(route, evidence);
+        sum.target += evidence.target;
+        sum.others += evidence.others;
+        judge(m_routes[name], evidence, Tests::FailuresAndTimes);
+    }
+    m_target += sum.target.growthSince(m_allRoutes.last.target);
+    m_others += sum.others.growthSince(m_allRoutes.last.others);
+    judge(m_allRoutes, sum, Tests::Failures);
+    for (const auto &[name, evidence] : inputs.evidence) {
+        const Route &route = m_routes[name];
         if (std::max(route.failureScore, route.timeScore) < badScore)
             continue;
         m_badRoute = name;
@@ -135,6 +163,11 @@
                               .reason = route.failureScore >= badScore ? "failures" : "slower",
                               .isVerdict = true};
     }
+    if (m_allRoutes.failureScore >= badScore)
+        return RolloutChange {.state = RolloutState::RolledBack,
+                              .share = 0,
+                              .reason = "failures",
+                              .isVerdict = true};
     const double elapsed = static_cast<double>(nowMillis - m_startMillis)
             / static_cast<double>(std::max<std::int64_t>(m_duration.count(), 1));
     if (m_state == RolloutState::Starting) {
@@ -155,33 +188,40 @@
     return widen(elapsed, inputs, nowMillis);
 }
 
-void RolloutDecision::judge(Route &route, const RouteEvidence &evidence)
+void RolloutDecision::judge(Route &route, const RouteEvidence &evidence, Tests tests)
 {
     const VersionCounts target = evidence.target.growthSince(route.last.target);
     const VersionCounts others = evidence.others.growthSince(route.last.others);
     route.last = evidence;
-    m_target += target;
-    m_others += others;
-    if (others.answers > 0.0) {
-        const double weight = std::exp(-others.answers / recentAnswers);
-        VersionCounts &recent = route.recent;
-        recent = {.sent = weight * recent.sent,
-                  .answers = weight * recent.answers,
-                  .failures = weight * recent.failures,
-                  .logTimeSum = weight * recent.logTimeSum,
-                  .logTimeSquareSum = weight * recent.logTimeSquareSum};
-        recent += others;
-    }
+    age(route.recent, std::exp(-m_intervalMillis / recentMillis));
+    age(route.current, std::exp(-m_intervalMillis / currentMillis));
+    route.recent += others;
+    route.current += others;
+    if (route.current.answers >= peakAnswers)
+        route.peakFailures = std::max(route.peakFailures, failureRate(route.current));
     if (target.answers <= 0.0)
         return;
     judgeFailures(route, target);
-    judgeTimes(route, target);
+    if (tests == Tests::FailuresAndTimes)
+        judgeTimes(route, target);
+}
+
+void RolloutDecision::age(VersionCounts &counts, double weight)
+{
+    counts.sent *= weight;
+    counts.answers *= weight;
+    counts.failures *= weight;
+    counts.logTimeSum *= weight;
+    counts.logTimeSquareSum *= weight;
 }
 
-void RolloutDecision::judgeFailures(Route &route, const VersionCounts &target)
+void RolloutDecision::judgeFailures(Route &route, const VersionCounts &target) const
 {
-    const double usual = std::min(0.9, (route.recent.failures + priorFailures)
-                                          / (route.recent.answers + priorAnswers));
+    double usual = std::max(estimateFailures(route.recent), estimateFailures(route.current));
+    // The other versions do not show what goes wrong at this moment.
+    if (m_share >= largeShare || route.current.answers < fewAnswers)
+        usual = std::max(usual, route.peakFailures);
+    usual = std::min(usual, 0.9);
     const double bad = std::min(0.97, usual + badFailureExcess);
     const double successes = target.answers - target.failures;
     route.failureScore = std::max(0.0, route.failureScore + target.failures * std::log(bad / usual)
@@ -195,17 +235,22 @@
 {
     const double answers = timedAnswers(target);
     const double usualAnswers = timedAnswers(route.recent);
-    if (answers <= 0.0 || usualAnswers < priorAnswers)
+    if (answers <= 0.0 || usualAnswers < fewAnswers)
         return;
-    const double usual = route.recent.logTimeSum / usualAnswers;
+    const double mean = route.recent.logTimeSum / usualAnswers;
+    const double currentAnswers = timedAnswers(route.current);
+    const bool knowsPresent = currentAnswers >= fewAnswers;
+    const double usual = knowsPresent ? std::max(mean, route.current.logTimeSum / currentAnswers)
+                                      : mean;
+    const double slowness = knowsPresent ? badSlowness : badSlownessAlone;
     const double variance = std::max(
-            minLogVariance, route.recent.logTimeSquareSum / usualAnswers - usual * usual);
+            minLogVariance, route.recent.logTimeSquareSum / usualAnswers - mean * mean);
     const double difference = std::clamp(target.logTimeSum / answers - usual, -maxLogDifference,
                                          maxLogDifference);
     const double independent = std::min(answers, maxIndependentAnswers);
     route.timeScore = std::max(0.0, route.timeScore
-                                       + independent * badSlowness / variance
-                                               * (difference - badSlowness / 2.0));
+                                       + independent * slowness / variance
+                                               * (difference - slowness / 2.0));
     if (timedAnswers(route.last.target) < minBadAnswers)
         route.timeScore = std::min(route.timeScore, badScore - 1.0);
 }
@@ -246,7 +291,8 @@
                                   .reason = isEmpty ? "old engines empty" : "deadline"};
         return std::nullopt;
     }
-    const bool isSuspicious = std::any_of(m_routes.begin(), m_routes.end(), [](const auto &item) {
+    const bool isSuspicious = m_allRoutes.failureScore >= suspiciousScore
+            || std::any_of(m_routes.begin(), m_routes.end(), [](const auto &item) {
         return std::max(item.second.failureScore, item.second.timeScore) >= suspiciousScore;
     });
     const double answers = m_target.answers - m_targetAtStep;
@@ -254,6 +300,7 @@
     const bool hasRequests = sent > 0.0;
     // Without requests, there will be no evidence.
     const bool isProven = answers >= answersPerStep
+            || (answers >= fewestAnswersPerStep && stepAge(nowMillis) >= longPart)
             || (!hasRequests && stepAge(nowMillis) >= 2.0 * minStepPart);
     if (isSuspicious || !isProven || !inputs.hasTarget
         || nowMillis - m_stepMillis < spreadMillis / 2 || stepAge(nowMillis) < minStepPart)
@@ -281,6 +328,7 @@
     std::string text = "target " + formatNumber(m_target.answers) + " answers, "
             + formatNumber(failureRate(m_target)) + " failed; others "
             + formatNumber(m_others.answers) + ", " + formatNumber(failureRate(m_others));
+    text += "; all routes: failures " + formatNumber(m_allRoutes.failureScore);
     for (const auto &[name, route] : m_routes) {
         if (name == m_badRoute || std::max(route.failureScore, route.timeScore) >= 1.0)
             text += "; " + name + ": failures " + formatNumber(route.failureScore) + ", times "
--- a/Source/Core/Rollout/rolloutdecision.h
+++ b/Source/Core/Rollout/rolloutdecision.h
@@ -111,13 +111,18 @@
     struct Route
     {
         RouteEvidence last; //!< Counters at the last update.
-        VersionCounts recent; //!< Latest answers of the other versions; old ones weigh less.
+        VersionCounts recent; //!< Answers of the other versions in the last seconds.
+        VersionCounts current; //!< The same for the last few reports.
+        double peakFailures = 0.0; //!< Largest share of failures of the other versions.
         double failureScore = 0.0;
         double timeScore = 0.0;
     };
 
-    void judge(Route &route, const RouteEvidence &evidence);
-    static void judgeFailures(Route &route, const VersionCounts &target);
+    enum class Tests { Failures, FailuresAndTimes };
+
+    void judge(Route &route, const RouteEvidence &evidence, Tests tests);
+    static void age(VersionCounts &counts, double weight);
+    void judgeFailures(Route &route, const VersionCounts &target) const;
     static void judgeTimes(Route &route, const VersionCounts &target);
     std::optional<RolloutChange> widen(double elapsed, const RolloutInputs &inputs,
                                        std::int64_t nowMillis);
@@ -129,11 +134,13 @@
     std::int64_t m_startMillis;
     std::int64_t m_observedSince; //!< Time of the first evidence.
     std::int64_t m_nowMillis; //!< Time of the latest update.
+    double m_intervalMillis = 0.0; //!< Time between the two latest updates.
     std::int64_t m_stepMillis = 0; //!< Time since when the step is in force.
     std::int64_t m_emptySince = 0; //!< Time since when old engines are empty; 0 if they are not.
     RolloutState m_state;
     int m_share;
     std::map<std::string, Route> m_routes;
+    Route m_allRoutes; //!< Failures of all routes together. Times of different routes differ.
     VersionCounts m_target; //!< Answers of the target since the start.
     VersionCounts m_others;
     double m_targetAtStep = 0.0; //!< Answers of the target when the step began.
