--- a/Generated/exchange_types.cpp
+++ b/Generated/exchange_types.cpp
@@ -467,6 +467,10 @@
 void RolloutStep::__set_share(const int32_t val) {
   this->share = val;
 }
+
+void RolloutStep::__set_target(const std::string& val) {
+  this->target = val;
+}
 std::ostream& operator<<(std::ostream& out, const RolloutStep& obj)
 {
   obj.printTo(out);
@@ -535,6 +539,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -572,6 +584,10 @@
   xfer += oprot->writeI32(this->share);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -584,6 +600,7 @@
   swap(a.number, b.number);
   swap(a.state, b.state);
   swap(a.share, b.share);
+  swap(a.target, b.target);
   swap(a.__isset, b.__isset);
 }
 
@@ -593,6 +610,7 @@
   number = other4.number;
   state = other4.state;
   share = other4.share;
+  target = other4.target;
   __isset = other4.__isset;
 }
 RolloutStep& RolloutStep::operator=(const RolloutStep& other5) {
@@ -601,6 +619,7 @@
   number = other5.number;
   state = other5.state;
   share = other5.share;
+  target = other5.target;
   __isset = other5.__isset;
   return *this;
 }
@@ -612,6 +631,7 @@
   out << ", " << "number=" << to_string(number);
   out << ", " << "state=" << to_string(state);
   out << ", " << "share=" << to_string(share);
+  out << ", " << "target=" << to_string(target);
   out << ")";
 }
 
@@ -2073,6 +2093,11 @@
 void Sender::__set_engines(const StateVersion& val) {
   this->engines = val;
 }
+
+void Sender::__set_rollouts(const StateVersion& val) {
+  this->rollouts = val;
+__isset.rollouts = true;
+}
 std::ostream& operator<<(std::ostream& out, const Sender& obj)
 {
   obj.printTo(out);
@@ -2157,6 +2182,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rollouts.read(iprot);
+          this->__isset.rollouts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2202,6 +2235,11 @@
   xfer += this->engines.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.rollouts) {
+    xfer += oprot->writeFieldBegin("rollouts", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->rollouts.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2216,6 +2254,7 @@
   swap(a.trueMillis, b.trueMillis);
   swap(a.configuration, b.configuration);
   swap(a.engines, b.engines);
+  swap(a.rollouts, b.rollouts);
   swap(a.__isset, b.__isset);
 }
 
@@ -2227,6 +2266,7 @@
   trueMillis = other128.trueMillis;
   configuration = other128.configuration;
   engines = other128.engines;
+  rollouts = other128.rollouts;
   __isset = other128.__isset;
 }
 Sender& Sender::operator=(const Sender& other129) {
@@ -2237,6 +2277,7 @@
   trueMillis = other129.trueMillis;
   configuration = other129.configuration;
   engines = other129.engines;
+  rollouts = other129.rollouts;
   __isset = other129.__isset;
   return *this;
 }
@@ -2250,6 +2291,7 @@
   out << ", " << "trueMillis=" << to_string(trueMillis);
   out << ", " << "configuration=" << to_string(configuration);
   out << ", " << "engines=" << to_string(engines);
+  out << ", " << "rollouts="; (__isset.rollouts ? (out << to_string(rollouts)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Source/Serving/nodeexchange.cpp
+++ b/Source/Serving/nodeexchange.cpp
@@ -79,6 +79,8 @@
     sender.trueMillis = m_state.trueTime.ownEstimate(bootMillis());
     sender.configuration = m_state.configReplica.version(bootNow());
     sender.engines = m_state.engineReplica.version(bootNow());
+    if (m_state.settings.rollout)
+        sender.__set_rollouts(m_state.rollouts.orderReplica.version(bootNow()));
     return sender;
 }
 
@@ -118,6 +120,7 @@
     tally.refused = m_state.refusals.ownCounters();
     if (m_state.settings.hasUnevenEngines)
         tally.__set_promptTokens(m_state.promptTokens.ownCounters());
+    m_state.rollouts.report(tally);
     return tally;
 }
 
@@ -196,6 +199,7 @@
                  {{"peer", node}, {"incarnation", sender.incarnation}});
     m_state.trueTime.recordPeerEstimate(node, sender.trueMillis, bootMillis());
     mergeUsage(datagram);
+    mergeRolloutSteps(datagram);
     charge(m_reports.apply(datagram, now));
     if (now - m_peerStateRefreshedAt >= peerStateInterval) {
         m_peerStateRefreshedAt = now;
@@ -222,6 +226,20 @@
         m_state.promptTokens.recordPeers(service, n, steadyNow());
 }
 
+/*!
+    Takes over the steps of roll-outs that another node knows.
+*/
+void NodeExchange::mergeRolloutSteps(const wire::Datagram &datagram)
+{
+    if (!m_state.settings.rollout)
+        return;
+    for (const auto *steps : {&datagram.member.tally.rolloutSteps,
+                              &datagram.zone.tally.rolloutSteps, &datagram.digest.rolloutSteps}) {
+        for (const wire::RolloutStep &step : *steps)
+            m_state.rollouts.adoptStep(step, datagram.sender.member.node);
+    }
+}
+
 void NodeExchange::mergeUsage(const wire::Datagram &datagram)
 {
     const wire::Sender &sender = datagram.sender;
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -132,12 +132,15 @@
         return true;
     }
     const std::string &service = selectService();
+    if (m_state.settings.rollout && !std::exchange(m_isVersionChosen, true))
+        m_prefersRolloutTarget = m_state.rollouts.choosesTarget(service);
     const auto refusal = m_assignment.assign(
             {.service = service,
              .spec = m_config->findService(service),
              .work = m_requestInfo.work,
              .priority = requestPriority(),
-             .isRepeatable = route().isRepeatable()},
+             .isRepeatable = route().isRepeatable(),
+             .prefersRolloutTarget = m_prefersRolloutTarget},
             [self = shared_from_this()](const boost::system::error_code &ec) {
                 self->contain([&] {
                     self->onConnectionResult(ec);
@@ -145,6 +148,9 @@
             });
     if (!refusal)
         return true;
+    // A request that the target has no room for can be sent to the other versions.
+    if (std::exchange(m_prefersRolloutTarget, false))
+        return assignEngine();
     if (refusal->isFull)
         return false;
     if (!m_mayHaveRun)
@@ -243,6 +249,7 @@
     m_responseStatus = 0;
     m_eventSplitter.dropPartial();
     m_assignment.recordSent(m_requestInfo.work);
+    recordVersionSend();
     m_assignment.connection()->send(std::move(text), method == "HEAD", makeResponseSink());
     restartStallTimer();
     logSend(engineRequest.remainingTime);
@@ -343,6 +350,8 @@
         if (outcome == SendOutcome::Failed || route().kind != RouteKind::Streaming)
             countUsageOnce();
     }
+    recordVersionOutcome(outcome == SendOutcome::NotExecuted ? SendEvidence::Unfinished
+                                                             : SendEvidence::Failed);
     releaseEngine(outcome != SendOutcome::Unknown);
     resendOrFinish(outcome);
 }
@@ -378,6 +387,29 @@
             selectService(), static_cast<std::size_t>(m_state.quotaShares.nodes), steadyNow());
 }
 
+void ProxiedRequest::recordVersionSend()
+{
+    const EngineState *engine = m_state.engines.find(m_assignment.engineId());
+    m_needsVersionOutcome = m_state.settings.rollout && engine;
+    if (m_needsVersionOutcome)
+        m_state.rollouts.recordSend(engine->entry, route().name);
+}
+
+/*!
+    Records the outcome of the current send as evidence for the version of its engine. A stream that
+    breaks off after its first event counts a second time, as a failure.
+*/
+void ProxiedRequest::recordVersionOutcome(SendEvidence outcome)
+{
+    const EngineState *engine = m_state.engines.find(m_assignment.engineId());
+    const bool isBreak = outcome == SendEvidence::Failed && m_isStreamStarted;
+    if (!m_state.settings.rollout || !engine
+        || (!std::exchange(m_needsVersionOutcome, false) && !isBreak))
+        return;
+    m_state.rollouts.recordOutcome(engine->entry, route().name, outcome,
+                                   steadyNow() - m_sendStartTime);
+}
+
 void ProxiedRequest::countUsageOnce()
 {
     if (m_isUsageCounted)
@@ -403,12 +435,16 @@
 {
     if (m_isFinished)
         return;
+    // The answer would have taken longer than the caller waited.
+    if (m_mayHaveRun && steadyNow() - m_sendStartTime > 2 * route().targetLatency)
+        recordVersionOutcome(SendEvidence::Answered);
     releaseEngine(false);
     finish("caller_gone", 0);
 }
 
 void ProxiedRequest::onDeadlineExpired()
 {
+    recordVersionOutcome(SendEvidence::Failed);
     endUnanswered(m_mayHaveRun ? "the engine did not answer in time" : "no engine was free in time",
                   gatewayTimeout);
 }
--- a/Source/Serving/proxiedrequestrelay.cpp
+++ b/Source/Serving/proxiedrequestrelay.cpp
@@ -116,6 +116,7 @@
                                               m_firstEventTime - m_sendStartTime);
     }
     recordFirstEvent();
+    recordVersionOutcome(SendEvidence::Answered);
     countUsageOnce();
     if (m_eventSplitter.eventCount() > eventsOfBeginning)
         recordAnswerOnce();
@@ -178,6 +179,7 @@
     m_state.metrics.recordSend(selectService(), "complete");
     m_state.crashes.recordSuccess(m_admitted.fingerprint);
     recordAnswerOnce();
+    recordVersionOutcome(SendEvidence::Answered);
     m_state.engines.recordAnswer(m_assignment.engineId(), true, steadyNow() - m_sendStartTime);
     releaseEngine(true);
     if (!isStream) {
--- a/Source/Serving/servingstate.h
+++ b/Source/Serving/servingstate.h
@@ -19,6 +19,7 @@
 #include "Serving/engineconnectionpool.h"
 #include "Serving/requestformat.h"
 #include "Serving/requestwaiting.h"
+#include "Serving/rolloutrecord.h"
 #include "Serving/servingmetrics.h"
 #include "Serving/servingsettings.h"
 
@@ -118,6 +119,7 @@
     ObjectReplica engineReplica;
     ServiceRateMeter refusals; //!< Requests that are refused for lack of capacity.
     ServiceRateMeter promptTokens; //!< Prompt tokens of the requests that callers send.
+    RolloutRecord rollouts;
     //! Engines that the holder of the duties needs of each service, as its record tells.
     std::map<std::string, int> neededEngines;
     ServingMetrics metrics;
