--- a/Emulator/emulatedplatform.cpp
+++ b/Emulator/emulatedplatform.cpp
@@ -78,19 +78,20 @@
             + route("/open/", "safe", "plain", "\"maxAttempts\":2,\"anonymous\":true");
     if (extraRoute)
         routes += "," + route("/extra/", "safe", "plain", "\"maxAttempts\":2");
-    store.put(
-            "config", "main",
-            "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes
-                    + "],\"services\":[{\"name\":\"model\",\"maxConnections\":"
-                    + std::to_string(m_engineCapacity.connections)
-                    + ",\"engine\":{\"slots\":" + std::to_string(m_engineCapacity.slots)
-                    + ","
-                      "\"kvCapacity\":100000}},{\"name\":\"plain\","
-                      "\"maxConnections\":50}],\"limits\":{\"maxHeaderBytes\":16384,"
-                      "\"maxBodyBytes\":1000000,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
-                      "\"tenants\":[{\"name\":\"large\",\"apiKeys\":[\"key-large\"]},"
-                      "{\"name\":\"small\",\"apiKeys\":[\"key-small\"],\"ratePerS\":2,"
-                      "\"burst\":5}]}");
+    store.put("config", "main",
+              "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes
+                      + "],\"services\":[{\"name\":\"model\",\"maxConnections\":"
+                      + std::to_string(m_engineCapacity.connections)
+                      + ",\"engine\":{\"slots\":" + std::to_string(m_engineCapacity.slots)
+                      + ","
+                        "\"kvCapacity\":100000}},{\"name\":\"plain\","
+                        "\"maxConnections\":50}],\"limits\":{\"maxHeaderBytes\":16384,"
+                        "\"maxBodyBytes\":"
+                      + std::to_string(m_bodyLimit)
+                      + ",\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
+                        "\"tenants\":[{\"name\":\"large\",\"apiKeys\":[\"key-large\"]},"
+                        "{\"name\":\"small\",\"apiKeys\":[\"key-small\"],\"ratePerS\":2,"
+                        "\"burst\":5}]}");
 }
 
 std::string EmulatedPlatform::formatSettings(int index, bool isFirstStart) const
@@ -107,11 +108,12 @@
             + "  directory: " + format(directoryAddress(index)) + "internalPorts: ["
             + std::to_string(exchange) + ", " + std::to_string(exchange + 1)
             + "]\nbootstrap: " + (isFirstStart ? "true" : "false")
-            + "\nlimits:\n  fileDescriptors: 1000\nbounds:\n  leaseMs: 1500\n  graceS: "
-            + std::to_string(m_stopGrace.count()) + "\n  reportWindowS: 1\n  retrySlack: 54\n"
-            + revocation + "platform:\n  address: " + format(endpoint(m_firstPort))
-            + "cloud:\n  address: " + format(endpoint(m_firstPort + 1))
-            + "  duties: [\"metering\", \"autoscale\"]\n";
+            + "\nlimits:\n  fileDescriptors: " + std::to_string(m_descriptors)
+            + (m_memoryMb > 0 ? "\n  memoryMb: " + std::to_string(m_memoryMb) : "")
+            + "\nbounds:\n  leaseMs: 1500\n  graceS: " + std::to_string(m_stopGrace.count())
+            + "\n  reportWindowS: 1\n  retrySlack: 54\n" + revocation
+            + "platform:\n  address: " + format(endpoint(m_firstPort)) + "cloud:\n  address: "
+            + format(endpoint(m_firstPort + 1)) + "  duties: [\"metering\", \"autoscale\"]\n";
 }
 
 } // namespace sesame
--- a/Emulator/emulatedplatform.h
+++ b/Emulator/emulatedplatform.h
@@ -74,6 +74,25 @@
     */
     void setStopGrace(std::chrono::seconds grace) { m_stopGrace = grace; }
 
+    /*!
+        Sets the machine limits that the settings of the nodes state. A \a memoryMb of 0 states
+       none.
+    */
+    void setMachineLimits(int descriptors, int memoryMb)
+    {
+        m_descriptors = descriptors;
+        m_memoryMb = memoryMb;
+    }
+
+    /*!
+        Writes a configuration in which the body of a request may have \a bytes bytes.
+    */
+    void setBodyLimit(std::size_t bytes)
+    {
+        m_bodyLimit = bytes;
+        putConfig(1);
+    }
+
     EmulatedStore store;
     EmulatedDuties duties;
     std::vector<std::unique_ptr<EmulatedEngine>> engines; //!< The model engines come first.
@@ -87,6 +106,9 @@
     EngineCapacity m_engineCapacity;
     std::optional<std::chrono::milliseconds> m_revocationLimit;
     std::chrono::seconds m_stopGrace {3};
+    int m_descriptors = 1000;
+    int m_memoryMb = 0;
+    std::size_t m_bodyLimit = 1'000'000;
 };
 
 } // namespace sesame
--- a/Tests/support/platformdeployment.h
+++ b/Tests/support/platformdeployment.h
@@ -28,6 +28,9 @@
     //! Time after which nodes that may have missed a revocation refuse keys; unset for never.
     std::optional<std::chrono::milliseconds> revocationLimit {};
     std::chrono::seconds stopGrace {3};
+    int descriptors = 1000; //!< Limit of descriptors of each node's machine.
+    int memoryMb = 0; //!< Memory of each node's machine; 0 if the settings state none.
+    std::size_t bodyLimit = 1'000'000;
 };
 
 /*!
@@ -59,6 +62,8 @@
         if (options.revocationLimit)
             platform.setRevocationLimit(*options.revocationLimit);
         platform.setStopGrace(options.stopGrace);
+        platform.setMachineLimits(options.descriptors, options.memoryMb);
+        platform.setBodyLimit(options.bodyLimit);
         std::string pattern = (std::filesystem::temp_directory_path() / "platformtest.XXXXXX");
         cr_assert_not_null(mkdtemp(pattern.data()));
         m_directory = pattern;
@@ -161,6 +166,9 @@
         return 0;
     }
 
+    //! Returns the process id of \a node.
+    pid_t processId(int node) const { return m_pids.at(node); }
+
     /*!
         Runs the event loop for \a time.
     */
