--- a/Source/Core/nodesettings.h
+++ b/Source/Core/nodesettings.h
@@ -33,6 +33,7 @@
     //! Peer addresses for joining, in addition to the store's records.
     std::vector<Endpoint> seeds;
     std::string logLevel = "info";
+    int memoryLimitMb = 512; //!< Memory of the node's process.
 };
 
 } // namespace sesame
--- a/Source/Core/nodesettingsfile.cpp
+++ b/Source/Core/nodesettingsfile.cpp
@@ -14,6 +14,10 @@
 
 namespace {
 
+//! With less, a node could not hold its tables and a single request of the largest size.
+constexpr double minMemoryLimitMb = 120;
+constexpr double maxMemoryLimitMb = 1'048'576;
+
 constexpr std::size_t minKeyBytes = 16; // Shorter keys can be guessed.
 constexpr std::array<std::pair<std::string_view, std::string_view>, 4> logLevels {{
         {"debug", "debug"},
@@ -144,6 +148,10 @@
     settings.tokenKey = readKey(reader, "token_key");
     settings.seeds = readSeeds(reader);
     settings.logLevel = reader.readChoice<std::string_view>("log_level", logLevels, "info", false);
+    settings.memoryLimitMb = static_cast<int>(reader.readNumber("memory_limit_mb",
+                                                                NumberKind::Integer,
+                                                                minMemoryLimitMb, maxMemoryLimitMb)
+                                                      .value_or(settings.memoryLimitMb));
     reader.reportUnknownKeys();
     sortErrors(errors, before);
     if (errors.size() > before)
--- a/Tests/clientmemoryprocesstest.cpp
+++ b/Tests/clientmemoryprocesstest.cpp
@@ -4,13 +4,12 @@
 
 #include "support/hostileclients.h"
 #include "support/platformdeployment.h"
+#include "support/processusage.h"
 
 #include <criterion/criterion.h>
 
 #include <algorithm>
 #include <cstdio>
-#include <filesystem>
-#include <fstream>
 #include <sstream>
 
 using namespace sesame;
@@ -47,37 +46,6 @@
     return text;
 }
 
-/*!
-    Returns the KiB that the kernel has received for the entry of the node and the node has not
-   read.
-*/
-long unreadKib(const Tcp::endpoint &entry)
-{
-    std::ostringstream suffix;
-    suffix << std::hex << std::uppercase << entry.port();
-    std::ifstream file("/proc/net/tcp");
-    long bytes = 0;
-    for (std::string line; std::getline(file, line);) {
-        std::istringstream fields(line);
-        std::string index;
-        std::string local;
-        std::string remote;
-        std::string state;
-        std::string queues;
-        fields >> index >> local >> remote >> state >> queues;
-        constexpr std::string_view listening = "0A";
-        if (local.ends_with(":" + suffix.str()) && state != listening)
-            bytes += std::strtol(queues.substr(queues.find(':') + 1).c_str(), nullptr, 16);
-    }
-    return bytes / 1024;
-}
-
-int openDescriptors(pid_t pid)
-{
-    const std::filesystem::directory_iterator all("/proc/" + std::to_string(pid) + "/fd");
-    return static_cast<int>(std::distance(begin(all), end(all)));
-}
-
 /*!
     Runs the deployment until \a clients have sent what they have to send, and a second more. Checks
     that node 1 lives, that its memory and descriptors stay below their limits all the time, and
@@ -89,7 +57,7 @@
     long unread = 0;
     int opened = 0;
     const auto sample = [&] {
-        unread = std::max(unread, unreadKib(deployment.platform.entryAddress(1)));
+        unread = std::max(unread, unreadKib(deployment.platform.entryAddress(1).port()));
         opened = std::max(opened, openDescriptors(deployment.processId(1)));
     };
     deployment.runUntil(
@@ -105,7 +73,7 @@
     cr_assert_not(deployment.hasExited(1));
     const CallResponse answer = deployment.sendRequest(1, "POST", "/book/x", "ordinary");
     sample();
-    const long peak = deployment.peakMemoryKib(1);
+    const long peak = peakMemoryKib(deployment.processId(1));
     fprintf(stderr, "peak %ld KiB, unread %ld KiB, descriptors %d, status %u\n", peak, unread,
             opened, answer.status);
     cr_expect_leq(peak + unread, memoryMb * kibPerMb, "peak %ld KiB, unread in the kernel %ld KiB",
@@ -214,5 +182,5 @@
     const CallResponse answer = deployment.sendRequest(1, "POST", "/book/x", "large", "key-large",
                                                        std::string(bodyLimit, 'l'));
     cr_expect_eq(answer.status, 200, "status %u", answer.status);
-    cr_expect_leq(deployment.peakMemoryKib(1), memoryMb * kibPerMb);
+    cr_expect_leq(peakMemoryKib(deployment.processId(1)), memoryMb * kibPerMb);
 }
--- a/Tests/fleetfiletest.cpp
+++ b/Tests/fleetfiletest.cpp
@@ -236,6 +236,8 @@
             {"http://127.0.0.1:1", "127.0.0.1:1"},
             {"node = \"n\"", "seeds = [\"n\"]"},
             {"node = \"n\"", "log_level = \"loud\""},
+            {"zone =", "memory_limit_mb = 119\nzone ="},
+            {"zone =", "memory_limit_mb = \"512\"\nzone ="},
     };
     for (const auto &[from, to] : replacements) {
         std::string text = validNode;
--- a/Tests/support/platformdeployment.h
+++ b/Tests/support/platformdeployment.h
@@ -3,6 +3,7 @@
 #include "Http/httpcaller.h"
 #include "emulatedplatform.h"
 #include "support/processgroup.h"
+#include "support/processusage.h"
 
 #include <criterion/criterion.h>
 
@@ -155,16 +156,7 @@
     /*!
         Returns the peak of the memory that the process of \a node has used so far, in KiB.
     */
-    long peakMemoryKib(int node) const
-    {
-        constexpr std::string_view key = "VmHWM:";
-        std::ifstream file("/proc/" + std::to_string(m_pids.at(node)) + "/status");
-        for (std::string line; std::getline(file, line);) {
-            if (line.starts_with(key))
-                return std::atol(line.c_str() + key.size());
-        }
-        return 0;
-    }
+    long peakMemoryKib(int node) const { return test::peakMemoryKib(processId(node)); }
 
     //! Returns the process id of \a node.
     pid_t processId(int node) const { return m_pids.at(node); }
--- a/Tests/support/testdeployment.cpp
+++ b/Tests/support/testdeployment.cpp
@@ -172,7 +172,7 @@
                       + "\"\ncloud_url = \"" + m_cloudUrl
                       + "\"\npeer_key = \"test-peer-key-0001\"\ntoken_key = "
                         "\"test-token-key-0001\"\nseeds = [\""
-                      + m_network + ".1.11:8200\"]\n");
+                      + m_network + ".1.11:8200\"]\n" + m_options.nodeSettings);
 }
 
 void TestDeployment::startNode(std::size_t n)
--- a/Tests/support/testdeployment.h
+++ b/Tests/support/testdeployment.h
@@ -19,6 +19,7 @@
     int slots = 16;
     int capacityLimit = 24;
     std::vector<std::string> engineArguments {}; //!< Added to each engine's command line.
+    std::string nodeSettings {}; //!< Lines that are added to each node's settings.
 };
 
 /*!
