Bound the memory and descriptors that clients can use

Cause: each connection reserved the stated length of its body in advance or doubled its buffer, nothing limited the sum over connections, idle connections kept a read buffer, a request was copied for the engine, answers waited without a deadline for clients that did not read, and a full listener closed new connections while idle ones stayed.

Connections charge input, head, body, handler and unread output. Over the budget, the largest and longest idle incomplete requests get 503, unread answers lose their connection, and a complete request for which there is no memory gets 503 before it runs. The body goes to the engine without a copy. Idle connections hold no buffer. Pipelined input beyond 64 KiB is discarded instead of left in the kernel, and receive buffers are bounded. A client that reads nothing for the idle timeout loses its connection. At the limit of connections, one without a complete request is closed for a new one. The allocator returns large blocks at once. Clients that send Expect: 100-continue are told to go on.

--- a/Source/Adapter/httpserver.cpp
+++ b/Source/Adapter/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "Adapter/httpserver.h"
 
+#include "Adapter/clientcutlog.h"
 #include "Adapter/log.h"
 #include "Core/lastreason.h"
 #include "Http/listener.h"
@@ -25,6 +26,10 @@
 constexpr std::size_t headerLimitBytes = 32'768;
 //! A thread that produces a streamed body waits while at least this much output is unsent.
 constexpr std::size_t maxUnsentBytes = 65'536;
+//! Part of its stack and of its answer that the thread of a request uses.
+constexpr std::size_t threadBytes = 65'536;
+//! The body of a request exists in the message, in the HttpRequest, and in the parsed document.
+constexpr std::size_t bodyCopies = 3;
 
 /*!
     State that the thread of one request shares with the event loop.
@@ -118,6 +123,9 @@
                             .headerTimeout = std::chrono::seconds(options.idleTimeoutSeconds),
                             .idleTimeout = std::chrono::seconds(options.idleTimeoutSeconds)});
         listener.setRejectionHandler(logRejection);
+        listener.setMemory(
+                std::make_shared<ClientMemory>(context, options.clientMemoryBytes, logClientCuts),
+                threadBytes, bodyCopies);
     }
 
     void serve(const ConnectionPtr &connection, const std::shared_ptr<RequestMessage> &message)
--- a/Source/Adapter/httpserver.h
+++ b/Source/Adapter/httpserver.h
@@ -17,6 +17,8 @@
     unsigned connectionLimit = 4096;
     //! Timeout for idle connections and for clients that send slowly.
     unsigned idleTimeoutSeconds = 30;
+    //! Bytes that the server may hold for clients; 0 if they are not limited.
+    std::size_t clientMemoryBytes = 0;
 };
 
 /*!
--- a/Source/Command/servecommand.cpp
+++ b/Source/Command/servecommand.cpp
@@ -1,4 +1,5 @@
 #include "Core/sesamecore.h"
+#include "Http/clientmemory.h"
 #include "Node/entrynode.h"
 #include "commands.h"
 #include "textfile.h"
@@ -26,7 +27,10 @@
     std::vector<SettingsError> errors;
     const std::optional<NodeSettings> settings = parseNodeSettings(*text, path, errors);
     printErrors(errors);
-    return settings ? runEntryNode(*settings) : static_cast<int>(ExitUsage);
+    if (!settings)
+        return ExitUsage;
+    limitAllocatorSlack();
+    return runEntryNode(*settings);
 }
 
 } // namespace
--- a/Source/Command/serveplatformcommand.cpp
+++ b/Source/Command/serveplatformcommand.cpp
@@ -1,5 +1,6 @@
 #include "Adapter/log.h"
 #include "Core/sesamecore.h"
+#include "Http/clientmemory.h"
 #include "Serving/sesameserving.h"
 #include "commands.h"
 #include "sesameplatform.h"
@@ -45,6 +46,8 @@
     printErrors(errors);
     if (!settings)
         return ExitUsage;
+    if (settings->memoryLimitBytes > 0)
+        limitAllocatorSlack();
     initializeQueuedLog("info", settings->node);
     asio::io_context context(1);
     ServingNode node(context, *settings, platform::makeEnvironment(context, *settings));
--- a/Source/Http/clientconnection.cpp
+++ b/Source/Http/clientconnection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <array>
 #include <charconv>
 
 #include <netinet/in.h>
@@ -106,10 +107,12 @@
     set(TCP_KEEPCNT, keepAliveProbes);
 }
 
-void ClientConnection::send(std::string request, bool isHead, ResponseSink sink)
+void ClientConnection::send(std::string head, std::shared_ptr<const std::string> body, bool isHead,
+                            ResponseSink sink)
 {
     m_sink = std::make_shared<ResponseSink>(std::move(sink));
-    m_output = std::move(request);
+    m_output = std::move(head);
+    m_outputBody = std::move(body);
     m_isHead = isHead;
     m_exchanging = true;
     m_requestWritten = false;
@@ -117,13 +120,17 @@
     m_skipping = false;
     m_skippedBytes = 0;
     m_parser.reset();
+    const std::array<asio::const_buffer, 2> buffers {asio::buffer(m_output),
+                                                     m_outputBody ? asio::buffer(*m_outputBody)
+                                                                  : asio::const_buffer()};
     asio::async_write(
-            m_socket, asio::buffer(m_output),
+            m_socket, buffers,
             [self = shared_from_this()](const boost::system::error_code &ec, std::size_t /*n*/) {
                 // A write error needs no handling here: the read that is pending during the
                 // whole exchange fails too and reports it.
                 self->m_requestWritten = !ec;
                 self->m_output.clear();
+                self->m_outputBody.reset();
             });
     readMore();
 }
--- a/Source/Http/clientconnection.h
+++ b/Source/Http/clientconnection.h
@@ -67,7 +67,18 @@
         Writes the serialized \a request and reports its response to \a sink. \a isHead is true for
         a HEAD request, whose response has no body.
     */
-    void send(std::string request, bool isHead, ResponseSink sink);
+    void send(std::string request, bool isHead, ResponseSink sink)
+    {
+        send(std::move(request), nullptr, isHead, std::move(sink));
+    }
+
+    /*!
+        \overload
+        Writes \a head and then \a body, which may be null. The body is not copied, because large
+        bodies would use twice their memory.
+    */
+    void send(std::string head, std::shared_ptr<const std::string> body, bool isHead,
+              ResponseSink sink);
 
     /*!
         Stops or resumes reading. The caller stops it for flow control if a response arrives faster
@@ -129,6 +140,7 @@
     //! Shared, so that a callback stays valid while it closes the connection.
     std::shared_ptr<ResponseSink> m_sink;
     std::string m_output;
+    std::shared_ptr<const std::string> m_outputBody; //!< Written after m_output; may be null.
     bool m_exchanging = false;
     bool m_isHead = false;
     bool m_headProcessed = false;
--- a/Source/Http/httptypes.cpp
+++ b/Source/Http/httptypes.cpp
@@ -76,27 +76,51 @@
     return copy;
 }
 
-std::string formatRequest(std::string_view method, std::string_view target,
-                          const HttpFields &fields, std::string_view body)
+namespace {
+
+FieldViews viewFields(const HttpFields &fields)
 {
     FieldViews views;
     for (const auto &field : fields)
         views.emplace_back(toStd(field.name_string()), toStd(field.value()));
-    return formatRequest(method, target, views, body);
+    return views;
 }
 
-std::string formatRequest(std::string_view method, std::string_view target,
-                          const FieldViews &fields, std::string_view body)
+/*!
+    Returns the head of a request, with room for \a reservedBytes more.
+*/
+std::string formatHead(std::string_view method, std::string_view target, const FieldViews &fields,
+                       std::size_t bodyBytes, std::size_t reservedBytes)
 {
     constexpr std::size_t typicalHeadBytes = 1024;
     std::string text;
-    text.reserve(typicalHeadBytes + body.size());
+    text.reserve(typicalHeadBytes + reservedBytes);
     text.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
     for (const auto &[name, value] : fields)
         text.append(name).append(": ").append(value).append("\r\n");
-    if (!body.empty() || (method != "GET" && method != "HEAD" && method != "DELETE"))
-        text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
-    return text.append("\r\n").append(body);
+    if (bodyBytes > 0 || (method != "GET" && method != "HEAD" && method != "DELETE"))
+        text.append("Content-Length: ").append(std::to_string(bodyBytes)).append("\r\n");
+    return text.append("\r\n");
+}
+
+} // namespace
+
+std::string formatRequest(std::string_view method, std::string_view target,
+                          const HttpFields &fields, std::string_view body)
+{
+    return formatRequest(method, target, viewFields(fields), body);
+}
+
+std::string formatRequest(std::string_view method, std::string_view target,
+                          const FieldViews &fields, std::string_view body)
+{
+    return formatHead(method, target, fields, body.size(), body.size()).append(body);
+}
+
+std::string formatRequestHead(std::string_view method, std::string_view target,
+                              const HttpFields &fields, std::size_t bodyBytes)
+{
+    return formatHead(method, target, viewFields(fields), bodyBytes, 0);
 }
 
 std::optional<Tcp::endpoint> parseTcpEndpoint(std::string_view text)
--- a/Source/Http/httptypes.h
+++ b/Source/Http/httptypes.h
@@ -80,6 +80,12 @@
 std::string formatRequest(std::string_view method, std::string_view target,
                           const FieldViews &fields, std::string_view body);
 
+/*!
+    Returns the part of formatRequest() before the body, for a body of \a bodyBytes.
+*/
+std::string formatRequestHead(std::string_view method, std::string_view target,
+                              const HttpFields &fields, std::size_t bodyBytes);
+
 /*!
     Parses "IP:PORT" with an IPv4 address and a port other than 0. Returns std::nullopt if \a text
     has another form.
--- a/Source/Http/listener.h
+++ b/Source/Http/listener.h
@@ -15,8 +15,9 @@
 {
 public:
     /*!
-        Creates a listener that calls \a handler for each request. Connections beyond
-        \a connectionLimit are closed when they are accepted.
+        Creates a listener that calls \a handler for each request. A connection beyond
+        \a connectionLimit takes the place of one without a complete request; if there is none, it
+        is closed when it is accepted.
     */
     Listener(asio::io_context &context, RequestHandler handler, std::size_t connectionLimit);
     Listener(const Listener &) = delete;
@@ -33,6 +34,14 @@
     */
     void setLimits(const ClientLimits &limits) { m_state->limits = limits; }
 
+    /*!
+        Makes the connections share \a memory, and bounds what the kernel receives for each of them
+        before it is read. A request also uses \a handlerBytes, and \a bodyCopies times its body.
+        Must be called before open().
+    */
+    void setMemory(std::shared_ptr<ClientMemory> memory, std::size_t handlerBytes = 0,
+                   std::size_t bodyCopies = 1);
+
     /*!
         Sets the function that is called for each request that is rejected without the handler, or
         that the handler failed on.
@@ -58,6 +67,8 @@
 
 private:
     void accept();
+    void add(Tcp::socket socket);
+    bool closeLeastUseful();
 
     Tcp::acceptor m_acceptor;
     asio::steady_timer m_retryTimer;
--- a/Source/Http/serverconnection.cpp
+++ b/Source/Http/serverconnection.cpp
@@ -14,10 +14,19 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t readChunkBytes = 16384;
-//! Upper bound for input that is buffered while a request is in progress. If it is reached, reading
-//! continues when the request has been answered.
+constexpr std::size_t readChunkBytes = 65536;
+//! Upper bound for input that is buffered while a request is in progress. If it is exceeded, the
+//! input is discarded and the connection is closed after the response. If reading paused instead,
+//! the bytes would wait in the kernel, where they count against the memory of the machine too.
 constexpr std::size_t maxBufferedInputBytes = 65536;
+//! Buffers for output that are larger than this are freed when they are written.
+constexpr std::size_t maxKeptOutputBytes = 16384;
+//! What an open connection holds without any bytes of a request: the objects in this process.
+constexpr std::size_t connectionBytes = 2048;
+//! What a head holds in the parser, as a multiple of its bytes.
+constexpr std::size_t headBytesFactor = 2;
+//! Time after which a client may repeat a request that was cut because memory was short.
+constexpr const char *retryAfterCut = "1";
 //! How long the connection stays half-closed (no more output, input is discarded) after its last
 //! response. If it were closed at once while input is unread, the kernel would reset the
 //! connection, and the client could lose the response.
@@ -28,6 +37,8 @@
 constexpr unsigned contentTooLarge = 413;
 constexpr unsigned headerTooLarge = 431;
 constexpr unsigned internalError = 500;
+constexpr unsigned unavailable = 503;
+constexpr std::string_view noMemoryText = "no memory for this request";
 
 } // namespace
 
@@ -40,13 +51,20 @@
 ServerConnection::~ServerConnection()
 {
     --m_state->connections;
+    if (m_state->memory)
+        m_state->memory->remove(m_holder);
 }
 
 void ServerConnection::start()
 {
     boost::system::error_code ignored; // The option affects only the latency.
     m_socket.set_option(Tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
+    m_progressAt = Clock::now();
+    if (m_state->memory)
+        m_holder = m_state->memory->add(weak_from_this());
     enterPhase(Phase::Idle);
+    updateCharge();
     readMore();
 }
 
@@ -54,31 +72,54 @@
 {
     if (m_reading || m_phase == Phase::Closed)
         return;
-    if (isRequestOpen() && m_input.size() >= maxBufferedInputBytes)
-        return;
     m_reading = true;
-    m_socket.async_read_some(
-            m_input.prepare(readChunkBytes),
-            [self = shared_from_this()](const boost::system::error_code &ec, std::size_t n) {
-                self->onRead(ec, n);
-            });
+    m_socket.async_wait(Tcp::socket::wait_read,
+                        [self = shared_from_this()](const boost::system::error_code &ec) {
+                            self->onReadable(ec);
+                        });
 }
 
-void ServerConnection::onRead(const boost::system::error_code &ec, std::size_t n)
+void ServerConnection::onReadable(const boost::system::error_code &ec)
 {
     m_reading = false;
     if (m_phase == Phase::Closed)
         return;
-    if (ec) {
+    std::vector<char> &buffer = m_state->readBuffer;
+    buffer.resize(readChunkBytes);
+    boost::system::error_code readError = ec;
+    const std::size_t n = ec ? 0 : m_socket.read_some(asio::buffer(buffer), readError);
+    if (readError == asio::error::would_block || readError == asio::error::interrupted) {
+        readMore();
+        return;
+    }
+    if (readError) {
         onClientDisconnected();
         return;
     }
-    m_input.commit(n);
+    addInput({buffer.data(), n});
+    updateCharge();
+    readMore();
+}
+
+void ServerConnection::addInput(std::string_view bytes)
+{
     if (m_phase == Phase::Lingering)
-        m_input.consume(m_input.size());
-    else if (!isRequestOpen())
+        return;
+    if (isRequestOpen()
+        && (m_discardsInput || m_input.size() + bytes.size() > maxBufferedInputBytes)) {
+        m_discardsInput = true;
+        m_closeAfterResponse = true;
+        m_input.clear();
+        m_input.shrink_to_fit();
+        return;
+    }
+    m_progressAt = Clock::now();
+    asio::buffer_copy(m_input.prepare(bytes.size()), asio::buffer(bytes));
+    m_input.commit(bytes.size());
+    if (!isRequestOpen())
         parseInput();
-    readMore();
+    if (m_input.size() == 0)
+        m_input.shrink_to_fit();
 }
 
 void ServerConnection::parseInput()
@@ -99,8 +140,11 @@
             return;
         }
         if (ec == beast::http::error::need_more) {
-            if (hasHead && m_phase == Phase::Head)
+            if (hasHead && m_phase == Phase::Head) {
+                m_headBytes = std::min(n, m_state->limits.headerBytes);
                 enterPhase(Phase::Body);
+                sendContinue();
+            }
             return;
         }
         if ((*m_parser)->is_done()) {
@@ -112,12 +156,25 @@
     }
 }
 
+/*!
+    Tells a client that waits for it to send the body of its request.
+*/
+void ServerConnection::sendContinue()
+{
+    const auto &head = (*m_parser)->get();
+    if (head.version() < 11 || !beast::iequals(head[beast::http::field::expect], "100-continue"))
+        return;
+    m_queued.append("HTTP/1.1 100 Continue\r\n\r\n");
+    flush();
+}
+
 void ServerConnection::createParser()
 {
     Parser &parser = *m_parser.emplace();
     parser.eager(true);
     parser.header_limit(static_cast<std::uint32_t>(m_state->limits.headerBytes));
     parser.body_limit(m_state->limits.bodyBytes);
+    m_headBytes = 0;
     enterPhase(Phase::Head);
 }
 
@@ -136,25 +193,53 @@
     not known where the next request would begin.
 */
 void ServerConnection::reject(unsigned status, std::string_view reason)
+{
+    if (m_state->rejectionHandler)
+        m_state->rejectionHandler(status, reason);
+    endInput(status, {}, reason);
+}
+
+/*!
+    Answers the request that is being received, and closes the connection after the response.
+*/
+void ServerConnection::endInput(unsigned status, const HttpFields &fields, std::string_view reason)
 {
     m_parser.reset();
     m_closeAfterResponse = true;
+    m_discardsInput = true;
     m_isHead = false;
-    m_phase = Phase::Handling;
+    m_responseComplete = false;
+    enterPhase(Phase::Handling);
     ++m_state->openRequests;
-    if (m_state->rejectionHandler)
-        m_state->rejectionHandler(status, reason);
-    sendResponse(status, {}, std::string(reason) + "\n");
+    sendResponse(status, fields, std::string(reason) + "\n");
+}
+
+/*!
+    Answers a request that is not handled because memory is short. The client may repeat it.
+*/
+void ServerConnection::refuseForMemory(CutReason reason)
+{
+    m_isCut = true;
+    m_state->memory->recordCut(reason);
+    HttpFields fields;
+    fields.set("Retry-After", retryAfterCut);
+    endInput(unavailable, fields, noMemoryText);
 }
 
 void ServerConnection::dispatch()
 {
-    RequestMessage request = (*m_parser)->release();
+    auto message = (*m_parser)->release();
     m_parser.reset();
+    RequestMessage request(std::move(message.base()), std::move(message.body()));
+    m_hasServed = true;
+    enterPhase(Phase::Handling);
+    if (!setHandlerBytes(m_state->handlerBytes + m_state->bodyCopies * request.body().capacity())) {
+        refuseForMemory(CutReason::NoRoom);
+        return;
+    }
     m_closeAfterResponse = !request.keep_alive();
     m_isHead = request.method() == beast::http::verb::head;
     m_responseComplete = false;
-    enterPhase(Phase::Handling);
     ++m_state->openRequests;
     try {
         m_state->handler(shared_from_this(), std::move(request));
@@ -186,6 +271,8 @@
 {
     if (!isRequestOpen() || m_responseComplete)
         return;
+    constexpr std::size_t typicalHeadBytes = 1024;
+    m_queued.reserve(m_queued.size() + typicalHeadBytes + body.size());
     appendHead(status, fields);
     m_queued.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
     if (!m_isHead)
@@ -225,6 +312,7 @@
     m_responseComplete = true;
     m_closedHandler = nullptr;
     m_drainedHandler = nullptr;
+    m_handlerBytes = 0;
     flush();
 }
 
@@ -233,16 +321,36 @@
     if (m_phase == Phase::Closed || !m_writing.empty() || m_queued.empty())
         return;
     m_writing.swap(m_queued);
-    asio::async_write(
-            m_socket, asio::buffer(m_writing),
-            [self = shared_from_this()](const boost::system::error_code &ec, std::size_t /*n*/) {
-                self->onWritten(ec);
+    m_written = 0;
+    m_progressAt = Clock::now();
+    if (isRequestOpen())
+        startWriteTimer();
+    writeMore();
+    updateCharge();
+}
+
+void ServerConnection::writeMore()
+{
+    m_socket.async_write_some(
+            asio::buffer(m_writing) + m_written,
+            [self = shared_from_this()](const boost::system::error_code &ec, std::size_t n) {
+                self->onWritten(ec, n);
             });
 }
 
-void ServerConnection::onWritten(const boost::system::error_code &ec)
+void ServerConnection::onWritten(const boost::system::error_code &ec, std::size_t n)
 {
+    m_written += n;
+    m_progressAt = Clock::now();
+    if (m_phase != Phase::Closed && !ec && m_written < m_writing.size()) {
+        writeMore();
+        updateCharge();
+        return;
+    }
     m_writing.clear();
+    m_written = 0;
+    if (m_writing.capacity() > maxKeptOutputBytes)
+        m_writing.shrink_to_fit();
     if (m_phase == Phase::Closed)
         return;
     if (ec) {
@@ -253,6 +361,12 @@
         flush();
         return;
     }
+    onOutputWritten();
+    updateCharge();
+}
+
+void ServerConnection::onOutputWritten()
+{
     if (!m_responseComplete) {
         // The handler is copied because it may close the connection, which resets the member.
         const std::function<void()> handler = m_drainedHandler;
@@ -271,13 +385,100 @@
     } else {
         enterPhase(Phase::Idle);
         parseInput();
+        if (m_input.size() == 0)
+            m_input.shrink_to_fit();
     }
     readMore();
 }
 
+/*!
+    Closes the connection if the client reads nothing of its answer for the idle timeout. A client
+    that reads slowly keeps it.
+*/
+void ServerConnection::startWriteTimer()
+{
+    if (m_isWriteTimerRunning)
+        return;
+    m_isWriteTimerRunning = true;
+    m_timer.expires_at(m_progressAt + m_state->limits.idleTimeout);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
+        const auto self = weak.lock();
+        if (ec || !self || !self->isRequestOpen())
+            return;
+        self->m_isWriteTimerRunning = false;
+        if (self->pendingBytes() == 0)
+            return;
+        if (Clock::now() - self->m_progressAt < self->m_state->limits.idleTimeout) {
+            self->startWriteTimer();
+            return;
+        }
+        if (self->m_state->memory)
+            self->m_state->memory->recordCut(CutReason::StoppedReading);
+        self->onClientDisconnected();
+    });
+}
+
+bool ServerConnection::setHandlerBytes(std::size_t bytes)
+{
+    m_handlerBytes = bytes;
+    return updateCharge();
+}
+
+/*!
+    Tells the memory budget what this connection holds. Returns whether there is memory for it.
+*/
+bool ServerConnection::updateCharge()
+{
+    if (!m_state->memory || m_holder == 0 || m_phase == Phase::Closed)
+        return true;
+    std::size_t bytes = connectionBytes + m_handlerBytes + m_input.capacity() + m_queued.capacity()
+            + m_writing.capacity();
+    if (m_parser) {
+        bytes += (*m_parser)->get().body().capacity();
+        bytes += headBytesFactor * m_headBytes;
+    }
+    HolderState state = HolderState::Idle;
+    if (m_phase == Phase::Head || m_phase == Phase::Body)
+        state = HolderState::Incomplete;
+    else if (isRequestOpen())
+        state = pendingBytes() > 0 ? HolderState::Unread : HolderState::Working;
+    return m_state->memory->charge(m_holder, bytes, state, m_progressAt);
+}
+
+void ServerConnection::cutForMemory()
+{
+    if (m_isCut || m_phase == Phase::Closed)
+        return;
+    if (m_phase == Phase::Head || m_phase == Phase::Body) {
+        refuseForMemory(CutReason::Memory);
+        return;
+    }
+    m_state->memory->recordCut(isRequestOpen() ? CutReason::Unread : CutReason::Memory);
+    onClientDisconnected();
+}
+
+void ServerConnection::cutForDescriptors()
+{
+    if (m_state->memory)
+        m_state->memory->recordCut(CutReason::Descriptors);
+    closeNow();
+}
+
+std::optional<std::pair<int, std::chrono::steady_clock::time_point>>
+ServerConnection::evictionOrder() const
+{
+    if (m_phase == Phase::Closed || isRequestOpen())
+        return std::nullopt;
+    // A client that has sent a complete request before is more likely to send another.
+    const int rank = m_phase == Phase::Lingering ? 0 : (m_hasServed ? 2 : 1);
+    return std::pair(rank, m_phaseSince);
+}
+
 void ServerConnection::enterPhase(Phase phase)
 {
     m_phase = phase;
+    m_phaseSince = Clock::now();
+    m_isWriteTimerRunning = false;
     std::optional<std::chrono::milliseconds> wait;
     if (phase == Phase::Idle || phase == Phase::Body)
         wait = m_state->limits.idleTimeout;
@@ -333,6 +534,8 @@
         return;
     if (isRequestOpen())
         --m_state->openRequests;
+    if (m_state->memory)
+        m_state->memory->remove(m_holder);
     m_phase = Phase::Closed;
     m_closedHandler = nullptr;
     m_drainedHandler = nullptr;
--- a/Source/Http/serverconnection.h
+++ b/Source/Http/serverconnection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Http/appendedbody.h"
+#include "Http/clientmemory.h"
 #include "Http/httptypes.h"
 #include "Http/messageparser.h"
 
@@ -9,6 +11,9 @@
 
 #include <chrono>
 #include <cstddef>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace sesame {
 
@@ -23,6 +28,7 @@
     std::chrono::milliseconds headerTimeout {3000}; //!< Time to receive a request's whole header.
     //! Time for which a connection without a request stays open, and time to receive a request's
     //! body once its header is complete.
+    //! Also the time after which a client that reads nothing of its answer loses its connection.
     std::chrono::milliseconds idleTimeout {15000};
 };
 
@@ -46,6 +52,12 @@
     bool closing = false; //!< Each response carries "Connection: close".
     std::size_t connections = 0;
     std::size_t openRequests = 0;
+    std::shared_ptr<ClientMemory> memory; //!< Null if the memory is not bounded.
+    //! Memory that the handler uses for a request in addition to multiples of its body.
+    std::size_t handlerBytes = 0;
+    //! Number of copies of the body that exist while the handler runs, including the first.
+    std::size_t bodyCopies = 1;
+    std::vector<char> readBuffer; //!< Shared, because idle connections would hold one each.
 };
 
 /*!
@@ -100,24 +112,56 @@
     */
     void closeWhenIdle();
 
+    /*!
+        Sets how many bytes the handler holds for the request in progress. Returns whether there is
+        memory for them.
+    */
+    bool setHandlerBytes(std::size_t bytes);
+
+    /*!
+        Ends the request that is being received with status 503, which promises that it has not run.
+        Otherwise, closes the connection. Called when memory is short.
+    */
+    void cutForMemory();
+
+    /*!
+        Closes the connection because descriptors are short.
+    */
+    void cutForDescriptors();
+
+    /*!
+        Returns how the connection compares with others when one must be closed to accept a new one:
+        the smallest value is closed first. Returns std::nullopt if it must not be closed.
+    */
+    std::optional<std::pair<int, std::chrono::steady_clock::time_point>> evictionOrder() const;
+
     //! Returns the number of bytes of output that are not yet written.
-    std::size_t pendingBytes() const { return m_queued.size() + m_writing.size(); }
+    std::size_t pendingBytes() const { return m_queued.size() + m_writing.size() - m_written; }
 
 private:
     enum class Phase { Idle, Head, Body, Handling, Lingering, Closed };
-    using Parser = beast::http::request_parser<beast::http::string_body>;
+    using Clock = std::chrono::steady_clock;
+    using Parser = beast::http::request_parser<AppendedBody>;
 
     void readMore();
-    void onRead(const boost::system::error_code &ec, std::size_t n);
+    void onReadable(const boost::system::error_code &ec);
+    void addInput(std::string_view bytes);
+    void sendContinue();
     void parseInput();
     void createParser();
     void rejectInput(const boost::system::error_code &ec);
     void reject(unsigned status, std::string_view reason);
+    void endInput(unsigned status, const HttpFields &fields, std::string_view reason);
+    void refuseForMemory(CutReason reason);
     void dispatch();
     void appendHead(unsigned status, const HttpFields &fields);
     void finishResponse();
     void flush();
-    void onWritten(const boost::system::error_code &ec);
+    void writeMore();
+    void onWritten(const boost::system::error_code &ec, std::size_t n);
+    void onOutputWritten();
+    void startWriteTimer();
+    bool updateCharge();
     void enterPhase(Phase phase);
     void onTimeout();
     void onClientDisconnected();
@@ -130,11 +174,21 @@
     beast::flat_buffer m_input;
     std::optional<MessageParser<Parser>> m_parser;
     Phase m_phase = Phase::Idle;
+    Clock::time_point m_phaseSince; //!< Time when the phase began.
+    Clock::time_point m_progressAt; //!< Time when the client last sent or read something.
+    MemoryBudget::HolderId m_holder = 0; //!< Identifies the connection in the memory budget.
+    std::size_t m_handlerBytes = 0;
+    std::size_t m_headBytes = 0; //!< Upper bound for the head of the request being received.
     bool m_reading = false;
+    bool m_hasServed = false; //!< At least one complete request has arrived.
+    bool m_isCut = false;
+    bool m_isWriteTimerRunning = false;
+    bool m_discardsInput = false; //!< The connection is closed after the response.
     bool m_responseComplete = false;
     bool m_closeAfterResponse = false;
     bool m_isHead = false; //!< The request's method is HEAD, so the response has no body.
     std::string m_writing;
+    std::size_t m_written = 0; //!< Bytes of m_writing that are written.
     std::string m_queued;
     std::function<void()> m_closedHandler;
     std::function<void()> m_drainedHandler;
--- a/Source/Node/entrynode.cpp
+++ b/Source/Node/entrynode.cpp
@@ -4,6 +4,7 @@
 #include "Adapter/log.h"
 #include "Adapter/peerserver.h"
 #include "Core/nodesettingsfile.h"
+#include "Http/clientmemory.h"
 #include "Node/backendmonitor.h"
 #include "Node/callerapi.h"
 #include "Node/capacitycontroller.h"
@@ -39,6 +40,7 @@
 constexpr std::chrono::milliseconds drainPollInterval {20};
 constexpr std::chrono::milliseconds signalPollInterval {200};
 constexpr std::string_view nodesPrefix = "nodes/";
+constexpr std::size_t operatorMemoryDivisor = 8;
 
 /*!
     An entry node with its shared tables, services, servers and background threads.
@@ -127,14 +129,21 @@
                 [this](const wire::PeerRequest &request, std::string_view sender) {
                     return m_peerExchange.handleRequest(request, sender);
                 });
-        m_callerServer = HttpServer::start({.address = settings.callerAddress},
+        const std::size_t clientMemory = ClientMemory::shareOf(
+                static_cast<std::size_t>(settings.memoryLimitMb) << 20U);
+        // Operators send small requests and have a small part of the memory to themselves, so that
+        // they can reach a node whose callers use all of theirs.
+        const std::size_t operatorMemory = clientMemory / operatorMemoryDivisor;
+        m_callerServer = HttpServer::start({.address = settings.callerAddress,
+                                            .clientMemoryBytes = clientMemory - operatorMemory},
                                            [this](const HttpRequest &request) {
                                                return m_callerApi.handle(request);
                                            });
-        m_operatorServer = HttpServer::start({.address = settings.operatorAddress},
-                                             [this](const HttpRequest &request) {
-                                                 return m_operatorApi.handle(request);
-                                             });
+        m_operatorServer = HttpServer::start(
+                {.address = settings.operatorAddress, .clientMemoryBytes = operatorMemory},
+                [this](const HttpRequest &request) {
+                    return m_operatorApi.handle(request);
+                });
         if (m_peerServer && m_callerServer && m_operatorServer)
             return true;
         logEvent(LogLevel::Error, "server start failed", {{"reason", lastReason().text}});
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -215,9 +215,10 @@
         return;
     }
     const std::string_view method = toStd(m_request.method_string());
-    std::string text = formatRequest(
+    std::string head = formatRequestHead(
             method, toStd(m_request.target()),
-            m_state.format.formatEngineRequestFields(m_request, engineRequest), m_request.body());
+            m_state.format.formatEngineRequestFields(m_request, engineRequest),
+            m_request.body().size());
     ++m_sendCount;
     if (m_sendCount == 1)
         m_state.resendBudget.recordRequest(selectService(), steadyNow());
@@ -228,7 +229,10 @@
     m_responseBody.clear();
     m_responseStatus = 0;
     m_eventSplitter.dropPartial();
-    m_assignment.connection()->send(std::move(text), method == "HEAD", makeResponseSink());
+    m_assignment.connection()->send(
+            std::move(head),
+            std::shared_ptr<const std::string>(shared_from_this(), &m_request.body()),
+            method == "HEAD", makeResponseSink());
     restartStallTimer();
     logSend(engineRequest.remainingTime);
 }
@@ -337,6 +341,8 @@
     m_responseBody.append(piece);
     if (m_responseBody.size() > maxBufferedResponseBytes)
         abandonEngine("body without end");
+    else if (!m_caller->setHandlerBytes(m_request.body().capacity() + m_responseBody.capacity()))
+        endUnanswered("no memory for the answer", badGateway);
 }
 
 /*!
--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -32,6 +32,10 @@
 //! datagrams.
 constexpr std::int64_t minLoggedClockChangeMillis = 50;
 constexpr std::size_t maxControlConnections = 256;
+//! Connections to each of the addresses that are not for callers, as a share of the descriptors.
+//! Three of them and the files must leave descriptors for connections to engines.
+constexpr std::size_t controlConnectionsDivisor = 32;
+constexpr std::size_t minControlConnections = 16;
 //! File descriptors that are not available to callers: those reserved by the platform and those of
 //! connections to engines.
 constexpr std::size_t reservedDescriptors = 1000;
@@ -62,6 +66,12 @@
             : settings.descriptorLimit / 2;
 }
 
+std::size_t controlConnections(const ServingSettings &settings)
+{
+    return std::clamp(settings.descriptorLimit / controlConnectionsDivisor, minControlConnections,
+                      maxControlConnections);
+}
+
 std::vector<ReplicaObject> toReplicaObjects(std::span<const StoredObject> objects)
 {
     std::vector<ReplicaObject> converted;
@@ -126,19 +136,19 @@
               [this](const CallerConnection &connection, RequestMessage &&request) {
                   serveDirectory(connection, request);
               },
-              maxControlConnections),
+              controlConnections(settings)),
       m_readinessListener(
               context,
               [this](const CallerConnection &connection, RequestMessage &&request) {
                   serveReadiness(connection, request);
               },
-              maxControlConnections),
+              controlConnections(settings)),
       m_metricsListener(
               context,
               [this](const CallerConnection &connection, RequestMessage &&request) {
                   serveMetrics(connection, request);
               },
-              maxControlConnections),
+              controlConnections(settings)),
       m_nodeStoreClient(m_environment.makeStoreClient()),
       m_dutyCoordinator(m_state, m_environment.makeStoreClient(), *m_environment.dutyClient),
       m_scalingDuty(m_state, m_dutyCoordinator, *m_environment.dutyClient),
@@ -149,7 +159,9 @@
 std::optional<std::string> ServingNode::start()
 {
     const ServingSettings &settings = m_state.settings;
-    const auto open = [](Listener &listener, const Tcp::endpoint &address, std::string_view name) {
+    const auto open = [this](Listener &listener, const Tcp::endpoint &address,
+                             std::string_view name) {
+        listener.setMemory(m_state.clientMemory);
         const boost::system::error_code ec = listener.open(address);
         return ec ? std::optional(std::string(name) + ": " + ec.message()) : std::nullopt;
     };
@@ -389,6 +401,14 @@
     metrics.setGauge("quota_silent_share", m_state.quotaShares.silentShare());
     metrics.setGauge("open_requests", static_cast<double>(m_entryListener.openRequests()));
     metrics.setGauge("caller_connections", static_cast<double>(m_entryListener.connections()));
+    const ClientMemory &memory = *m_state.clientMemory;
+    metrics.setGauge("client_memory_bytes", static_cast<double>(memory.budget().heldBytes()));
+    metrics.setGauge("client_memory_limit_bytes",
+                     static_cast<double>(memory.budget().limitBytes()));
+    for (std::size_t i = 0; i < cutReasonCount; ++i)
+        metrics.setGauge(formatSeries("clients_cut", "reason",
+                                      std::string(cutReasonName(static_cast<CutReason>(i)))),
+                         static_cast<double>(memory.cuts()[i]));
     metrics.setGauge("log_lines_dropped", static_cast<double>(droppedLogLines()));
     metrics.setGauge(formatSeries("store_reachable", "kind", "configuration"),
                      m_configWatcher->isReachable() ? 1.0 : 0.0);
--- a/Source/Serving/servingstate.cpp
+++ b/Source/Serving/servingstate.cpp
@@ -1,5 +1,6 @@
 #include "Serving/servingstate.h"
 
+#include "Adapter/clientcutlog.h"
 #include "Adapter/log.h"
 #include "Serving/clocks.h"
 
@@ -32,7 +33,9 @@
                                                .slack = nodeSettings.resendSlack,
                                                .window = nodeSettings.resendWindow}),
       usage(nodeSettings.zone), trueTime(wallNow(), bootMillis()),
-      peers(selfMember(nodeSettings), nodeSettings.zone), tally(peers)
+      peers(selfMember(nodeSettings), nodeSettings.zone), tally(peers),
+      clientMemory(std::make_shared<ClientMemory>(
+              ioContext, ClientMemory::shareOf(nodeSettings.memoryLimitBytes), logClientCuts))
 {
 }
 
--- a/Source/Serving/servingstate.h
+++ b/Source/Serving/servingstate.h
@@ -15,6 +15,7 @@
 #include "Core/stopschedule.h"
 #include "Core/truetime.h"
 #include "Core/usageledger.h"
+#include "Http/clientmemory.h"
 #include "Serving/engineconnectionpool.h"
 #include "Serving/requestformat.h"
 #include "Serving/servingmetrics.h"
@@ -117,6 +118,7 @@
     //! Engines that the holder of the duties needs of each service, as its record tells.
     std::map<std::string, int> neededEngines;
     ServingMetrics metrics;
+    std::shared_ptr<ClientMemory> clientMemory; //!< Shared by all listeners of the node.
     std::optional<StopSchedule> stop; //!< Set when the node begins to shut down.
     //! Admitted requests without an answer.
     std::map<const ProxiedRequest *, std::weak_ptr<ProxiedRequest>> openRequests;
--- a/Source/Serving/stateexchange.cpp
+++ b/Source/Serving/stateexchange.cpp
@@ -47,6 +47,7 @@
 
 boost::system::error_code StateExchange::open()
 {
+    m_listener.setMemory(m_state.clientMemory);
     return m_listener.open(
             Tcp::endpoint(m_state.settings.entryAddress.address(), m_state.settings.exchangePort));
 }
