--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -1,6 +1,7 @@
 #include "Serving/servingnode.h"
 
 #include "Adapter/log.h"
+#include "Serving/clientlimits.h"
 #include "Serving/clocks.h"
 #include "Serving/proxiedrequest.h"
 
@@ -31,14 +32,6 @@
 //! Minimum change of the clock offset that is logged. Smaller changes result from varying delays of
 //! datagrams.
 constexpr std::int64_t minLoggedClockChangeMillis = 50;
-constexpr std::size_t maxControlConnections = 256;
-//! Connections to each of the addresses that are not for callers, as a share of the descriptors.
-//! Three of them and the files must leave descriptors for connections to engines.
-constexpr std::size_t controlConnectionsDivisor = 32;
-constexpr std::size_t minControlConnections = 16;
-//! File descriptors that are not available to callers: those reserved by the platform and those of
-//! connections to engines.
-constexpr std::size_t reservedDescriptors = 1000;
 constexpr const char *nodeKind = "nodes";
 //! A change must take effect within two seconds after it was accepted, even if a watch stops
 //! delivering data without an error.
@@ -59,19 +52,6 @@
 constexpr unsigned notFound = 404;
 constexpr unsigned unavailable = 503;
 
-std::size_t maxEntryConnections(const ServingSettings &settings)
-{
-    return settings.descriptorLimit > 2 * reservedDescriptors
-            ? settings.descriptorLimit - reservedDescriptors
-            : settings.descriptorLimit / 2;
-}
-
-std::size_t controlConnections(const ServingSettings &settings)
-{
-    return std::clamp(settings.descriptorLimit / controlConnectionsDivisor, minControlConnections,
-                      maxControlConnections);
-}
-
 std::vector<ReplicaObject> toReplicaObjects(std::span<const StoredObject> objects)
 {
     std::vector<ReplicaObject> converted;
@@ -136,19 +116,19 @@
               [this](const CallerConnection &connection, RequestMessage &&request) {
                   serveDirectory(connection, request);
               },
-              controlConnections(settings)),
+              maxControlConnections(settings)),
       m_readinessListener(
               context,
               [this](const CallerConnection &connection, RequestMessage &&request) {
                   serveReadiness(connection, request);
               },
-              controlConnections(settings)),
+              maxControlConnections(settings)),
       m_metricsListener(
               context,
               [this](const CallerConnection &connection, RequestMessage &&request) {
                   serveMetrics(connection, request);
               },
-              controlConnections(settings)),
+              maxControlConnections(settings)),
       m_nodeStoreClient(m_environment.makeStoreClient()),
       m_dutyCoordinator(m_state, m_environment.makeStoreClient(), *m_environment.dutyClient),
       m_scalingDuty(m_state, m_dutyCoordinator, *m_environment.dutyClient),
@@ -401,14 +381,7 @@
     metrics.setGauge("quota_silent_share", m_state.quotaShares.silentShare());
     metrics.setGauge("open_requests", static_cast<double>(m_entryListener.openRequests()));
     metrics.setGauge("caller_connections", static_cast<double>(m_entryListener.connections()));
-    const ClientMemory &memory = *m_state.clientMemory;
-    metrics.setGauge("client_memory_bytes", static_cast<double>(memory.budget().heldBytes()));
-    metrics.setGauge("client_memory_limit_bytes",
-                     static_cast<double>(memory.budget().limitBytes()));
-    for (std::size_t i = 0; i < cutReasonCount; ++i)
-        metrics.setGauge(formatSeries("clients_cut", "reason",
-                                      std::string(cutReasonName(static_cast<CutReason>(i)))),
-                         static_cast<double>(memory.cuts()[i]));
+    setClientMetrics(metrics, *m_state.clientMemory);
     metrics.setGauge("log_lines_dropped", static_cast<double>(droppedLogLines()));
     metrics.setGauge(formatSeries("store_reachable", "kind", "configuration"),
                      m_configWatcher->isReachable() ? 1.0 : 0.0);
