Count acknowledged bytes for the deadline of readers

The deadline compared the unacknowledged bytes at its start and end. The test's client has a small receive buffer, because the kernel reports reads in steps of a sixteenth of it.

--- a/Source/Http/serverconnection.cpp
+++ b/Source/Http/serverconnection.cpp
@@ -343,6 +343,7 @@
 void ServerConnection::onWritten(const boost::system::error_code &ec, std::size_t n)
 {
     m_written += n;
+    m_sentBytes += n;
     m_progressAt = Clock::now();
     if (m_phase != Phase::Closed && !ec && m_written < m_writing.size()) {
         writeMore();
@@ -402,7 +403,7 @@
     if (m_isWriteTimerRunning)
         return;
     m_isWriteTimerRunning = true;
-    m_unacknowledged = unacknowledgedBytes();
+    m_acknowledgedBytes = acknowledgedBytes();
     m_timer.expires_after(m_state->limits.idleTimeout);
     m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
         const auto self = weak.lock();
@@ -411,9 +412,7 @@
         self->m_isWriteTimerRunning = false;
         if (self->pendingBytes() == 0)
             return;
-        const bool hasWritten = Clock::now() - self->m_progressAt
-                < self->m_state->limits.idleTimeout;
-        if (hasWritten || self->unacknowledgedBytes() < self->m_unacknowledged) {
+        if (self->acknowledgedBytes() > self->m_acknowledgedBytes) {
             self->startWriteTimer();
             return;
         }
@@ -424,15 +423,15 @@
 }
 
 /*!
-    Returns the bytes that the kernel has taken and the client has not acknowledged. The kernel
-   tells that a socket is writable only when a third of its buffer is free, which takes a slow
-   client longer than the idle timeout.
+    Returns the bytes of output that the client has acknowledged. The kernel tells that a socket is
+    writable only when a third of its buffer is free, which takes a slow client longer than the idle
+    timeout.
 */
-int ServerConnection::unacknowledgedBytes()
+std::uint64_t ServerConnection::acknowledgedBytes()
 {
-    int bytes = 0;
-    ::ioctl(m_socket.native_handle(), SIOCOUTQ, &bytes);
-    return bytes;
+    int unacknowledged = 0;
+    ::ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged);
+    return m_sentBytes - static_cast<std::uint64_t>(unacknowledged);
 }
 
 bool ServerConnection::setHandlerBytes(std::size_t bytes)
--- a/Source/Http/serverconnection.h
+++ b/Source/Http/serverconnection.h
@@ -161,7 +161,7 @@
     void onWritten(const boost::system::error_code &ec, std::size_t n);
     void onOutputWritten();
     void startWriteTimer();
-    int unacknowledgedBytes();
+    std::uint64_t acknowledgedBytes();
     bool updateCharge();
     void enterPhase(Phase phase);
     void onTimeout();
@@ -184,12 +184,14 @@
     bool m_hasServed = false; //!< At least one complete request has arrived.
     bool m_isCut = false;
     bool m_isWriteTimerRunning = false;
-    int m_unacknowledged = 0; //!< Value of unacknowledgedBytes() when the timer was started.
     bool m_discardsInput = false; //!< The connection is closed after the response.
     bool m_responseComplete = false;
     bool m_closeAfterResponse = false;
     bool m_isHead = false; //!< The request's method is HEAD, so the response has no body.
     std::string m_writing;
+    std::uint64_t m_sentBytes = 0; //!< All output that the kernel has taken.
+    //! Value of acknowledgedBytes() when the timer for a client that stops reading was started.
+    std::uint64_t m_acknowledgedBytes = 0;
     std::size_t m_written = 0; //!< Bytes of m_writing that are written.
     std::string m_queued;
     std::function<void()> m_closedHandler;
--- a/Tests/httpconnectiontest.cpp
+++ b/Tests/httpconnectiontest.cpp
@@ -550,6 +550,9 @@
                     call->sendResponse(200, {}, answer);
                 });
         served.listener.setLimits({.idleTimeout = 200ms});
+        // The kernel tells the server of reads in steps of a sixteenth of the client's buffer,
+        // which can grow to megabytes.
+        served.socket.set_option(Tcp::socket::receive_buffer_size(65536));
         served.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
         std::string buf(65536, '\0');
         for (int i = 0; i < 20; ++i) {
