--- a/Emulator/emulatedplatform.h
+++ b/Emulator/emulatedplatform.h
@@ -97,6 +97,25 @@
     */
     void setContracts(std::vector<std::string> contracts) { m_contracts = std::move(contracts); }
 
+    /*!
+        Sets the machine limits that the settings of the nodes state. A \a memoryMb of 0 states
+       none.
+    */
+    void setMachineLimits(int descriptors, int memoryMb)
+    {
+        m_descriptors = descriptors;
+        m_memoryMb = memoryMb;
+    }
+
+    /*!
+        Writes a configuration in which the body of a request may have \a bytes bytes.
+    */
+    void setBodyLimit(std::size_t bytes)
+    {
+        m_bodyLimit = bytes;
+        putConfig(1);
+    }
+
     EmulatedStore store;
     EmulatedDuties duties;
     std::vector<std::unique_ptr<EmulatedEngine>> engines; //!< The model engines come first.
@@ -120,6 +139,9 @@
     std::optional<std::chrono::milliseconds> m_revocationLimit;
     std::chrono::seconds m_stopGrace {3};
     std::vector<std::string> m_contracts;
+    int m_descriptors = 1000;
+    int m_memoryMb = 0;
+    std::size_t m_bodyLimit = 1'000'000;
 };
 
 } // namespace sesame
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -235,9 +235,10 @@
         return;
     }
     const std::string_view method = toStd(m_request.method_string());
-    std::string text = formatRequest(
+    std::string head = formatRequestHead(
             method, toStd(m_request.target()),
-            m_state.format.formatEngineRequestFields(m_request, engineRequest), m_request.body());
+            m_state.format.formatEngineRequestFields(m_request, engineRequest),
+            m_request.body().size());
     ++m_sendCount;
     if (m_sendCount == 1)
         m_state.resendBudget.recordRequest(selectService(), steadyNow());
@@ -250,7 +251,10 @@
     m_eventSplitter.dropPartial();
     m_assignment.recordSent(m_requestInfo.work);
     recordVersionSend();
-    m_assignment.connection()->send(std::move(text), method == "HEAD", makeResponseSink());
+    m_assignment.connection()->send(
+            std::move(head),
+            std::shared_ptr<const std::string>(shared_from_this(), &m_request.body()),
+            method == "HEAD", makeResponseSink());
     restartStallTimer();
     logSend(engineRequest.remainingTime);
 }
--- a/Source/Serving/proxiedrequestrelay.cpp
+++ b/Source/Serving/proxiedrequestrelay.cpp
@@ -92,6 +92,8 @@
     m_responseBody.append(piece);
     if (m_responseBody.size() > maxBufferedResponseBytes)
         abandonEngine("body without end");
+    else if (!m_caller->setHandlerBytes(m_request.body().capacity() + m_responseBody.capacity()))
+        endUnanswered("no memory for the answer", badGateway);
 }
 
 /*!
--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -1,6 +1,7 @@
 #include "Serving/servingnode.h"
 
 #include "Adapter/log.h"
+#include "Serving/clientlimits.h"
 #include "Serving/clocks.h"
 #include "Serving/proxiedrequest.h"
 
@@ -34,10 +35,6 @@
 //! A node that has heard no other node for this time sends nothing to the target of a roll-out. It
 //! may have missed a roll-back. Datagrams arrive several times a second.
 constexpr Duration contactLimit = 1500ms;
-constexpr std::size_t maxControlConnections = 256;
-//! File descriptors that are not available to callers: those reserved by the platform and those of
-//! connections to engines.
-constexpr std::size_t reservedDescriptors = 1000;
 constexpr const char *nodeKind = "nodes";
 //! A change must take effect within two seconds after it was accepted, even if a watch stops
 //! delivering data without an error.
@@ -58,13 +55,6 @@
 constexpr unsigned notFound = 404;
 constexpr unsigned unavailable = 503;
 
-std::size_t maxEntryConnections(const ServingSettings &settings)
-{
-    return settings.descriptorLimit > 2 * reservedDescriptors
-            ? settings.descriptorLimit - reservedDescriptors
-            : settings.descriptorLimit / 2;
-}
-
 std::vector<ReplicaObject> toReplicaObjects(std::span<const StoredObject> objects)
 {
     std::vector<ReplicaObject> converted;
@@ -131,19 +121,19 @@
               [this](const CallerConnection &connection, RequestMessage &&request) {
                   serveDirectory(connection, request);
               },
-              maxControlConnections),
+              maxControlConnections(settings)),
       m_readinessListener(
               context,
               [this](const CallerConnection &connection, RequestMessage &&request) {
                   serveReadiness(connection, request);
               },
-              maxControlConnections),
+              maxControlConnections(settings)),
       m_metricsListener(
               context,
               [this](const CallerConnection &connection, RequestMessage &&request) {
                   serveMetrics(connection, request);
               },
-              maxControlConnections),
+              maxControlConnections(settings)),
       m_nodeStoreClient(m_environment.makeStoreClient()),
       m_dutyCoordinator(m_state, m_environment.makeStoreClient(), *m_environment.dutyClient),
       m_scalingDuty(m_state, m_dutyCoordinator, *m_environment.dutyClient),
@@ -156,7 +146,9 @@
 std::optional<std::string> ServingNode::start()
 {
     const ServingSettings &settings = m_state.settings;
-    const auto open = [](Listener &listener, const Tcp::endpoint &address, std::string_view name) {
+    const auto open = [this](Listener &listener, const Tcp::endpoint &address,
+                             std::string_view name) {
+        listener.setMemory(m_state.clientMemory);
         const boost::system::error_code ec = listener.open(address);
         return ec ? std::optional(std::string(name) + ": " + ec.message()) : std::nullopt;
     };
@@ -442,6 +434,7 @@
     metrics.setGauge("quota_silent_share", m_state.quotaShares.silentShare());
     metrics.setGauge("open_requests", static_cast<double>(m_entryListener.openRequests()));
     metrics.setGauge("caller_connections", static_cast<double>(m_entryListener.connections()));
+    setClientMetrics(metrics, *m_state.clientMemory);
     metrics.setGauge("log_lines_dropped", static_cast<double>(droppedLogLines()));
     metrics.setGauge(formatSeries("store_reachable", "kind", "configuration"),
                      m_configWatcher->isReachable() ? 1.0 : 0.0);
--- a/Tests/support/platformdeployment.h
+++ b/Tests/support/platformdeployment.h
@@ -3,6 +3,7 @@
 #include "Http/httpcaller.h"
 #include "emulatedplatform.h"
 #include "support/processgroup.h"
+#include "support/processusage.h"
 
 #include <criterion/criterion.h>
 
@@ -30,6 +31,9 @@
     std::chrono::seconds stopGrace {3};
     EmulatedPlatform::EngineCapacity engineCapacity {};
     std::vector<std::string> contracts {}; //!< Contracts that the settings of the nodes list.
+    int descriptors = 1000; //!< Limit of descriptors of each node's machine.
+    int memoryMb = 0; //!< Memory of each node's machine; 0 if the settings state none.
+    std::size_t bodyLimit = 1'000'000;
 };
 
 /*!
@@ -62,6 +66,8 @@
         if (options.revocationLimit)
             platform.setRevocationLimit(*options.revocationLimit);
         platform.setStopGrace(options.stopGrace);
+        platform.setMachineLimits(options.descriptors, options.memoryMb);
+        platform.setBodyLimit(options.bodyLimit);
         std::string pattern = (std::filesystem::temp_directory_path() / "platformtest.XXXXXX");
         cr_assert_not_null(mkdtemp(pattern.data()));
         m_directory = pattern;
@@ -153,16 +159,10 @@
     /*!
         Returns the peak of the memory that the process of \a node has used so far, in KiB.
     */
-    long peakMemoryKib(int node) const
-    {
-        constexpr std::string_view key = "VmHWM:";
-        std::ifstream file("/proc/" + std::to_string(m_pids.at(node)) + "/status");
-        for (std::string line; std::getline(file, line);) {
-            if (line.starts_with(key))
-                return std::atol(line.c_str() + key.size());
-        }
-        return 0;
-    }
+    long peakMemoryKib(int node) const { return test::peakMemoryKib(processId(node)); }
+
+    //! Returns the process id of \a node.
+    pid_t processId(int node) const { return m_pids.at(node); }
 
     /*!
         Returns which of the first \a nodes nodes logged last that it took the duties, or 0.
