--- a/Tests/requestqueuetest.cpp
+++ b/Tests/requestqueuetest.cpp
@@ -143,3 +143,58 @@
     print("short requests, random", random);
     cr_expect_geq(queue.all.inAimShare(), random.all.inAimShare() + 0.05);
 }
+
+// Load: 1.3 times what the engines can do, with aims of some hundred milliseconds. Guards against
+// late requests that hold the places of requests which would meet their aim, and against long
+// holds.
+Test(requestqueue, lateRequestsHoldNoPlaces)
+{
+    const QueueSimulationOptions options {
+            .slots = 80,
+            .work = 100ms,
+            .kinds = {{.perSecond = 200, .aim = 500ms, .deadline = 3s},
+                      {.perSecond = 200, .aim = 600ms, .deadline = 3s},
+                      {.perSecond = 200, .aim = 400ms, .deadline = 3s}},
+            .kindFactors = {1.0, 1.0, 3.2}};
+    const auto queue = run(options);
+    const auto random = runRandom(options);
+    print("short aims, queue", queue);
+    print("short aims, random", random);
+    cr_expect_geq(queue.all.inAimShare(), random.all.inAimShare() + 0.03);
+    cr_expect_leq(queue.heldAndRefused, queue.all.asked * 4 / 100);
+}
+
+// Guards against callers that return before the announced time and go before others.
+Test(requestqueue, callersAreServedByTheirReturn)
+{
+    RequestQueue queue;
+    queue.drain().recordOccupied(10ms);
+    queue.drain().setView({.ownRequests = 10, .requests = 10, .places = 10});
+    const Timestamp start {1h};
+    const auto offer = [&](std::uint64_t id, std::uint64_t caller, Timestamp now) {
+        return queue.offer({.id = id,
+                            .callerKey = caller,
+                            .aimEnd = now + 900ms,
+                            .lastUse = now + 3s,
+                            .latestReturn = now + 1s},
+                           0.0, now);
+    };
+    const auto refuse = [&](std::uint64_t caller, Duration latest) {
+        return queue.retryAfter({.callerKey = caller,
+                                 .aimEnd = start + 2s,
+                                 .lastUse = start + 3s,
+                                 .latestReturn = start + latest},
+                                0.0, start);
+    };
+    cr_expect_geq(refuse(1, 1s), Duration(10ms));
+    queue.drain().setView({.requests = 1, .places = 10, .nodes = 100});
+    cr_expect_geq(refuse(2, 500ms), Duration(300ms));
+    queue.drain().setView({.ownRequests = 10, .requests = 10, .places = 10});
+    cr_expect(offer(12, 2, start + 50ms).waits());
+    cr_expect(offer(13, 3, start + 50ms).waits());
+    cr_expect(offer(11, 1, start + 50ms).waits());
+    cr_expect_eq(queue.next(start + 60ms), 11U);
+    cr_expect_eq(queue.next(start + 60ms), 13U);
+    cr_expect_eq(queue.next(start + 60ms), 12U);
+    cr_expect_not(queue.next(start + 60ms).has_value());
+}
