--- a/Tests/support/fuzztargets.cpp
+++ b/Tests/support/fuzztargets.cpp
@@ -308,6 +308,8 @@
 
 void feedRequest(std::string_view bytes)
 {
+    // Small, so that requests of the corpus exceed it.
+    constexpr std::size_t fuzzedMemoryBytes = 32'768;
     static asio::io_context context;
     static int running = 0;
     static const platform::PlatformRequestFormat format;
@@ -324,7 +326,9 @@
                                    request.body());
             },
             64);
+    static const auto memory = std::make_shared<ClientMemory>(context, fuzzedMemoryBytes);
     static const Tcp::endpoint address = [] {
+        listener.setMemory(memory);
         // A fixed port outside the port ranges of the process tests.
         Tcp::endpoint endpoint(asio::ip::make_address_v4("127.0.9.1"), 22390);
         require(!listener.open(endpoint), "the listener opens");
@@ -358,6 +362,11 @@
     });
     require(runUntil(context, ended), "a connection whose caller has closed ends");
     require(answer.empty() || answer.starts_with("HTTP/1.1 "), "answers are HTTP");
+    for (int i = 0; i < 100 && memory->budget().heldBytes() > 0; ++i) {
+        context.restart();
+        context.run_for(1ms);
+    }
+    require(memory->budget().heldBytes() == 0, "a closed connection holds no memory");
 }
 
 } // namespace
