--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -3,6 +3,7 @@
 //! Public header of the sesamecore library, which contains the decision logic and uses no sockets,
 //! threads or clocks.
 
+#include "Core/Placement/enginechooser.h"
 #include "Core/admissioncontroller.h"
 #include "Core/backendtable.h"
 #include "Core/backoff.h"
@@ -13,7 +14,6 @@
 #include "Core/crashtable.h"
 #include "Core/deploymenttally.h"
 #include "Core/dutyterm.h"
-#include "Core/Placement/enginechooser.h"
 #include "Core/enginedirectory.h"
 #include "Core/engineentry.h"
 #include "Core/enginenotices.h"
