--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -5,6 +5,7 @@
 
 #include "Core/Capacity/engineplanner.h"
 #include "Core/Capacity/serviceratemeter.h"
+#include "Core/Placement/enginechooser.h"
 #include "Core/admissioncontroller.h"
 #include "Core/backendtable.h"
 #include "Core/backoff.h"
@@ -15,7 +16,6 @@
 #include "Core/crashtable.h"
 #include "Core/deploymenttally.h"
 #include "Core/dutyterm.h"
-#include "Core/Placement/enginechooser.h"
 #include "Core/enginedirectory.h"
 #include "Core/engineentry.h"
 #include "Core/enginenotices.h"
