--- a/Emulator/emulatedengine.cpp
+++ b/Emulator/emulatedengine.cpp
@@ -157,6 +157,42 @@
     return fields;
 }
 
+/*!
+    Applies \a fault to the answer with \a fields, after the request has run. Returns whether that
+    answered the request or left it unanswered.
+*/
+bool EmulatedEngine::applyFault(const ConnectionPtr &connection, Fault fault, HttpFields &fields)
+{
+    if (fault == Fault::NoAnswer) {
+        m_unanswered.push_back(connection);
+        return true;
+    }
+    if (fault == Fault::ResetBeforeAnswer) {
+        connection->abort();
+        return true;
+    }
+    if (fault == Fault::UnidentifiedRefusal) {
+        fields.erase("Sesameproxy-Attempt-Id");
+        fields.set("Sesameproxy-Not-Executed", "1");
+        connection->sendResponse(503, fields, "full\n");
+        return true;
+    }
+    if (fault == Fault::Unsigned)
+        fields.erase("Sesameproxy-Response-Seal");
+    if (fault == Fault::Encoded)
+        fields.set("Content-Encoding", "gzip");
+    if (fault == Fault::EndlessBody || fault == Fault::Trickle) {
+        fields.set("Content-Type", "text/event-stream");
+        connection->beginStream(200, fields);
+        if (fault == Fault::EndlessBody)
+            sendEndless(connection);
+        else
+            sendTrickle(connection);
+        return true;
+    }
+    return false;
+}
+
 void EmulatedEngine::serve(const ConnectionPtr &connection, RequestMessage &&request)
 {
     m_lastRequestFields = request;
@@ -192,33 +228,8 @@
     connection->setClosedHandler([this] {
         ++m_cancelledCount;
     });
-    if (fault == Fault::NoAnswer) {
-        m_unanswered.push_back(connection);
-        return;
-    }
-    if (fault == Fault::ResetBeforeAnswer) {
-        connection->abort();
+    if (applyFault(connection, fault, fields))
         return;
-    }
-    if (fault == Fault::UnidentifiedRefusal) {
-        fields.erase("Sesameproxy-Attempt-Id");
-        fields.set("Sesameproxy-Not-Executed", "1");
-        connection->sendResponse(503, fields, "full\n");
-        return;
-    }
-    if (fault == Fault::Unsigned)
-        fields.erase("Sesameproxy-Response-Seal");
-    if (fault == Fault::Encoded)
-        fields.set("Content-Encoding", "gzip");
-    if (fault == Fault::EndlessBody || fault == Fault::Trickle) {
-        fields.set("Content-Type", "text/event-stream");
-        connection->beginStream(200, fields);
-        if (fault == Fault::EndlessBody)
-            sendEndless(connection);
-        else
-            sendTrickle(connection);
-        return;
-    }
     const bool isStream = toStd(request.target()).find("/stream/") != std::string_view::npos;
     if (!isStream || fault == Fault::Error || fault == Fault::PlainAnswer) {
         sendPlainAnswer(connection, fault == Fault::Error ? 500 : 200, extraTime, fields,
--- a/Emulator/emulatedengine.h
+++ b/Emulator/emulatedengine.h
@@ -127,6 +127,7 @@
     void crashLater();
     bool isDeadly(const RequestMessage &request) const;
     bool turnAway(const ConnectionPtr &connection, HttpFields &fields);
+    bool applyFault(const ConnectionPtr &connection, Fault fault, HttpFields &fields);
     void serve(const ConnectionPtr &connection, RequestMessage &&request);
     void sendPlainAnswer(const ConnectionPtr &connection, unsigned status,
                          std::chrono::milliseconds extraTime, const HttpFields &fields,
