Give each test of the waiting requests its own ports

The test framework runs the tests of a program in parallel, so that three of four failed with "Address already in use". Measured: before, 3 of 4 failed in one run of the program.

--- a/Tests/requestwaitingprocesstest.cpp
+++ b/Tests/requestwaitingprocesstest.cpp
@@ -119,7 +119,7 @@
 // Guards against requests that wait although the settings do not ask for it.
 Test(requestwaiting, requestsAreRefusedWithoutTheContract)
 {
-    PlatformDeployment deployment(24000, 1, fewSlots(false));
+    PlatformDeployment deployment(24100, 1, fewSlots(false));
     warmUp(deployment);
     const Callers callers = startCallers(deployment, "b", 12);
     cr_expect(deployment.runUntil(
@@ -135,7 +135,7 @@
 // in the queue that such a request keeps from others.
 Test(requestwaiting, callersThatLeaveFreeTheirPlace)
 {
-    PlatformDeployment deployment(24000, 1, fewSlots(true));
+    PlatformDeployment deployment(24200, 1, fewSlots(true));
     warmUp(deployment);
     const Callers served = startCallers(deployment, "b", 6);
     deployment.runFor(10ms);
@@ -157,7 +157,7 @@
 // Guards against callers that wait for a node that stops.
 Test(requestwaiting, aStoppingNodeAnswersWhatWaits)
 {
-    PlatformDeployment deployment(24000, 1, fewSlots(true));
+    PlatformDeployment deployment(24300, 1, fewSlots(true));
     warmUp(deployment);
     const Callers callers = startCallers(deployment, "b", 10);
     deployment.runFor(20ms);
