--- a/Tests/platformformattest.cpp
+++ b/Tests/platformformattest.cpp
@@ -263,5 +263,5 @@
     cr_expect_eq(settings->rollout->exposureShare, 0.2);
     cr_expect_eq(settings->rollout->exposureSlack, 30.0);
     cr_expect_eq(settings->rollout->rollback.count(), 5000);
-    cr_expect_eq(settings->memoryLimitBytes, 120U * 1024 * 1024);
+    cr_expect_eq(settings->memoryLimitBytes, std::size_t {120} << 20U);
 }
