--- a/Tests/support/rolloutsimulation.h
+++ b/Tests/support/rolloutsimulation.h
@@ -50,6 +50,71 @@
     double bound = 0.0;
 };
 
+struct SimulatedRequest
+{
+    int time = 0; //!< Milliseconds since the order.
+    double targetShare = 0.0;
+    int route = 0;
+    bool isTarget = false;
+    bool isEngineSlow = false;
+};
+
+inline double failureShareOf(const RunOptions &options, const SimulatedRequest &request)
+{
+    double failures = options.usualFailures;
+    if (request.time / 1000 % 3 == 1)
+        failures += options.burstFailures;
+    if (request.isTarget && options.target.failureShare)
+        failures += options.target.failureShare(request.time, request.targetShare, request.route);
+    return failures;
+}
+
+inline double delayFactorOf(const RunOptions &options, const SimulatedRequest &request)
+{
+    double factor = request.isEngineSlow ? 2.5 : 1.0;
+    if (request.time > durationMillis / 2)
+        factor *= options.loadFactor;
+    if (request.isTarget && options.target.slowness)
+        factor *= options.target.slowness(request.time, request.targetShare, request.route);
+    return factor;
+}
+
+inline void recordAnswer(VersionCounts &counts, bool isFailure, double ms)
+{
+    counts.sent += 1.0;
+    counts.answers += 1.0;
+    if (isFailure) {
+        counts.failures += 1.0;
+        return;
+    }
+    counts.logTimeSum += std::log(ms);
+    counts.logTimeSquareSum += std::log(ms) * std::log(ms);
+}
+
+/*!
+    Returns the share that nodes know when it is \a current. It lags in both directions; a larger
+    share would not be safe if it grew at once.
+*/
+inline int lagShare(std::deque<int> &shares, int current)
+{
+    shares.push_back(current);
+    if (shares.size() <= lagMillis / tickMillis)
+        return 0;
+    const int share = shares.front();
+    shares.pop_front();
+    return share;
+}
+
+inline void applyChange(const RolloutChange &change, int time, wire::RolloutStep &step,
+                        RunResult &result)
+{
+    step.state = static_cast<std::int32_t>(change.state);
+    step.share = change.share;
+    result.isCompleted = change.state == RolloutState::Completed;
+    result.isRolledBack = change.state == RolloutState::RolledBack;
+    result.endMillis = time;
+}
+
 inline RunResult runRollout(const RunOptions &options, unsigned seed)
 {
     constexpr int routes = 3;
@@ -75,11 +140,7 @@
             for (auto &&slow : isSlow)
                 slow = uniform(random) < options.faultyEngines;
         }
-        shares.push_back(step.share);
-        // Shares lag in both directions. The larger one would not be safe if it grew.
-        const int share = shares.size() > lagMillis / tickMillis ? shares.front() : 0;
-        if (shares.size() > lagMillis / tickMillis)
-            shares.pop_front();
+        const int share = lagShare(shares, step.share);
         const int n = std::poisson_distribution<int>(options.requestsPerSecond * tickMillis
                                                      / 1000.0)(random);
         for (int i = 0; i < n; ++i) {
@@ -89,27 +150,16 @@
             result.exposure += isTarget ? 1.0 : 0.0;
             const std::size_t engine = isTarget ? random() % targetEngines
                                                 : targetEngines + random() % otherEngines;
-            const double targetShare = share / 1000.0;
-            double failures = options.usualFailures;
-            if (time / 1000 % 3 == 1)
-                failures += options.burstFailures;
-            double ms = 100.0 * (route + 1) * std::exp(normal(random)) * (isSlow[engine] ? 2.5 : 1);
-            if (time > durationMillis / 2)
-                ms *= options.loadFactor;
-            if (isTarget && options.target.failureShare)
-                failures += options.target.failureShare(time, targetShare, route);
-            if (isTarget && options.target.slowness)
-                ms *= options.target.slowness(time, targetShare, route);
+            const SimulatedRequest request {.time = time,
+                                            .targetShare = share / 1000.0,
+                                            .route = route,
+                                            .isTarget = isTarget,
+                                            .isEngineSlow = isSlow[engine]};
+            const double ms = 100.0 * (route + 1) * std::exp(normal(random))
+                    * delayFactorOf(options, request);
             RouteEvidence &item = evidence["r" + std::to_string(route)];
-            VersionCounts &counts = isTarget ? item.target : item.others;
-            counts.sent += 1.0;
-            counts.answers += 1.0;
-            if (uniform(random) < failures) {
-                counts.failures += 1.0;
-                continue;
-            }
-            counts.logTimeSum += std::log(ms);
-            counts.logTimeSquareSum += std::log(ms) * std::log(ms);
+            recordAnswer(isTarget ? item.target : item.others,
+                         uniform(random) < failureShareOf(options, request), ms);
         }
         reports.push_back(evidence);
         if (reports.size() > lagMillis / tickMillis)
@@ -123,13 +173,8 @@
                  .hasOthers = true,
                  .oldRequests = share >= RolloutBook::wholeShare ? 0 : 5},
                 time + 1);
-        if (!change)
-            continue;
-        step.state = static_cast<std::int32_t>(change->state);
-        step.share = change->share;
-        result.isCompleted = change->state == RolloutState::Completed;
-        result.isRolledBack = change->state == RolloutState::RolledBack;
-        result.endMillis = time;
+        if (change)
+            applyChange(*change, time, step, result);
     }
     result.bound = exposureShare * total + exposureSlack;
     return result;
