Show that odd entries of engines exceed the memory of all nodes

Cause: the content of all entries in the list of engines is kept whole, as parsed and as text, also of entries that name no engine.

--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -359,6 +359,12 @@
         write(kind, name, spec);
     }
 
+    void remove(const std::string &kind, const std::string &name)
+    {
+        const std::lock_guard lock(m_mutex);
+        erase(kind, name);
+    }
+
     bool handle(Connection &connection, const Message &request)
     {
         const std::string target = request.target();
@@ -374,6 +380,8 @@
         std::unique_lock lock(m_mutex);
         if (request.method() == "GET" && !watch.empty()) {
             const long since = atol(watch.c_str());
+            if (since < oldestRevision())
+                return connection.send(formatAnswer(410, "{}", json));
             const auto wait = std::chrono::milliseconds(atol(parameter(target, "waitMs").c_str()));
             m_changed.wait_for(lock, wait, [&] {
                 return !events(kind, since).empty();
@@ -385,13 +393,21 @@
         }
         if (request.method() == "GET") {
             std::string entries;
-            for (const auto &[key, object] : m_objects[kind])
-                entries += (entries.empty() ? "" : ",") + format(key, object);
-            return connection.send(formatAnswer(200,
-                                                "{\"entries\":[" + entries
-                                                        + "],\"hasMore\":false,\"asOf\":"
-                                                        + std::to_string(m_revision) + "}",
-                                                json));
+            const std::string after = parameter(target, "sinceRevision");
+            bool hasMore = false;
+            int n = 0;
+            for (auto it = m_objects[kind].upper_bound(after); it != m_objects[kind].end(); ++it) {
+                const std::string entry = format(it->first, it->second);
+                hasMore = n == pageEntries || (n > 0 && entries.size() + entry.size() > pageBytes);
+                if (hasMore)
+                    break;
+                entries += (entries.empty() ? "" : ",") + entry;
+                ++n;
+            }
+            const std::string body = "{\"entries\":[" + entries + "],\"hasMore\":"
+                    + (hasMore ? "true" : "false") + ",\"asOf\":" + std::to_string(m_revision) + "}";
+            lock.unlock();
+            return connection.send(formatAnswer(200, body, json));
         }
         const std::string metadata = jsonMember(request.body, "metadata");
         const std::string spec = jsonMember(request.body, "spec");
@@ -416,9 +432,7 @@
                 write(kind, name, spec);
             return connection.send(formatAnswer(200, format(name, found->second), json));
         }
-        m_removed.push_back({kind, ++m_revision, format(name, found->second)});
-        m_objects[kind].erase(found);
-        m_changed.notify_all();
+        erase(kind, name);
         return connection.send(formatAnswer(200, "{}", json));
     }
 
@@ -436,6 +450,20 @@
     };
 
     static constexpr const char *json = "Content-Type: application/json\r\n";
+    static constexpr int pageEntries = 500;
+    static constexpr std::size_t pageBytes = 1'000'000;
+    static constexpr auto history = 20s;
+
+    // Returns the oldest revision from which a watch can continue.
+    long oldestRevision() const
+    {
+        long oldest = 0;
+        for (const auto &[revision, at] : m_changes) {
+            if (at < Clock::now() - history)
+                oldest = revision;
+        }
+        return oldest;
+    }
 
     static std::string parameter(const std::string &target, const std::string &name)
     {
@@ -454,6 +482,18 @@
     void write(const std::string &kind, const std::string &name, const std::string &spec)
     {
         m_objects[kind][name] = {.revision = ++m_revision, .spec = spec};
+        m_changes.emplace_back(m_revision, Clock::now());
+        m_changed.notify_all();
+    }
+
+    void erase(const std::string &kind, const std::string &name)
+    {
+        const auto found = m_objects[kind].find(name);
+        if (found == m_objects[kind].end())
+            return;
+        m_removed.push_back({kind, ++m_revision, format(name, found->second)});
+        m_changes.emplace_back(m_revision, Clock::now());
+        m_objects[kind].erase(found);
         m_changed.notify_all();
     }
 
@@ -488,6 +528,7 @@
     long m_revision = 1;
     std::map<std::string, std::map<std::string, Object>> m_objects;
     std::vector<Removal> m_removed;
+    std::vector<std::pair<long, Clock::time_point>> m_changes;
 };
 
 struct NodeOptions
@@ -560,13 +601,13 @@
     }
 
     void writeEngine(int engine, const std::string &service, int slots,
-                     const std::string &zone = "b")
+                     const std::string &zone = "b", const std::string &state = "ready")
     {
         store.put("servers", "i-" + std::to_string(engine),
                   "{\"service\":\"" + service + "\",\"address\":\"" + engineIp(engine) + ":"
                           + std::to_string(m_port) + "\",\"zone\":\"zone-" + zone
                           + "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots)
-                          + ",\"state\":\"ready\",\"warmupLeftMs\":0,\"sequence\":4,\"born\":"
+                          + ",\"state\":\"" + state + "\",\"warmupLeftMs\":0,\"sequence\":4,\"born\":"
                             "1700000000000}");
     }
 
