--- a/review/standins-2/bigentries.cpp
+++ b/review/standins-2/bigentries.cpp
@@ -1,5 +1,6 @@
-// Another writer fills the list of engines with large entries that name no engine. This program acts
-// as the platform: it ends a node whose memory exceeds that of its machine, and starts it again.
+// Another writer fills the list of engines with large entries that name no engine. This program
+// acts as the platform: it ends a node whose memory exceeds that of its machine, and starts it
+// again.
 #include "harness.h"
 
 using namespace review;
@@ -35,10 +36,10 @@
 {
     Deployment d(argc, argv);
     const Server engine(d.engineIp(1), d.port(), [&](Connection &c, Message &request) {
-        return c.send(formatAnswer(200, "booked",
-                                   "Sesameproxy-Attempt-Id: "
-                                           + request.field("Sesameproxy-Attempt-Id")
-                                           + "\r\nSesameproxy-Response-Seal: seal\r\n"));
+        return c.send(
+                formatAnswer(200, "booked",
+                             "Sesameproxy-Attempt-Id: " + request.field("Sesameproxy-Attempt-Id")
+                                     + "\r\nSesameproxy-Response-Seal: seal\r\n"));
     });
     d.writeConfig("{\"name\":\"book\",\"hostname\":\"app.example\",\"pathPrefix\":\"/book/\","
                   "\"routeType\":\"unsafe\",\"timeoutMs\":2500,\"targetLatencyMs\":150,"
@@ -57,7 +58,8 @@
     }
     if (d.hasTrouble) {
         // The service is of another type.
-        const std::string entry = "{\"service\":7,\"note\":\"" + std::string(entryBytes, 'n') + "\"}";
+        const std::string entry = "{\"service\":7,\"note\":\"" + std::string(entryBytes, 'n')
+                + "\"}";
         for (int i = 0; i < oddEntries; ++i)
             d.store.put("servers", "odd-" + std::to_string(i), entry);
         d.record.add("another writer wrote %d entries of %zu bytes", oddEntries, entry.size());
@@ -81,8 +83,8 @@
             if (!status)
                 d.killNode(node);
             ++ends[node];
-            d.record.add("node %d ended, time %d: peak %ld KiB of %ld KiB%s", node, ends[node], peak,
-                         memoryMb * kibPerMb, status ? ", process ended by itself" : "");
+            d.record.add("node %d ended, time %d: peak %ld KiB of %ld KiB%s", node, ends[node],
+                         peak, memoryMb * kibPerMb, status ? ", process ended by itself" : "");
             std::this_thread::sleep_for(500ms);
             d.startNode(node, machine);
         }
--- a/review/standins-2/connectionlist.cpp
+++ b/review/standins-2/connectionlist.cpp
@@ -1,6 +1,6 @@
-// Clients that the operator does not control send ordinary requests whose heads, of legal size, name
-// thousands of fields in Connection and hold thousands of short fields. Ordinary clients of the same
-// node wait meanwhile.
+// Clients that the operator does not control send ordinary requests whose heads, of legal size,
+// name thousands of fields in Connection and hold thousands of short fields. Ordinary clients of
+// the same node wait meanwhile.
 #include "harness.h"
 
 using namespace review;
@@ -56,10 +56,10 @@
 {
     Deployment d(argc, argv);
     const Server engine(d.engineIp(1), d.port(), [&](Connection &c, Message &request) {
-        return c.send(formatAnswer(200, "booked",
-                                   "Sesameproxy-Attempt-Id: "
-                                           + request.field("Sesameproxy-Attempt-Id")
-                                           + "\r\nSesameproxy-Response-Seal: seal\r\n"));
+        return c.send(
+                formatAnswer(200, "booked",
+                             "Sesameproxy-Attempt-Id: " + request.field("Sesameproxy-Attempt-Id")
+                                     + "\r\nSesameproxy-Response-Seal: seal\r\n"));
     });
     d.writeConfig("{\"name\":\"book\",\"hostname\":\"app.example\",\"pathPrefix\":\"/book/\","
                   "\"routeType\":\"unsafe\",\"timeoutMs\":2500,\"targetLatencyMs\":150,"
--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -1,6 +1,6 @@
 // Small stand-ins for the cases of the second review: an object store, the platform's API, engines,
-// clients, and the node processes themselves. Everything listens on loopback addresses. Only the C++
-// library and POSIX are used.
+// clients, and the node processes themselves. Everything listens on loopback addresses. Only the
+// C++ library and POSIX are used.
 #pragma once
 
 #include <arpa/inet.h>
@@ -53,7 +53,8 @@
 
 inline long sinceStartMs()
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - startTime()).count();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - startTime())
+            .count();
 }
 
 // Lines of record.txt. Each begins with the milliseconds since the start of the case.
@@ -155,8 +156,8 @@
     // Reads more bytes. Returns false at the end, after an error or at the deadline.
     bool fill(Clock::time_point deadline)
     {
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-                                  deadline - Clock::now())
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline
+                                                                                - Clock::now())
                                   .count();
         pollfd item {.fd = m_fd, .events = POLLIN, .revents = 0};
         m_timedOut = left <= 0 || ::poll(&item, 1, static_cast<int>(left)) <= 0;
@@ -261,7 +262,8 @@
     bool m_timedOut = false;
 };
 
-// Serves each connection in a thread of its own. The handler returns whether the connection is kept.
+// Serves each connection in a thread of its own. The handler returns whether the connection is
+// kept.
 class Server
 {
 public:
@@ -404,8 +406,9 @@
                 entries += (entries.empty() ? "" : ",") + entry;
                 ++n;
             }
-            const std::string body = "{\"entries\":[" + entries + "],\"hasMore\":"
-                    + (hasMore ? "true" : "false") + ",\"asOf\":" + std::to_string(m_revision) + "}";
+            const std::string body = "{\"entries\":[" + entries
+                    + "],\"hasMore\":" + (hasMore ? "true" : "false")
+                    + ",\"asOf\":" + std::to_string(m_revision) + "}";
             lock.unlock();
             return connection.send(formatAnswer(200, body, json));
         }
@@ -607,7 +610,8 @@
                   "{\"service\":\"" + service + "\",\"address\":\"" + engineIp(engine) + ":"
                           + std::to_string(m_port) + "\",\"zone\":\"zone-" + zone
                           + "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots)
-                          + ",\"state\":\"" + state + "\",\"warmupLeftMs\":0,\"sequence\":4,\"born\":"
+                          + ",\"state\":\"" + state
+                          + "\",\"warmupLeftMs\":0,\"sequence\":4,\"born\":"
                             "1700000000000}");
     }
 
@@ -713,7 +717,8 @@
             m_port = 21000 + (getpid() * 13 + attempt * 101) % 9000;
             bool isUsable = true;
             for (int i = 0; i < 8; ++i)
-                isUsable = isUsable && isFree(nodeIp(1), m_port + i) && isFree(m_net + "9.1", m_port);
+                isUsable = isUsable && isFree(nodeIp(1), m_port + i)
+                        && isFree(m_net + "9.1", m_port);
             if (isUsable)
                 return;
         }
--- a/review/standins-2/manyfields.cpp
+++ b/review/standins-2/manyfields.cpp
@@ -89,10 +89,10 @@
     std::atomic<int> run {0};
     const Server engine(d.engineIp(1), d.port(), [&](Connection &c, Message &request) {
         ++run;
-        return c.send(formatAnswer(200, "booked",
-                                   "Sesameproxy-Attempt-Id: "
-                                           + request.field("Sesameproxy-Attempt-Id")
-                                           + "\r\nSesameproxy-Response-Seal: seal\r\n"));
+        return c.send(
+                formatAnswer(200, "booked",
+                             "Sesameproxy-Attempt-Id: " + request.field("Sesameproxy-Attempt-Id")
+                                     + "\r\nSesameproxy-Response-Seal: seal\r\n"));
     });
     d.writeConfig("{\"name\":\"book\",\"hostname\":\"app.example\",\"pathPrefix\":\"/book/\","
                   "\"routeType\":\"unsafe\",\"timeoutMs\":2500,\"targetLatencyMs\":150,"
--- a/review/standins-2/stuckwatch.cpp
+++ b/review/standins-2/stuckwatch.cpp
@@ -112,7 +112,8 @@
     }
     std::this_thread::sleep_for(1s);
     if (d.hasTrouble) {
-        const std::string entry = "{\"service\":7,\"note\":\"" + std::string(entryBytes, 'n') + "\"}";
+        const std::string entry = "{\"service\":7,\"note\":\"" + std::string(entryBytes, 'n')
+                + "\"}";
         for (int i = 0; i < oddEntries; ++i)
             d.store.put("servers", "odd-" + std::to_string(i), entry);
         d.record.add("another writer wrote %d entries of %zu bytes", oddEntries, entry.size());
