--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -604,15 +604,16 @@
     }
 
     void writeEngine(int engine, const std::string &service, int slots,
-                     const std::string &zone = "b", const std::string &state = "ready")
+                     const std::string &zone = "b", const std::string &state = "ready",
+                     long born = 1700000000000)
     {
         store.put("servers", "i-" + std::to_string(engine),
                   "{\"service\":\"" + service + "\",\"address\":\"" + engineIp(engine) + ":"
                           + std::to_string(m_port) + "\",\"zone\":\"zone-" + zone
                           + "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots)
                           + ",\"state\":\"" + state
-                          + "\",\"warmupLeftMs\":0,\"sequence\":4,\"born\":"
-                            "1700000000000}");
+                          + "\",\"warmupLeftMs\":0,\"sequence\":4,\"born\":" + std::to_string(born)
+                          + "}");
     }
 
     void startNode(int node, const NodeOptions &options = {})
