End the nodes of a case with the case

Cause: a case that is ended by its time limit left its nodes running. Change: the nodes end with the program that started them.

--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -623,6 +624,8 @@
         const std::string log = m_folder + "/node-" + std::to_string(node) + ".log";
         const pid_t pid = fork();
         if (pid == 0) {
+            // A case that is ended leaves no process behind.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(fd, 1);
             dup2(fd, 2);
