Test that answers with broken field names are no answers

Lines that begin with a blank are not covered yet.

The Thrift client of the nodes has a test of its own.

RawEngine can keep its connections and announce small segments, so that a long request does not fit into the buffers of the loopback device.

--- a/Tests/brokenanswersprocesstest.cpp
+++ b/Tests/brokenanswersprocesstest.cpp
@@ -49,6 +49,32 @@
                                           state);
     }
 
+    /*!
+        Makes the engine answer with \a answer, and expects that the caller of request \a id gets no
+        success. The request comes on a new connection, or on one that carried a whole answer.
+    */
+    void expectNoAnswer(const std::string &answer, RawEngine::End end, const std::string &id,
+                        const std::string &body = "p")
+    {
+        for (const bool isKept : {false, true}) {
+            const std::string name = id + (isKept ? "-kept" : "-new");
+            if (isKept) {
+                engine.setAnswer(streamHead + "Content-Length: 2\r\n\r\n\n\n",
+                                 RawEngine::End::Keep);
+                deployment.readAnswer(1, "/stream/x", name + "-whole");
+            }
+            const int connections = engine.usedConnectionCount();
+            engine.setAnswer(answer, end);
+            const RawAnswer received = deployment.readAnswer(1, "/stream/x", name, body);
+            cr_expect_eq(engine.usedConnectionCount() - connections, isKept ? 0 : 1, "%s",
+                         name.c_str());
+            cr_expect_neq(received.status, 0U, "%s", name.c_str());
+            cr_expect_not(received.isMalformed, "%s", name.c_str());
+            cr_expect_not(received.isComplete && received.status < 500, "%s: %u, %s", name.c_str(),
+                          received.status, received.body.substr(0, 100).c_str());
+        }
+    }
+
     /*!
         Expects that the node still runs, has used little memory and serves other requests.
     */
@@ -171,3 +197,16 @@
     }
     broken.expectNodeIsSound("head");
 }
+
+// Guards against an answer whose head has a field name with a blank or a control character and that
+// reaches the caller as a success, with that line or with another body.
+Test(brokenanswers, brokenFieldNamesAreNoAnswers)
+{
+    BrokenEngineDeployment broken(25850);
+    const std::vector<std::string> lines {"X Note: 1",     "X-Note : 1",    "X-Note\t: 1",
+                                          "X-\x01Note: 1", "X-Note\x7f: 1", "Content-Length : 2"};
+    for (std::size_t n = 0; n < lines.size(); ++n)
+        broken.expectNoAnswer(streamHead + lines[n] + "\r\n\r\nbody", RawEngine::End::Close,
+                              "line-" + std::to_string(n));
+    broken.expectNodeIsSound("field");
+}
--- a/Tests/httpconnectiontest.cpp
+++ b/Tests/httpconnectiontest.cpp
@@ -18,12 +18,12 @@
 
 /*!
     Server that answers each request with the same bytes, in pieces that arrive one by one, and then
-    keeps, closes or resets the connection.
+    keeps, closes or resets the connection, or ends only its own direction.
 */
 class ScriptedServer
 {
 public:
-    enum class End { Keep, Close, Reset };
+    enum class End { Keep, Close, Reset, HalfClose };
 
     ScriptedServer(asio::io_context &context, std::vector<std::string> pieces, End end)
         : m_context(context),
@@ -81,10 +81,12 @@
     {
         if (m_end == End::Reset)
             socket->set_option(asio::socket_base::linger(true, 0));
-        if (m_end != End::Keep)
-            socket->close();
-        else
+        if (m_end == End::Keep)
             serve(socket);
+        else if (m_end == End::HalfClose)
+            socket->shutdown(Tcp::socket::shutdown_send);
+        else
+            socket->close();
     }
 
     asio::io_context &m_context;
@@ -108,12 +110,19 @@
     bool reusable = false;
 };
 
+struct ExchangeOptions
+{
+    std::chrono::milliseconds time = 300ms; //!< Time after which the connection is closed.
+    bool stopsAtEnd = false; //!< Whether to stop when the exchange has ended, before time is over.
+    std::size_t uploadBytes = 0; //!< Size of the request's body.
+};
+
 /*!
-    Sends one request to a server that responds with \a pieces, and reports what arrived after
-    \a time. Responses whose X-Id field is not "mine" are skipped.
+    Sends one request to a server that responds with \a pieces, and reports what arrived.
+    Responses whose X-Id field is not "mine" are skipped.
 */
 ExchangeResult exchange(const std::vector<std::string> &pieces, ScriptedServer::End end,
-                        std::chrono::milliseconds time = 300ms)
+                        const ExchangeOptions &options = {})
 {
     asio::io_context context;
     ScriptedServer server(context, pieces, end);
@@ -133,22 +142,45 @@
         sink.done = [&] {
             outcome.done = true;
             outcome.reusable = connection->isReusable(ClientConnection::Clock::now());
+            if (options.stopsAtEnd)
+                context.stop();
         };
         sink.failed = [&](ExchangeFailure failure) {
             outcome.failure = failure;
+            if (options.stopsAtEnd)
+                context.stop();
         };
-        connection->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", false, std::move(sink));
+        HttpFields fields;
+        fields.set("Host", "a");
+        connection->send(formatRequest(options.uploadBytes > 0 ? "POST" : "GET", "/", fields,
+                                       std::string(options.uploadBytes, 'u')),
+                         false, std::move(sink));
     });
-    context.run_for(time);
+    context.run_for(options.time);
     connection->close();
     return outcome;
 }
 
 //! \overload
 ExchangeResult exchange(const std::string &answer, ScriptedServer::End end,
-                        std::chrono::milliseconds time = 300ms)
+                        const ExchangeOptions &options = {})
 {
-    return exchange(std::vector<std::string> {answer}, end, time);
+    return exchange(std::vector<std::string> {answer}, end, options);
+}
+
+/*!
+    Sends one request like exchange() and reports what arrived until the exchange ended.
+*/
+ExchangeResult exchangeToEnd(const std::vector<std::string> &pieces, ScriptedServer::End end,
+                             std::size_t uploadBytes = 0)
+{
+    return exchange(pieces, end, {.time = 5s, .stopsAtEnd = true, .uploadBytes = uploadBytes});
+}
+
+//! \overload
+ExchangeResult exchangeToEnd(const std::string &answer, ScriptedServer::End end)
+{
+    return exchangeToEnd(std::vector<std::string> {answer}, end);
 }
 
 /*!
@@ -325,12 +357,46 @@
     cr_expect_not(outcome.done, "a reset does not complete a response");
     const std::string whole = head + "Content-Type: text/event-stream\r\n\r\n";
     for (std::size_t n = 1; n < whole.size(); ++n) {
-        outcome = exchange(whole.substr(0, n), ScriptedServer::End::Close, 30ms);
+        outcome = exchange(whole.substr(0, n), ScriptedServer::End::Close, {.time = 30ms});
         cr_expect(outcome.heads.empty(), "the head ends after %zu bytes", n);
         cr_expect(outcome.failure == ExchangeFailure::Closed, "the head ends after %zu bytes", n);
     }
 }
 
+// Guards against field names with blanks or control characters in heads and trailers.
+Test(clientconnection, brokenFieldNamesAreMalformed)
+{
+    using namespace std::string_literals;
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    const std::string idField = "X-Id: mine\r\n";
+    for (const std::string &name :
+         {"X Note"s, "X-Note "s, "X-Note\t"s, "X-\x01Note"s, "X-\0Note"s, "X-Note\x7f"s, "X\rNote"s,
+          "X\nNote"s, "Content-Length "s, ""s}) {
+        const std::string line = name + ": 2\r\n";
+        for (const std::string &fields : {line + idField, idField + line}) {
+            const ExchangeResult outcome = exchangeToEnd({start, fields, "\r\nok"},
+                                                         ScriptedServer::End::Close);
+            cr_expect(outcome.heads.empty(), "%s", name.c_str());
+            cr_expect(outcome.failure == ExchangeFailure::Malformed, "%s", name.c_str());
+        }
+        const ExchangeResult trailer = exchangeToEnd(
+                {chunkedHead, "2\r\nok\r\n0\r\n", line, "\r\n"}, ScriptedServer::End::Close);
+        cr_expect(trailer.failure == ExchangeFailure::Malformed, "%s", name.c_str());
+    }
+}
+
+// Guards against sizes of chunks that are read as another number.
+Test(clientconnection, brokenChunkSizesAreMalformed)
+{
+    for (const std::string size : {"", "+2", "-2", "0x2", " 2", "2 ", "2\t", "2\x01", "2\n", "2;",
+                                   "2 3", "g", "10000000000000002"}) {
+        const ExchangeResult outcome = exchangeToEnd(chunkedHead + size + "\r\nok\r\n0\r\n\r\n",
+                                                     ScriptedServer::End::Close);
+        cr_expect_not(outcome.done, "%s", size.c_str());
+        cr_expect(outcome.failure == ExchangeFailure::Malformed, "%s", size.c_str());
+    }
+}
+
 // Guards against a late response to an earlier request that is forwarded to another caller.
 Test(clientconnection, responseToAnotherRequestIsSkipped)
 {
--- a/Tests/peerservicetest.cpp
+++ b/Tests/peerservicetest.cpp
@@ -1,5 +1,6 @@
 #include "Adapter/sesameadapter.h"
 #include "Core/lastreason.h"
+#include "support/brokenserver.h"
 #include "support/freeport.h"
 #include "support/printfigure.h"
 
@@ -216,6 +217,34 @@
     cr_expect_eq(lastReason().code, ResultCode::PeerUnreachable);
 }
 
+// Guards against a broken or truncated answer that counts as the answer of a node, also if it ends
+// with a reset while the request is being written.
+Test(peerservice, brokenAnswersAreNoAnswers)
+{
+    constexpr std::size_t uploadBytes = 1U << 20U;
+    constexpr std::uint32_t frameBytes = 64;
+    const std::uint32_t length = htonl(frameBytes);
+    const std::string frameHead(reinterpret_cast<const char *>(&length), sizeof(length));
+    test::BrokenServer server;
+    wire::PeerRequest request;
+    // The server answers when it has received an empty line.
+    request.rumours = toWire(std::vector<Rumour> {
+            {.subject = "engine-1", .detail = "\r\n\r\n" + std::string(uploadBytes, 'u')}});
+    const PeerClient client({.node = "client", .key = key});
+    const PeerCall call {.address = {.host = host, .port = server.address().port()},
+                         .timeout = std::chrono::milliseconds(2000)};
+    for (const std::string &answer : {std::string("HTTP/1.1 000 None\r\n\r\n"), frameHead,
+                                      frameHead + std::string(frameBytes / 2, '\x82'),
+                                      frameHead + std::string(frameBytes, '\x82')}) {
+        for (const auto end : {test::RawEngine::End::Close, test::RawEngine::End::Reset}) {
+            server.setAnswer(answer, end);
+            cr_expect_not(client.exchange(call, request).has_value());
+            cr_expect_eq(lastReason().code, ResultCode::PeerUnreachable);
+        }
+    }
+    cr_expect_eq(server.requestCount(), 8);
+}
+
 Test(peerservice, serverSurvivesRandomBytes)
 {
     const Service service;
--- /dev/null
+++ b/Tests/support/brokenserver.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "support/rawengine.h"
+
+#include <future>
+#include <thread>
+#include <vector>
+
+namespace sesame::test {
+
+/*!
+    An answer that is broken.
+*/
+struct BrokenAnswer
+{
+    std::string name;
+    std::string bytes;
+    RawEngine::End end = RawEngine::End::Close;
+};
+
+/*!
+    Returns answers with status 200, the header lines \a fields and the body \a body, each broken in
+    one way.
+*/
+inline std::vector<BrokenAnswer> makeBrokenAnswers(const std::string &fields,
+                                                   const std::string &body)
+{
+    const std::string sized = fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+            + body;
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    return {{.name = "name-with-blank", .bytes = ok + "X Note: 1\r\n" + sized},
+            {.name = "name-with-control", .bytes = ok + "X-\x01Note: 1\r\n" + sized}};
+}
+
+/*!
+    A RawEngine that runs in a thread of its own.
+*/
+class BrokenServer
+{
+public:
+    BrokenServer()
+        : m_engine(m_context, Tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 0)),
+          m_thread([this] {
+              m_context.run();
+          })
+    {
+        m_engine.limitSegments();
+    }
+
+    ~BrokenServer()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+    BrokenServer(const BrokenServer &) = delete;
+    BrokenServer &operator=(const BrokenServer &) = delete;
+
+    Tcp::endpoint address() const { return m_engine.address(); }
+
+    std::string url() const { return "http://127.0.0.1:" + std::to_string(address().port()); }
+
+    void setAnswer(const std::string &answer, RawEngine::End end)
+    {
+        runInLoop([&] {
+            m_engine.setAnswer(answer, end);
+        });
+    }
+
+    int requestCount()
+    {
+        int n = 0;
+        runInLoop([&] {
+            n = m_engine.requestCount();
+        });
+        return n;
+    }
+
+    int usedConnectionCount()
+    {
+        int n = 0;
+        runInLoop([&] {
+            n = m_engine.usedConnectionCount();
+        });
+        return n;
+    }
+
+private:
+    template <typename Action>
+    void runInLoop(Action action)
+    {
+        std::promise<void> done;
+        asio::post(m_context, [&] {
+            action();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    asio::io_context m_context {1};
+    RawEngine m_engine;
+    std::thread m_thread;
+};
+
+} // namespace sesame::test
--- a/Tests/support/platformdeployment.h
+++ b/Tests/support/platformdeployment.h
@@ -246,17 +246,18 @@
     }
 
     /*!
-        Sends a request with attempt ID \a id to the entry of \a node and returns what arrives, also
-        if the answer is incomplete.
+        Sends a request with attempt ID \a id and the body \a body to the entry of \a node and
+        returns what arrives, also if the answer is incomplete.
     */
-    RawAnswer readAnswer(int node, const std::string &target, const std::string &id)
+    RawAnswer readAnswer(int node, const std::string &target, const std::string &id,
+                         const std::string &body = "p")
     {
         RawAnswer answer;
         bool ended = false;
         const auto connection = std::make_shared<ClientConnection>(context);
         connection->connect(platform.entryAddress(node), 1s, [&](const auto &ec) {
             cr_assert_not(ec);
-            connection->send(formatRequest("POST", target, requestFields(id, "key-large"), "p"),
+            connection->send(formatRequest("POST", target, requestFields(id, "key-large"), body),
                              false,
                              {.head =
                                       [&](const ResponseHead &head) {
--- a/Tests/support/rawengine.h
+++ b/Tests/support/rawengine.h
@@ -8,17 +8,22 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
 namespace sesame::test {
 
 /*!
-    A backend server that answers each request with given bytes, and then ends the connection or
-    sends more without end. It writes answers that an HTTP server would not.
+    A backend server that answers each request with given bytes once its head has arrived, and then
+    keeps or ends the connection or sends more without end. It writes answers that an HTTP server
+    would not.
 */
 class RawEngine
 {
 public:
-    enum class End { Close, Reset };
+    enum class End { Keep, Close, Reset };
 
     RawEngine(asio::io_context &context, const Tcp::endpoint &address)
         : m_acceptor(context, address)
@@ -42,8 +47,26 @@
     */
     void setEndlessBlock(std::string block) { m_endlessBlock = std::move(block); }
 
+    /*!
+        Makes connections use segments of the size of real networks, so that the buffers of both
+        sockets hold less of a long request than on the loopback device.
+    */
+    void limitSegments()
+    {
+        constexpr int ethernetSegmentBytes = 1448;
+        ::setsockopt(m_acceptor.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &ethernetSegmentBytes,
+                     sizeof(ethernetSegmentBytes));
+    }
+
+    Tcp::endpoint address() const { return m_acceptor.local_endpoint(); }
+
     int requestCount() const { return m_requestCount; }
 
+    /*!
+        Returns the number of connections that have carried a request.
+    */
+    int usedConnectionCount() const { return m_usedConnectionCount; }
+
     /*!
         Returns the number of bytes that were sent beyond the answers.
     */
@@ -57,6 +80,7 @@
         Tcp::socket socket;
         std::string input;
         std::string output;
+        bool isUsed = false; //!< A request has arrived.
     };
 
     void accept()
@@ -81,6 +105,8 @@
     void answer(const std::shared_ptr<Exchange> &exchange)
     {
         ++m_requestCount;
+        if (!std::exchange(exchange->isUsed, true))
+            ++m_usedConnectionCount;
         constexpr std::string_view idField = "Sesameproxy-Attempt-Id: ";
         const std::size_t start = exchange->input.find(idField) + idField.size();
         const std::string id = exchange->input.substr(start,
@@ -110,8 +136,13 @@
                           });
     }
 
-    void end(const std::shared_ptr<Exchange> &exchange) const
+    void end(const std::shared_ptr<Exchange> &exchange)
     {
+        if (m_end == End::Keep) {
+            exchange->input.clear();
+            serve(exchange);
+            return;
+        }
         boost::system::error_code ignored; // The socket is not used again.
         if (m_end == End::Reset)
             exchange->socket.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -126,6 +157,7 @@
     std::size_t m_endlessBytes = 0;
     End m_end = End::Close;
     int m_requestCount = 0;
+    int m_usedConnectionCount = 0;
 };
 
 } // namespace sesame::test
