End exchanges whose answer has a status that HTTP does not define

Callers of a platform node got "HTTP/1.1 000" as an answer; the project's own interface passed it on as complete and recorded it as the outcome of a call that runs at most once. 099 did the same. The client of the platform's store took 099 and 600 for a refusal, which says that a write had no effect.

Cause: Beast accepts any three digits as a status, and nothing checked them. Code that compares with a limit took a status below 100 for a success.

Change: ClientConnection, which reads all HTTP answers, ends the exchange as malformed unless the status is 100 to 599 (RFC 9110, section 15). That path exists: the request may have run, is sent again only where its route allows it, and is answered with 502 or "unknown" otherwise.

--- a/Source/Http/clientconnection.cpp
+++ b/Source/Http/clientconnection.cpp
@@ -34,6 +34,16 @@
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
 
+/*!
+    Returns whether HTTP defines the class of \a status (RFC 9110, section 15).
+*/
+bool isValidStatus(unsigned status)
+{
+    constexpr unsigned firstStatus = 100;
+    constexpr unsigned lastStatus = 599;
+    return status >= firstStatus && status <= lastStatus;
+}
+
 bool isSizeLimit(const boost::system::error_code &ec)
 {
     return ec == beast::http::error::header_limit || ec == beast::http::error::buffer_overflow;
@@ -224,14 +234,15 @@
     if (m_headProcessed)
         return true;
     m_headProcessed = true;
-    if (hasUnsupportedTransferCoding((*m_parser)->get())) {
+    const ResponseHead &head = (*m_parser)->get();
+    if (!isValidStatus(head.result_int()) || hasUnsupportedTransferCoding(head)) {
         failExchange(ExchangeFailure::Malformed);
         return false;
     }
     constexpr unsigned informational = 1;
     const std::shared_ptr<ResponseSink> sink = m_sink;
-    m_skipping = (*m_parser)->get().result_int() / 100 == informational
-            || sink->head((*m_parser)->get()) == ResponseSink::Verdict::Skip;
+    m_skipping = head.result_int() / 100 == informational
+            || sink->head(head) == ResponseSink::Verdict::Skip;
     return m_open && m_exchanging;
 }
 
--- a/Tests/brokenanswersprocesstest.cpp
+++ b/Tests/brokenanswersprocesstest.cpp
@@ -198,6 +198,21 @@
     broken.expectNodeIsSound("head");
 }
 
+// Guards against an answer with a status that HTTP does not have, which reached the caller as a
+// success.
+Test(brokenanswers, statusesOutOfRangeAreNoAnswers)
+{
+    BrokenEngineDeployment broken(25800);
+    for (const std::string status : {"000", "099", "600"}) {
+        std::string answer = streamHead + "Content-Length: 4\r\n\r\nbody";
+        answer.replace(answer.find("200"), status.size(), status);
+        broken.expectNoAnswer(answer, RawEngine::End::Close, status + "-events");
+        answer.replace(answer.find("text/event-stream"), 17, "text/plain");
+        broken.expectNoAnswer(answer, RawEngine::End::Keep, status + "-plain");
+    }
+    broken.expectNodeIsSound("status");
+}
+
 // Guards against an answer whose head has a field name with a blank or a control character and that
 // reaches the caller as a success, with that line or with another body.
 Test(brokenanswers, brokenFieldNamesAreNoAnswers)
--- a/Tests/httpconnectiontest.cpp
+++ b/Tests/httpconnectiontest.cpp
@@ -363,6 +363,23 @@
     }
 }
 
+// Guards against a status that HTTP does not have, which was passed on as that of an answer.
+Test(clientconnection, statusesOutOfRangeAreMalformed)
+{
+    const auto exchangeStatus = [](const std::string &status) {
+        return exchangeToEnd("HTTP/1.1 " + status
+                                     + " Status\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok",
+                             ScriptedServer::End::Keep);
+    };
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        const ExchangeResult outcome = exchangeStatus(status);
+        cr_expect(outcome.heads.empty(), "%s", status.c_str());
+        cr_expect(outcome.failure == ExchangeFailure::Malformed, "%s", status.c_str());
+    }
+    for (const std::string status : {"200", "599"})
+        cr_expect(exchangeStatus(status).done, "%s", status.c_str());
+}
+
 // Guards against field names with blanks or control characters in heads and trailers.
 Test(clientconnection, brokenFieldNamesAreMalformed)
 {
--- a/Tests/support/brokenserver.h
+++ b/Tests/support/brokenserver.h
@@ -28,7 +28,10 @@
     const std::string sized = fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"
             + body;
     const std::string ok = "HTTP/1.1 200 OK\r\n";
-    return {{.name = "name-with-blank", .bytes = ok + "X Note: 1\r\n" + sized},
+    return {{.name = "status-000", .bytes = "HTTP/1.1 000 None\r\n" + sized},
+            {.name = "status-099", .bytes = "HTTP/1.1 099 None\r\n" + sized},
+            {.name = "status-600", .bytes = "HTTP/1.1 600 None\r\n" + sized},
+            {.name = "name-with-blank", .bytes = ok + "X Note: 1\r\n" + sized},
             {.name = "name-with-control", .bytes = ok + "X-\x01Note: 1\r\n" + sized}};
 }
 
--- a/Tests/support/fuzztargets.cpp
+++ b/Tests/support/fuzztargets.cpp
@@ -266,6 +266,8 @@
         connection->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", false,
                          {.head =
                                   [&](const ResponseHead &head) {
+                                      require(head.result_int() >= 100 && head.result_int() < 600,
+                                              "each answer has a status that HTTP defines");
                                       format.readResponse(head);
                                       return ResponseSink::Verdict::Take;
                                   },
