Reject answers whose head has a line that begins with a blank

A line that begins with a blank or a tab did so here: its text reached callers as part of the field before, and after " Content-Length: 2" they got all 4 bytes that came, as a complete answer.

Cause: Beast implements line folding, which RFC 9112 (section 5.2) has made obsolete, and joins such a line to the value before. Nothing in it tells a folded value from a broken name.

Change: MessageParser rejects responses with such a line in the head, as the RFC allows a gateway; requests are read as before. All HTTP answers pass through it. Trailers may be folded, as their fields are not used.

--- a/Source/Http/messageparser.h
+++ b/Source/Http/messageparser.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <stdexcept>
+#include <string_view>
 
 namespace sesame {
 
@@ -20,8 +21,9 @@
 public:
     /*!
         Passes \a input to the parser and returns the number of bytes that it consumed. Sets \a ec
-        to error::need_more if the message continues, and to error::header_limit or
-        error::buffer_overflow if bytes outside of the body exceed their limits.
+        to error::need_more if the message continues, to error::header_limit or
+        error::buffer_overflow if bytes outside of the body exceed their limits, and to
+        error::bad_field if a line of a response's head begins with a blank.
     */
     std::size_t put(asio::const_buffer input, boost::system::error_code &ec)
     {
@@ -31,6 +33,7 @@
             ec = error::need_more;
             return 0;
         }
+        const bool isHead = !m_parser.is_header_done();
         std::size_t n = 0;
         try {
             n = m_parser.put(input, ec);
@@ -38,6 +41,10 @@
             // Beast's container rejects field values of 64 KiB this way.
             ec = error::header_limit;
         }
+        // The parser consumes a head only when it is complete, so the input begins with it.
+        if (!Parser::is_request::value && isHead && m_parser.is_header_done()
+            && hasFoldedLine({static_cast<const char *>(input.data()), input.size()}))
+            ec = error::bad_field;
         m_unparsedBytes = input.size() - n;
         if (ec == error::need_more && m_parser.is_header_done()
             && m_unparsedBytes > maxUnparsedBytes)
@@ -49,6 +56,18 @@
     Parser *operator->() { return &m_parser; }
 
 private:
+    /*!
+        Returns whether a line of the head at the begin of \a message begins with a blank. Beast
+        takes such a line for the rest of the field before (RFC 9112, section 5.2), so that a line
+        with a broken name would be passed on as a value, or a length in it ignored.
+    */
+    static bool hasFoldedLine(std::string_view message)
+    {
+        const std::string_view head = message.substr(0, message.find("\r\n\r\n"));
+        return head.find("\r\n ") != std::string_view::npos
+                || head.find("\r\n\t") != std::string_view::npos;
+    }
+
     //! Beast consumes a chunk's size line and the trailer only when they are complete, so a peer
     //! that never completes them would fill the memory.
     static constexpr std::size_t maxUnparsedBytes = 16384;
--- a/Tests/brokenanswersprocesstest.cpp
+++ b/Tests/brokenanswersprocesstest.cpp
@@ -9,9 +9,10 @@
 
 namespace {
 
-const std::string streamHead
-        = "HTTP/1.1 200 OK\r\nSesameproxy-Attempt-Id: ID\r\n"
-          "Sesameproxy-Response-Seal: s\r\nContent-Type: text/event-stream\r\n";
+//! Begin of an answer that is buffered until it is complete.
+const std::string plainHead = "HTTP/1.1 200 OK\r\nSesameproxy-Attempt-Id: ID\r\n"
+                              "Sesameproxy-Response-Seal: s\r\n";
+const std::string streamHead = plainHead + "Content-Type: text/event-stream\r\n";
 
 std::string formatChunk(const std::string &text)
 {
@@ -203,12 +204,14 @@
 Test(brokenanswers, statusesOutOfRangeAreNoAnswers)
 {
     BrokenEngineDeployment broken(25800);
+    const std::string rest = "Content-Length: 4\r\n\r\nbody";
     for (const std::string status : {"000", "099", "600"}) {
-        std::string answer = streamHead + "Content-Length: 4\r\n\r\nbody";
-        answer.replace(answer.find("200"), status.size(), status);
-        broken.expectNoAnswer(answer, RawEngine::End::Close, status + "-events");
-        answer.replace(answer.find("text/event-stream"), 17, "text/plain");
-        broken.expectNoAnswer(answer, RawEngine::End::Keep, status + "-plain");
+        for (std::string answer : {plainHead + rest, streamHead + rest}) {
+            const std::string name = status
+                    + (answer.starts_with(streamHead) ? "-stream" : "-plain");
+            answer.replace(answer.find("200"), status.size(), status);
+            broken.expectNoAnswer(answer, RawEngine::End::Close, name);
+        }
     }
     broken.expectNodeIsSound("status");
 }
@@ -218,10 +221,11 @@
 Test(brokenanswers, brokenFieldNamesAreNoAnswers)
 {
     BrokenEngineDeployment broken(25850);
-    const std::vector<std::string> lines {"X Note: 1",     "X-Note : 1",    "X-Note\t: 1",
-                                          "X-\x01Note: 1", "X-Note\x7f: 1", "Content-Length : 2"};
+    const std::vector<std::string> lines {
+            "X Note: 1",  "X-Note : 1",  "X-Note\t: 1",        "X-\x01Note: 1",     "X-Note\x7f: 1",
+            " X-Note: 1", "\tX-Note: 1", "Content-Length : 2", " Content-Length: 2"};
     for (std::size_t n = 0; n < lines.size(); ++n)
-        broken.expectNoAnswer(streamHead + lines[n] + "\r\n\r\nbody", RawEngine::End::Close,
+        broken.expectNoAnswer(plainHead + lines[n] + "\r\n\r\nbody", RawEngine::End::Close,
                               "line-" + std::to_string(n));
     broken.expectNodeIsSound("field");
 }
--- a/Tests/httpconnectiontest.cpp
+++ b/Tests/httpconnectiontest.cpp
@@ -402,6 +402,29 @@
     }
 }
 
+// Guards against lines that begin with a blank, which were taken for the rest of the field before:
+// the line was passed on, and a length in it was not obeyed.
+Test(clientconnection, foldedFieldsAreMalformed)
+{
+    const auto exchangeFields = [](const std::string &fields) {
+        return exchangeToEnd("HTTP/1.1 200 OK\r\n" + fields + "\r\nokay",
+                             ScriptedServer::End::Close);
+    };
+    const std::string idField = "X-Id: mine\r\n";
+    for (const std::string line : {" X-Note: 1\r\n", "\tX-Note: 1\r\n", " Content-Length: 2\r\n"}) {
+        for (const std::string &before : {std::string(), idField, idField + "X-Note:\r\n"}) {
+            const ExchangeResult outcome = exchangeFields(before + line);
+            cr_expect(outcome.heads.empty(), "%s", line.c_str());
+            cr_expect(outcome.failure == ExchangeFailure::Malformed, "%s", line.c_str());
+        }
+    }
+    const ExchangeResult divided = exchangeToEnd(
+            {"HTTP/1.1 200 OK\r\nX-Id: mine\r", "\n", " ", "X-Note: 1\r\n\r\n"},
+            ScriptedServer::End::Close);
+    cr_expect(divided.failure == ExchangeFailure::Malformed);
+    cr_expect(exchangeFields(idField + "\r\na\r\n b").done, "a body may have such a line");
+}
+
 // Guards against sizes of chunks that are read as another number.
 Test(clientconnection, brokenChunkSizesAreMalformed)
 {
--- a/Tests/support/brokenserver.h
+++ b/Tests/support/brokenserver.h
@@ -32,7 +32,8 @@
             {.name = "status-099", .bytes = "HTTP/1.1 099 None\r\n" + sized},
             {.name = "status-600", .bytes = "HTTP/1.1 600 None\r\n" + sized},
             {.name = "name-with-blank", .bytes = ok + "X Note: 1\r\n" + sized},
-            {.name = "name-with-control", .bytes = ok + "X-\x01Note: 1\r\n" + sized}};
+            {.name = "name-with-control", .bytes = ok + "X-\x01Note: 1\r\n" + sized},
+            {.name = "line-after-blank", .bytes = ok + "X-Note: 1\r\n X-Other: 2\r\n" + sized}};
 }
 
 /*!
