Do not take a reset during an upload for the end of an answer

Callers got status 200 and the part as a complete answer, on both doors, those of the platform node on new and on kept connections to engines; the project's own interface recorded it as the outcome of the call. Writes to the store, starts of instances and reports of duties counted as accepted after such an answer.

Cause: the kernel reports a reset to one operation of a socket. A pending write often gets it; its error was ignored in the belief that the read fails too. The read then reports an orderly end, which completes an answer without a length.

Change: the end of the connection completes an answer only if the write of the request has not failed. Early answers that end in order are still passed on.

RawEngine resets a connection 50 ms after its answer; before, chance decided which operation got the error.

--- a/Source/Http/clientconnection.cpp
+++ b/Source/Http/clientconnection.cpp
@@ -9,6 +9,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 
 namespace sesame {
 
@@ -125,7 +126,7 @@
     m_outputBody = std::move(body);
     m_isHead = isHead;
     m_exchanging = true;
-    m_requestWritten = false;
+    m_writeState = WriteState::Pending;
     m_keptAlive = false;
     m_skipping = false;
     m_skippedBytes = 0;
@@ -136,9 +137,9 @@
     asio::async_write(
             m_socket, buffers,
             [self = shared_from_this()](const boost::system::error_code &ec, std::size_t /*n*/) {
-                // A write error needs no handling here: the read that is pending during the
-                // whole exchange fails too and reports it.
-                self->m_requestWritten = !ec;
+                // The read that is pending during the whole exchange reports the end of the
+                // connection too.
+                self->m_writeState = ec ? WriteState::Failed : WriteState::Complete;
                 self->m_output.clear();
                 self->m_outputBody.reset();
             });
@@ -263,7 +264,7 @@
         m_parser.reset();
         return;
     }
-    m_keptAlive = (*m_parser)->keep_alive() && !(*m_parser)->need_eof() && m_requestWritten
+    m_keptAlive = (*m_parser)->keep_alive() && !(*m_parser)->need_eof() && isRequestWritten()
             && m_input.size() == 0;
     updateServerIdleTimeout();
     m_exchanging = false;
@@ -287,6 +288,20 @@
         m_serverIdleTimeout = std::chrono::seconds(seconds);
 }
 
+/*!
+    Returns whether the connection was reset while the request was being written. The kernel reports
+    a reset to one operation only: if that is the write, the following read reports an orderly end.
+*/
+bool ClientConnection::wasResetDuringWrite()
+{
+    if (m_writeState != WriteState::Pending)
+        return m_writeState == WriteState::Failed;
+    // The write may have failed without its handler having run yet. After an orderly end of the
+    // response, the connection can still be written to, and poll() reports no event.
+    pollfd entry {.fd = m_socket.native_handle(), .events = 0, .revents = 0};
+    return ::poll(&entry, 1, 0) != 0;
+}
+
 void ClientConnection::onPeerClosed(const boost::system::error_code &ec)
 {
     if (!m_exchanging) {
@@ -297,8 +312,8 @@
     }
     // A response without a length is delimited by the end of the connection. Only an orderly close
     // counts as that end; after a reset, the response may be truncated.
-    if (ec == asio::error::eof && m_parser && (*m_parser)->is_header_done()
-        && (*m_parser)->need_eof() && !m_skipping) {
+    if (ec == asio::error::eof && !wasResetDuringWrite() && m_parser
+        && (*m_parser)->is_header_done() && (*m_parser)->need_eof() && !m_skipping) {
         boost::system::error_code putError;
         (*m_parser)->put_eof(putError);
         if (!putError && (*m_parser)->is_done()) {
--- a/Source/Http/clientconnection.h
+++ b/Source/Http/clientconnection.h
@@ -101,7 +101,7 @@
     /*!
         Returns whether the request of the last send() has been written completely.
     */
-    bool isRequestWritten() const { return m_requestWritten; }
+    bool isRequestWritten() const { return m_writeState == WriteState::Complete; }
 
     /*!
         Sets the function that is called when the connection closes while no request is pending,
@@ -119,6 +119,7 @@
 
 private:
     using Parser = beast::http::response_parser<AppendedBody>;
+    enum class WriteState { Pending, Complete, Failed };
 
     void readMore();
     void onRead(const boost::system::error_code &ec, std::size_t n);
@@ -127,6 +128,7 @@
     bool processHead();
     void forwardBody();
     void finishResponse();
+    bool wasResetDuringWrite();
     void onPeerClosed(const boost::system::error_code &ec);
     void failExchange(ExchangeFailure failure);
     void applySocketOptions();
@@ -146,7 +148,7 @@
     bool m_headProcessed = false;
     bool m_skipping = false;
     std::size_t m_skippedBytes = 0; //!< Bytes of skipped responses in the current exchange.
-    bool m_requestWritten = false;
+    WriteState m_writeState = WriteState::Pending;
     bool m_reading = false;
     bool m_paused = false;
     bool m_open = false;
--- a/Tests/brokenanswersprocesstest.cpp
+++ b/Tests/brokenanswersprocesstest.cpp
@@ -229,3 +229,16 @@
                               "line-" + std::to_string(n));
     broken.expectNodeIsSound("field");
 }
+
+// Guards against an answer without a length that the engine breaks off with a reset while the node
+// is still writing the request. The part that had arrived reached the caller as a whole answer.
+Test(brokenanswers, resetDuringAnUploadIsNotTheEndOfAnAnswer)
+{
+    BrokenEngineDeployment broken(25900);
+    broken.engine.limitSegments();
+    // Less than the limit for bodies, and more than the buffers of the sockets hold.
+    const std::string upload(900'000, 'u');
+    broken.expectNoAnswer(plainHead + "\r\nfirst part", RawEngine::End::Reset, "plain", upload);
+    broken.expectNoAnswer(streamHead + "\r\n" + formatEvents(1, 2), RawEngine::End::Reset, "events",
+                          upload);
+}
--- a/Tests/httpconnectiontest.cpp
+++ b/Tests/httpconnectiontest.cpp
@@ -437,6 +437,33 @@
     }
 }
 
+// Guards against a response without a length that the server breaks off with a reset while the
+// request is being written: the write got the error, and the read an orderly end.
+Test(clientconnection, resetDuringAnUploadIsNotTheEnd)
+{
+    // More than the buffers of both sockets hold.
+    constexpr std::size_t uploadBytes = 16U << 20U;
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\n";
+    // The empty piece lets the client read what came before the reset.
+    for (const std::vector<std::string> &pieces :
+         {std::vector<std::string> {head + "part", ""}, {head + "part"}, {head, ""}}) {
+        // Closing a socket with unread bytes resets the connection too.
+        for (const auto end : {ScriptedServer::End::Reset, ScriptedServer::End::Close}) {
+            const ExchangeResult outcome = exchangeToEnd(pieces, end, uploadBytes);
+            cr_expect_not(outcome.done);
+            cr_expect(outcome.failure == ExchangeFailure::Closed);
+        }
+        const ExchangeResult whole = exchangeToEnd(pieces, ScriptedServer::End::HalfClose,
+                                                   uploadBytes);
+        cr_expect(whole.done, "the server has ended its answer in order");
+        cr_expect_not(whole.reusable);
+    }
+    const ExchangeResult sized = exchangeToEnd(
+            {"HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok"},
+            ScriptedServer::End::Reset, uploadBytes);
+    cr_expect(sized.done, "an answer with a length is whole without its connection");
+}
+
 // Guards against a late response to an earlier request that is forwarded to another caller.
 Test(clientconnection, responseToAnotherRequestIsSkipped)
 {
--- a/Tests/support/brokenserver.h
+++ b/Tests/support/brokenserver.h
@@ -20,7 +20,8 @@
 
 /*!
     Returns answers with status 200, the header lines \a fields and the body \a body, each broken in
-    one way.
+    one way. The last one ends with a reset and has no length, so it is broken only if the request
+    is too long for the buffers of the sockets.
 */
 inline std::vector<BrokenAnswer> makeBrokenAnswers(const std::string &fields,
                                                    const std::string &body)
@@ -33,7 +34,8 @@
             {.name = "status-600", .bytes = "HTTP/1.1 600 None\r\n" + sized},
             {.name = "name-with-blank", .bytes = ok + "X Note: 1\r\n" + sized},
             {.name = "name-with-control", .bytes = ok + "X-\x01Note: 1\r\n" + sized},
-            {.name = "line-after-blank", .bytes = ok + "X-Note: 1\r\n X-Other: 2\r\n" + sized}};
+            {.name = "line-after-blank", .bytes = ok + "X-Note: 1\r\n X-Other: 2\r\n" + sized},
+            {.name = "reset", .bytes = ok + fields + "\r\n" + body, .end = RawEngine::End::Reset}};
 }
 
 /*!
--- a/Tests/support/rawengine.h
+++ b/Tests/support/rawengine.h
@@ -3,8 +3,10 @@
 #include "Http/httptypes.h"
 
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -143,14 +145,31 @@
             serve(exchange);
             return;
         }
+        if (m_end == End::Reset) {
+            resetLater(exchange);
+            return;
+        }
         boost::system::error_code ignored; // The socket is not used again.
-        if (m_end == End::Reset)
-            exchange->socket.set_option(asio::socket_base::linger(true, 0), ignored);
-        else
-            exchange->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+        exchange->socket.shutdown(Tcp::socket::shutdown_send, ignored);
         exchange->socket.close(ignored);
     }
 
+    /*!
+        Resets the connection when the peer has had time to read the answer, so that the reset meets
+        a peer that waits for more.
+    */
+    static void resetLater(const std::shared_ptr<Exchange> &exchange)
+    {
+        constexpr std::chrono::milliseconds readTime {50};
+        const auto timer = std::make_shared<asio::steady_timer>(exchange->socket.get_executor(),
+                                                                readTime);
+        timer->async_wait([timer, exchange](const boost::system::error_code &) {
+            boost::system::error_code ignored; // The socket is not used again.
+            exchange->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            exchange->socket.close(ignored);
+        });
+    }
+
     Tcp::acceptor m_acceptor;
     std::string m_answer;
     std::string m_endlessBlock;
