--- a/Tests/brokenanswersprocesstest.cpp
+++ b/Tests/brokenanswersprocesstest.cpp
@@ -51,8 +51,10 @@
     }
 
     /*!
-        Makes the engine answer with \a answer, and expects that the caller of request \a id gets no
-        success. The request comes on a new connection, or on one that carried a whole answer.
+        Makes the engine answer with \a answer and \a end, and expects that the caller of a request
+        with the body \a body gets no success. The request is sent to the engine on a new
+       connection, and again on one that has carried a whole answer. \a id is the begin of its
+       attempt IDs.
     */
     void expectNoAnswer(const std::string &answer, RawEngine::End end, const std::string &id,
                         const std::string &body = "p")
