Encode the names with which lists of the store continue

Seen: an entry of another writer stood in the list of engines, which was longer than a page.

Cause: a list continues after the last name of a page, and the name went into the query as it was. Names that begin with '&', '#' or '+' asked for the first page again, without end; those with a blank, a control character or a single '%' were refused; '%7A' was read as 'z' and skipped objects.

Change: names are percent-encoded. The emulated store separates, decodes and refuses queries as HTTP servers do.

--- a/Emulator/emulatedstore.cpp
+++ b/Emulator/emulatedstore.cpp
@@ -1,9 +1,12 @@
 #include "emulatedstore.h"
 
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
+#include <cctype>
 #include <cstdlib>
+#include <optional>
 #include <stdexcept>
 
 namespace sesame {
@@ -21,19 +24,94 @@
     connection->sendResponse(status, fields, body);
 }
 
-std::map<std::string, std::string> readQuery(std::string_view target)
+/*!
+    Resolves the percent-encoded bytes of \a text, and plus signs if \a isForm is set. Returns
+    std::nullopt if no two hexadecimal digits follow a percent sign.
+*/
+std::optional<std::string> decodeComponent(std::string_view text, bool isForm)
 {
-    const std::size_t mark = target.find('?');
-    if (mark == std::string_view::npos)
-        return {};
+    constexpr int hexadecimal = 16;
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] != '%') {
+            decoded += isForm && text[i] == '+' ? ' ' : text[i];
+            continue;
+        }
+        const std::string digits(text.substr(i + 1, 2));
+        if (digits.size() < 2 || std::isxdigit(static_cast<unsigned char>(digits[0])) == 0
+            || std::isxdigit(static_cast<unsigned char>(digits[1])) == 0)
+            return std::nullopt;
+        decoded += static_cast<char>(std::stoi(digits, nullptr, hexadecimal));
+        i += 2;
+    }
+    return decoded;
+}
+
+/*!
+    The parts of a request target, as HTTP servers read it: a fragment is ignored, and parts are
+    decoded after they were separated.
+*/
+struct Target
+{
+    explicit Target(std::string_view text)
+    {
+        text = text.substr(0, text.find('#'));
+        const std::size_t mark = text.find('?');
+        const std::string_view path = text.substr(0, mark);
+        isObjects = path.starts_with(objectsPath);
+        if (isObjects)
+            readPath(path.substr(objectsPath.size()));
+        if (mark != std::string_view::npos)
+            readQuery(text.substr(mark + 1));
+    }
+
+    void readPath(std::string_view path)
+    {
+        for (const absl::string_view item :
+             absl::StrSplit(absl::string_view(path.data(), path.size()), '/'))
+            segments.push_back(decode(item, false));
+    }
+
+    void readQuery(std::string_view text)
+    {
+        for (const absl::string_view item :
+             absl::StrSplit(absl::string_view(text.data(), text.size()), '&')) {
+            const std::pair<absl::string_view, absl::string_view> pair = absl::StrSplit(
+                    item, absl::MaxSplits('=', 1));
+            query[decode(pair.first, true)] = decode(pair.second, true);
+        }
+    }
+
+    std::string decode(absl::string_view text, bool isForm)
+    {
+        const auto decoded = decodeComponent({text.data(), text.size()}, isForm);
+        isValid = isValid && decoded;
+        return decoded.value_or(std::string());
+    }
+
+    bool isValid = true; //!< Whether all parts can be decoded.
+    bool isObjects = false; //!< Whether the path is that of objects.
+    std::vector<std::string> segments; //!< Of the path, after that of all objects.
     std::map<std::string, std::string> query;
-    const std::string text(target.substr(mark + 1));
-    for (const absl::string_view item : absl::StrSplit(text, '&')) {
-        const std::pair<std::string, std::string> pair = absl::StrSplit(item,
-                                                                        absl::MaxSplits('=', 1));
-        query[pair.first] = pair.second;
+};
+
+/*!
+    Returns \a text as a JSON string. Bytes that are no UTF-8 stay as they are.
+*/
+std::string quote(const std::string &text)
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    std::string quoted = "\"";
+    for (const char c : text) {
+        if (c == '"' || c == '\\')
+            quoted += '\\';
+        if (static_cast<unsigned char>(c) >= firstPrintable)
+            quoted += c;
+        else
+            quoted += absl::StrCat("\\u",
+                                   absl::Hex(static_cast<unsigned char>(c), absl::kZeroPad4));
     }
-    return query;
+    return quoted + "\"";
 }
 
 } // namespace
@@ -57,6 +135,13 @@
     record(kind, name, false);
 }
 
+void EmulatedStore::putText(const std::string &kind, const std::string &name,
+                            const std::string &text)
+{
+    m_objects[kind][name].text = text;
+    record(kind, name, false);
+}
+
 void EmulatedStore::erase(const std::string &kind, const std::string &name)
 {
     if (m_objects[kind].erase(name) > 0)
@@ -104,18 +189,26 @@
         m_unanswered.push_back(connection);
         return;
     }
-    const std::string_view target = toStd(request.target());
-    const std::string_view path = target.substr(0, target.find('?'));
-    if (m_fault == Fault::Unavailable || !path.starts_with(objectsPath)) {
+    const Target target(toStd(request.target()));
+    if (!target.isValid) {
+        sendJson(connection, 400, "{}");
+        return;
+    }
+    constexpr std::size_t maxSegments = 3;
+    const std::vector<std::string> &segments = target.segments;
+    const bool isStatus = segments.size() == maxSegments && segments[2] == "status";
+    if (m_fault == Fault::Unavailable || !target.isObjects || segments.size() > maxSegments
+        || (segments.size() == maxSegments && !isStatus)) {
         sendJson(connection, m_fault == Fault::Unavailable ? 503 : 404, "{}");
         return;
     }
-    const std::string rest(path.substr(objectsPath.size()));
-    const std::pair<std::string, std::string> key = absl::StrSplit(rest, absl::MaxSplits('/', 1));
+    const std::string name = segments.size() > 1 ? segments[1] : std::string();
     if (request.method() == beast::http::verb::get)
-        serveRead(connection, key.first, key.second, readQuery(target));
+        serveRead(connection, segments[0], name, target.query);
+    else if (isStatus)
+        serveStatus(connection, segments[0], name, parseJson(request.body()).get());
     else
-        serveWrite(connection, request, key.first, key.second);
+        serveWrite(connection, request, segments[0], name);
 }
 
 void EmulatedStore::serveRead(const ConnectionPtr &connection, const std::string &kind,
@@ -202,11 +295,6 @@
                                const std::string &kind, const std::string &name)
 {
     const JsonPtr body = parseJson(request.body());
-    constexpr std::string_view statusPath = "/status";
-    if (name.ends_with(statusPath)) {
-        serveStatus(connection, kind, name.substr(0, name.size() - statusPath.size()), body.get());
-        return;
-    }
     const json_t *metadata = json_object_get(body.get(), "metadata");
     const bool creates = request.method() == beast::http::verb::post;
     const std::string target = creates ? jsonString(metadata, "name") : name;
@@ -264,8 +352,10 @@
 
 std::string EmulatedStore::formatObject(const std::string &name, const Object &object)
 {
-    return "{\"metadata\":{\"name\":\"" + name
-            + "\",\"revision\":" + std::to_string(object.revision)
+    if (!object.text.empty())
+        return object.text;
+    return "{\"metadata\":{\"name\":" + quote(name)
+            + ",\"revision\":" + std::to_string(object.revision)
             + ",\"created\":1,\"finalizers\":[],\"deletionPending\":false},\"spec\":"
             + (object.spec.empty() ? "null" : object.spec)
             + ",\"status\":" + (object.status.empty() ? "null" : object.status) + "}";
--- a/Emulator/emulatedstore.h
+++ b/Emulator/emulatedstore.h
@@ -46,6 +46,12 @@
         Writes \a spec, a JSON text, as the platform's own writers do.
     */
     void put(const std::string &kind, const std::string &name, const std::string &spec);
+
+    /*!
+        Writes an object that calls return as \a text, which may be unreadable. The store itself
+        knows it as \a name.
+    */
+    void putText(const std::string &kind, const std::string &name, const std::string &text);
     void erase(const std::string &kind, const std::string &name);
 
     /*!
@@ -62,6 +68,7 @@
         std::uint64_t revision = 0;
         std::string spec;
         std::string status; //!< Empty if there is none.
+        std::string text; //!< Replaces the whole object in answers unless it is empty.
     };
     struct Change
     {
--- a/Source/Adapter/objectserviceclient.cpp
+++ b/Source/Adapter/objectserviceclient.cpp
@@ -3,9 +3,7 @@
 #include "Adapter/backendclient.h"
 #include "Adapter/json.h"
 #include "Core/lastreason.h"
-
-#include <boost/url/encode.hpp>
-#include <boost/url/rfc/unreserved_chars.hpp>
+#include "Http/httptypes.h"
 
 #include <charconv>
 #include <memory>
@@ -15,11 +13,6 @@
 
 namespace {
 
-std::string encodeQuery(std::string_view text)
-{
-    return boost::urls::encode({text.data(), text.size()}, boost::urls::unreserved_chars);
-}
-
 std::optional<std::uint64_t> parseVersion(const HttpReply &reply)
 {
     const std::string_view text = reply.header("x-version");
@@ -40,7 +33,7 @@
 StoreResult ObjectServiceClient::read(std::string_view key) const
 {
     HttpCall call;
-    call.url = m_options.url + "/v1/object?key=" + encodeQuery(key);
+    call.url = m_options.url + "/v1/object?key=" + encodeUrlComponent(key);
     call.timeout = m_options.timeout;
     BackendReply answer = callBackend(call);
     if (answer.status != CallStatus::Replied)
@@ -70,7 +63,7 @@
 {
     const BackendReply answer = callBackend(
             {.method = std::string(method),
-             .url = m_options.url + "/v1/object?key=" + encodeQuery(key),
+             .url = m_options.url + "/v1/object?key=" + encodeUrlComponent(key),
              .headers = {{"If-Version", std::to_string(expectedVersion)},
                          {"Content-Type", "application/octet-stream"}},
              .body = std::string(value),
@@ -93,14 +86,14 @@
 
 std::optional<ObjectList> ObjectServiceClient::list(std::string_view prefix) const
 {
-    return fetchList("/v1/list?prefix=" + encodeQuery(prefix), m_options.timeout);
+    return fetchList("/v1/list?prefix=" + encodeUrlComponent(prefix), m_options.timeout);
 }
 
 std::optional<ObjectList> ObjectServiceClient::watch(std::string_view prefix,
                                                      std::uint64_t afterRevision,
                                                      std::chrono::milliseconds wait) const
 {
-    return fetchList("/v1/watch?prefix=" + encodeQuery(prefix)
+    return fetchList("/v1/watch?prefix=" + encodeUrlComponent(prefix)
                              + "&after=" + std::to_string(afterRevision)
                              + "&wait_ms=" + std::to_string(wait.count()),
                      m_options.timeout + wait);
--- a/Source/Http/httptypes.cpp
+++ b/Source/Http/httptypes.cpp
@@ -3,6 +3,8 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/rfc7230.hpp>
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
 
 #include <array>
 #include <charconv>
@@ -123,6 +125,11 @@
     return formatHead(method, target, viewFields(fields), bodyBytes, 0);
 }
 
+std::string encodeUrlComponent(std::string_view text)
+{
+    return boost::urls::encode({text.data(), text.size()}, boost::urls::unreserved_chars);
+}
+
 std::optional<Tcp::endpoint> parseTcpEndpoint(std::string_view text)
 {
     const std::size_t colon = text.rfind(':');
--- a/Source/Http/httptypes.h
+++ b/Source/Http/httptypes.h
@@ -86,6 +86,12 @@
 std::string formatRequestHead(std::string_view method, std::string_view target,
                               const HttpFields &fields, std::size_t bodyBytes);
 
+/*!
+    Returns \a text as one component of a URL, such as a segment of its path or a value of its
+   query: all characters but the unreserved ones of RFC 3986, section 2.3, are percent-encoded.
+*/
+std::string encodeUrlComponent(std::string_view text);
+
 /*!
     Parses "IP:PORT" with an IPv4 address and a port other than 0. Returns std::nullopt if \a text
     has another form.
--- /dev/null
+++ b/Tests/oddnamesprocesstest.cpp
@@ -0,0 +1,94 @@
+#include "support/platformdeployment.h"
+
+#include <csignal>
+
+using namespace sesame;
+using namespace sesame::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int nodeCount = 3;
+//! Number of objects on a page of the emulated store's lists.
+constexpr int pageSize = 3;
+
+//! Begins of names that sort before those of the engines. Unless they are encoded, the first four
+//! make a query that asks for the first page again or cannot be read; the last one makes a query
+//! that passes over the engines.
+const std::vector<std::string> oddBegins {"&", "#", "+", " ", "%7A"};
+
+/*!
+    Fills a page of the list of engines with entries of another writer, whose names begin with
+    \a begin.
+*/
+void putOddPage(EmulatedStore &store, const std::string &begin)
+{
+    for (int i = 1; i <= pageSize; ++i)
+        store.put("servers", begin + std::to_string(i), R"({"state":"odd"})");
+}
+
+void eraseOddPage(EmulatedStore &store, const std::string &begin)
+{
+    for (int i = 1; i <= pageSize; ++i)
+        store.erase("servers", begin + std::to_string(i));
+}
+
+void expectServed(PlatformDeployment &deployment, const std::string &situation)
+{
+    static int requestCount = 0;
+    constexpr int requests = 5;
+    for (int node = 1; node <= nodeCount; ++node) {
+        for (int i = 0; i < requests; ++i) {
+            const std::string id = std::to_string(++requestCount);
+            cr_expect_eq(deployment.sendRequest(node, "GET", "/read/x", id).status, 200U,
+                         "%s, node %d", situation.c_str(), node);
+        }
+    }
+}
+
+/*!
+    Kills all nodes, starts them again and waits until they are ready.
+*/
+void restartAll(PlatformDeployment &deployment)
+{
+    for (int node = 1; node <= nodeCount; ++node)
+        deployment.signalNode(node, SIGKILL);
+    for (int node = 1; node <= nodeCount; ++node) {
+        cr_assert(deployment.runUntil(
+                [&] {
+                    return deployment.hasExited(node);
+                },
+                5s));
+        deployment.startNode(node, false);
+    }
+    for (int node = 1; node <= nodeCount; ++node)
+        cr_assert(deployment.runUntil(
+                          [&] {
+                              return deployment.isReady(node);
+                          },
+                          10s),
+                  "node %d is not ready", node);
+}
+
+} // namespace
+
+// Guards against an entry in the list of engines whose name keeps restarted nodes from reading the
+// entries after it, so that they know no engine.
+Test(oddnames, restartedNodesServeBesideOddEntries)
+{
+    PlatformDeployment deployment(23150, nodeCount);
+    EmulatedStore &store = deployment.platform.store;
+    for (const std::string &begin : oddBegins) {
+        putOddPage(store, begin);
+        deployment.runFor(1s);
+        expectServed(deployment, "watched " + begin);
+        restartAll(deployment);
+        expectServed(deployment, "restarted " + begin);
+        eraseOddPage(store, begin);
+    }
+    // On pages that follow each other.
+    for (const std::string &begin : oddBegins)
+        putOddPage(store, begin);
+    restartAll(deployment);
+    expectServed(deployment, "restarted");
+}
--- /dev/null
+++ b/Tests/platformstoreclienttest.cpp
@@ -0,0 +1,111 @@
+#include "platformstoreclient.h"
+#include "emulatedstore.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <set>
+
+using namespace sesame;
+using namespace std::chrono_literals;
+
+namespace {
+
+//! Names that other writers may give their objects. Each contains characters that have a meaning in
+//! a query, a path or a request line.
+const std::vector<std::string> oddNames {"x&y",       "x&sinceRevision=a",
+                                         "x&watch=1", "x+y",
+                                         "x#y",       "x%",
+                                         "x%2",       "x%41",
+                                         "x%2526",    "x y",
+                                         " x",        "x ",
+                                         "x=y",       "x;y",
+                                         "x?y",       "x/y",
+                                         "x/",        "/x",
+                                         "x\"y",      "x\\y",
+                                         "x\ty",      "x\r\nHost: y",
+                                         "x\x01y",    "x\x7fy",
+                                         "x:y@z",     "\xc3\xa9",
+                                         "x,y",       "..",
+                                         "x/../y",    "x/status",
+                                         "status"};
+
+/*!
+    A client and the store that it calls.
+*/
+class StoreCalls
+{
+public:
+    StoreCalls()
+        : store(m_context, Tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 23350)),
+          client(m_context, Tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 23350))
+    {
+    }
+
+    /*!
+        Returns the result of listing the objects of \a kind, or std::nullopt if that does not end.
+    */
+    std::optional<StoreReadResult> list(const std::string &kind)
+    {
+        const auto listed = std::make_shared<std::optional<StoreReadResult>>();
+        client.list(kind, false, [listed](StoreReadResult result) {
+            *listed = std::move(result);
+        });
+        return waitFor(*listed);
+    }
+
+    template <typename Result>
+    std::optional<Result> waitFor(std::optional<Result> &result)
+    {
+        const auto end = std::chrono::steady_clock::now() + 2s;
+        while (!result && std::chrono::steady_clock::now() < end) {
+            m_context.restart();
+            m_context.run_for(1ms);
+        }
+        return result;
+    }
+
+private:
+    asio::io_context m_context {1};
+
+public:
+    EmulatedStore store;
+    platform::PlatformStoreClient client;
+};
+
+std::set<std::string> namesOf(const std::vector<StoredObject> &objects)
+{
+    std::set<std::string> names;
+    for (const StoredObject &object : objects)
+        names.insert(object.name);
+    return names;
+}
+
+} // namespace
+
+// Guards against a list that ends at an object, or never ends, because of the object's name.
+Test(platformstoreclient, listsContinueAfterOddNames)
+{
+    StoreCalls calls;
+    for (const std::string &odd : oddNames) {
+        // The odd object is the last one of its page, at each place in the list.
+        for (const char *first : {"a", "z"}) {
+            const std::string kind = "k" + std::to_string(&odd - oddNames.data()) + first;
+            std::set<std::string> names {first + odd};
+            for (int i = 1; i <= 2; ++i)
+                names.insert(first + std::string(1, '\x01') + std::to_string(i));
+            for (int i = 1; i <= 9; ++i)
+                names.insert("m" + std::to_string(i));
+            names.insert("zz");
+            for (const std::string &name : names)
+                calls.store.put(kind, name, "{}");
+            const auto listed = calls.list(kind);
+            cr_expect(listed && listed->status == StoreCallStatus::Ok, "\"%s\": the list fails",
+                      odd.c_str());
+            if (!listed)
+                continue;
+            cr_expect(namesOf(listed->objects) == names, "\"%s\": %zu of %zu objects", odd.c_str(),
+                      namesOf(listed->objects).size(), names.size());
+        }
+    }
+}
