--- a/Emulator/emulatedstore.cpp
+++ b/Emulator/emulatedstore.cpp
@@ -323,8 +323,9 @@
         m_unanswered.push_back(connection);
         return;
     }
-    const Object &written = objects[target];
-    sendJson(connection, 200, formatObject(target, written));
+    const auto written = objects.find(target);
+    sendJson(connection, 200,
+             written == objects.end() ? "{}" : formatObject(target, written->second));
 }
 
 void EmulatedStore::serveStatus(const ConnectionPtr &connection, const std::string &kind,
--- a/Tests/platformstoreclienttest.cpp
+++ b/Tests/platformstoreclienttest.cpp
@@ -1,5 +1,6 @@
 #include "platformstoreclient.h"
 #include "emulatedstore.h"
+#include "support/freeport.h"
 
 #include <criterion/criterion.h>
 
@@ -36,9 +37,9 @@
 class StoreCalls
 {
 public:
-    StoreCalls()
-        : store(m_context, Tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 23350)),
-          client(m_context, Tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 23350))
+    explicit StoreCalls(std::uint16_t port = freePort())
+        : store(m_context, Tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), port)),
+          client(m_context, Tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), port))
     {
     }
 
@@ -54,6 +55,21 @@
         return waitFor(*listed);
     }
 
+    /*!
+        Returns the status of the write that \a send starts with a completion handler, or
+        std::nullopt if it does not end.
+    */
+    template <typename Send>
+    std::optional<StoreCallStatus> write(Send send)
+    {
+        const auto status = std::make_shared<std::optional<StoreCallStatus>>();
+        send([status](const StoreWriteResult &result) {
+            *status = result.status;
+        });
+        return waitFor(*status);
+    }
+
+private:
     template <typename Result>
     std::optional<Result> waitFor(std::optional<Result> &result)
     {
@@ -65,7 +81,6 @@
         return result;
     }
 
-private:
     asio::io_context m_context {1};
 
 public:
@@ -109,3 +124,71 @@
         }
     }
 }
+
+// Guards against a write that reaches another object than the one it names, or another kind, or
+// adds a request of its own.
+Test(platformstoreclient, writesReachOddNames)
+{
+    StoreCalls calls;
+    std::set<std::string> names(oddNames.begin(), oddNames.end());
+    names.erase("..");
+    names.insert({"x", "xA", "x%A", "x y z"});
+    for (const std::string &name : names)
+        calls.store.put("k", name, R"({"n":0})");
+    const JsonPtr content = parseJson(R"({"n":1})");
+    for (const std::string &odd : oddNames) {
+        if (odd == "..")
+            continue;
+        cr_expect(calls.write([&](auto done) {
+            calls.client.replace("k", odd, content.get(), {}, done);
+        }) == StoreCallStatus::Ok,
+                  "\"%s\": not replaced", odd.c_str());
+        cr_expect(calls.write([&](auto done) {
+            calls.client.replaceStatus("k", odd, content.get(), done);
+        }) == StoreCallStatus::Ok,
+                  "\"%s\": no status", odd.c_str());
+        const auto listed = calls.list("k");
+        cr_assert(listed.has_value());
+        for (const StoredObject &object : listed->objects) {
+            const bool isOdd = object.name == odd;
+            cr_expect(jsonInteger(object.content.get(), "n") == (isOdd ? 1 : 0),
+                      "\"%s\" for \"%s\"", object.name.c_str(), odd.c_str());
+            cr_expect((object.status != nullptr) == isOdd, "status of \"%s\" for \"%s\"",
+                      object.name.c_str(), odd.c_str());
+        }
+        cr_expect(calls.write([&](auto done) {
+            calls.client.remove("k", odd, done);
+        }) == StoreCallStatus::Ok,
+                  "\"%s\": not removed", odd.c_str());
+        names.erase(odd);
+        cr_expect(namesOf(calls.list("k")->objects) == names, "others than \"%s\" were removed",
+                  odd.c_str());
+    }
+}
+
+// Guards against a write to the path of a kind or of all objects, which some servers read from such
+// names.
+Test(platformstoreclient, writesToNamesWithoutAPathAreRefused)
+{
+    StoreCalls calls;
+    const JsonPtr content = parseJson("{}");
+    for (const char *name : {"", ".", ".."}) {
+        calls.store.put("k", name, "{}");
+        const std::int64_t callsBefore = calls.store.callCount();
+        cr_expect(calls.write([&](auto done) {
+            calls.client.remove("k", name, done);
+        }) == StoreCallStatus::Refused,
+                  "\"%s\"", name);
+        cr_expect(calls.write([&](auto done) {
+            calls.client.replace("k", name, content.get(), {}, done);
+        }) == StoreCallStatus::Refused,
+                  "\"%s\"", name);
+        cr_expect(calls.write([&](auto done) {
+            calls.client.replaceStatus("k", name, content.get(), done);
+        }) == StoreCallStatus::Refused,
+                  "\"%s\"", name);
+        cr_expect_eq(calls.store.callCount(), callsBefore, "\"%s\"", name);
+        cr_expect_eq(calls.store.objectCount("k"), 1U);
+        calls.store.erase("k", name);
+    }
+}
