--- a/Tests/platformformattest.cpp
+++ b/Tests/platformformattest.cpp
@@ -185,15 +185,15 @@
     cr_expect_not(platform::readEngine("i", nullptr).has_value());
 }
 
-// Guards against an engine's id from another writer that adds header fields to requests, or that is
-// too long for one, which would fail every request to the engine.
+// Guards against an engine's id from another writer that is empty, adds header fields to requests,
+// or is too long for one, which would fail every request to the engine.
 Test(platformformat, engineIdsAreHeaderValues)
 {
     constexpr const char *entry = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
                                   R"("state":"ready","sequence":1,"born":1})";
     cr_expect(platform::readEngine("i-1", parseJson(entry).get()).has_value());
-    for (const std::string &id :
-         {std::string("i\r\nSesameproxy-Tenant: x"), std::string("i\t1"), std::string(70000, 'i')})
+    for (const std::string &id : {std::string(), std::string("i\r\nSesameproxy-Tenant: x"),
+                                  std::string("i\t1"), std::string(70000, 'i')})
         cr_expect_not(platform::readEngine(id, parseJson(entry).get()).has_value());
 }
 
--- a/Tests/platformstoreclienttest.cpp
+++ b/Tests/platformstoreclienttest.cpp
@@ -192,3 +192,23 @@
         calls.store.erase("k", name);
     }
 }
+
+// Guards against an entry without a name being taken for an object with an empty one.
+Test(platformstoreclient, entriesWithoutANameAreNoObjects)
+{
+    StoreCalls calls;
+    const std::vector<std::string> texts {"null",
+                                          "7",
+                                          "{}",
+                                          R"({"spec":{}})",
+                                          R"({"metadata":{"revision":5},"spec":{}})",
+                                          R"({"metadata":{"name":7},"spec":{}})",
+                                          R"({"metadata":{"name":""},"spec":{}})"};
+    for (std::size_t i = 0; i < texts.size(); ++i)
+        calls.store.putText("k" + std::to_string(i), "a", texts[i]);
+    for (std::size_t i = 0; i < texts.size(); ++i) {
+        const auto listed = calls.list("k" + std::to_string(i));
+        cr_assert(listed.has_value(), "%s", texts[i].c_str());
+        cr_expect(listed->objects.empty(), "%s", texts[i].c_str());
+    }
+}
