Continue lists of the store after entries that cannot be read

Seen: a list did not end if the last entry of a page had no name, and ended as if it were complete at a page without a readable entry. Nodes forgot the engines of the pages after it, and requests to them got 503. A long name at the end of a page made the list fail.

Cause: lists continued after the last readable entry of a page, whatever its name. A page without one was taken for the last.

Change: lists continue after the last usable name of a page, or after one that the JSON library rejects. A list that cannot continue is marked as incomplete; the watcher then removes no objects and lists again.

--- a/Source/Adapter/jsonsplitter.cpp
+++ b/Source/Adapter/jsonsplitter.cpp
@@ -1,5 +1,8 @@
 #include "Adapter/jsonsplitter.h"
 
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_replace.h>
+
 namespace sesame {
 
 namespace {
@@ -98,4 +101,17 @@
     return {};
 }
 
+std::optional<std::string> JsonSplitter::unquote(std::string_view text)
+{
+    if (text.size() < 2 || text.front() != '"' || findStringEnd(text, 0) != text.size())
+        return std::nullopt;
+    // The only escape of JSON that C does not have is that of a slash.
+    const std::string escaped = absl::StrReplaceAll(
+            absl::string_view(text.data() + 1, text.size() - 2), {{"\\\\", "\\\\"}, {"\\/", "/"}});
+    std::string content;
+    if (!absl::CUnescape(escaped, &content))
+        return std::nullopt;
+    return content;
+}
+
 } // namespace sesame
--- a/Source/Adapter/jsonsplitter.h
+++ b/Source/Adapter/jsonsplitter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -36,6 +37,13 @@
     */
     static std::string_view findMember(std::string_view text, std::string_view key);
 
+    /*!
+        Returns the content of the JSON string \a text with its escapes resolved, or std::nullopt if
+        it is no string. The content may be no UTF-8 and contain any control character. Escaped
+        surrogates are not resolved; a text with one is no string.
+    */
+    static std::optional<std::string> unquote(std::string_view text);
+
 private:
     static std::optional<std::vector<std::string_view>> split(std::string_view text, char open,
                                                               char close);
--- a/Source/Serving/objectstoreclient.h
+++ b/Source/Serving/objectstoreclient.h
@@ -44,6 +44,8 @@
     StoreCallStatus status = StoreCallStatus::Unknown;
     std::vector<StoredObject> objects;
     std::uint64_t revision = 0; //!< Revision of the store from which a watch continues.
+    //! False if a list ends early because no object of a page has a usable name to continue after.
+    bool isComplete = true;
 };
 
 /*!
--- a/Source/Serving/storewatcher.cpp
+++ b/Source/Serving/storewatcher.cpp
@@ -77,7 +77,14 @@
     onSuccess();
     m_mustRelist = false;
     m_revision = result.revision;
-    m_handlers.listed(result.objects, readContext(m_callStart));
+    if (m_isListComplete != result.isComplete)
+        logEvent(result.isComplete ? LogLevel::Info : LogLevel::Warning,
+                 result.isComplete ? "store.list_completed" : "store.list_incomplete",
+                 {{"kind", m_kind}, {"objects", static_cast<std::int64_t>(result.objects.size())}});
+    m_isListComplete = result.isComplete;
+    // Objects that an incomplete list lacks may still exist.
+    const auto &apply = result.isComplete ? m_handlers.listed : m_handlers.changed;
+    apply(result.objects, readContext(m_callStart));
     watch();
 }
 
@@ -98,7 +105,10 @@
     const Timestamp waitEnd = m_callStart + m_watchWait;
     const bool hasWaited = result.objects.empty() && bootNow() >= waitEnd;
     m_handlers.changed(result.objects, readContext(hasWaited ? waitEnd : m_callStart));
-    watch();
+    if (m_isListComplete)
+        watch();
+    else
+        relist();
 }
 
 void StoreWatcher::onFailure()
--- a/Source/Serving/storewatcher.h
+++ b/Source/Serving/storewatcher.h
@@ -28,7 +28,7 @@
 */
 struct StoreWatchHandlers
 {
-    //! Receives all objects of the kind.
+    //! Receives all objects of the kind. Those of an incomplete list are passed to \c changed.
     std::function<void(const std::vector<StoredObject> &, const StoreReadContext &)> listed;
     //! Receives the changed and removed objects of one call, which may be none.
     std::function<void(const std::vector<StoredObject> &, const StoreReadContext &)> changed;
@@ -91,6 +91,8 @@
     std::uint64_t m_revision = 0;
     bool m_isReachable = true;
     bool m_mustRelist = true;
+    //! Whether the last list was complete. If not, lists alternate with watches.
+    bool m_isListComplete = true;
     bool m_isStarted = false;
     Timestamp m_callStart {}; //!< Start of the call in progress.
     int m_failureCount = 0; //!< Consecutive failures.
--- a/Tests/jsonsplittertest.cpp
+++ b/Tests/jsonsplittertest.cpp
@@ -32,3 +32,14 @@
         cr_expect_not(JsonSplitter::splitObject(text).has_value(), "%s", text);
     cr_expect(JsonSplitter::findMember("[1]", "a").empty());
 }
+
+// Guards against a wrong name of an object that a parser rejects.
+Test(jsonsplitter, stringsAreUnquoted)
+{
+    using namespace std::string_literals;
+    cr_expect(JsonSplitter::unquote(R"("a\/b\\/\"\u00e9\n")") == "a/b\\/\"\xc3\xa9\n");
+    cr_expect(JsonSplitter::unquote("\"\xff\n\\u0000x\"") == "\xff\n\0x"s);
+    cr_expect(JsonSplitter::unquote("\"\"") == "");
+    for (const char *text : {"", "\"", "a", "7", "\"a", "\"a\"b\"", "\"a\\\"", "\"\\ud800\""})
+        cr_expect_not(JsonSplitter::unquote(text).has_value(), "%s", text);
+}
--- a/Tests/oddnamesprocesstest.cpp
+++ b/Tests/oddnamesprocesstest.cpp
@@ -92,3 +92,35 @@
     restartAll(deployment);
     expectServed(deployment, "restarted");
 }
+
+// Guards against engines that a node forgets because entries without a name keep it from reading
+// the rest of the list.
+Test(oddnames, entriesWithoutANameRemoveNoEngine)
+{
+    PlatformDeployment deployment(23450, nodeCount);
+    EmulatedStore &store = deployment.platform.store;
+    // A page of its own, between the engines of streams and those of plain requests.
+    const auto visitPage = [](const auto &visit) {
+        for (int i = 1; i <= pageSize; ++i)
+            visit("i-2x" + std::to_string(i));
+    };
+    visitPage([&](const std::string &name) {
+        store.putText("servers", name, "{}");
+    });
+    deployment.runFor(1s);
+    // Watches from before cannot continue after the outage.
+    store.setFault(EmulatedStore::Fault::Unavailable);
+    deployment.runFor(2s);
+    store.put("servers", "z", R"({"state":"odd"})");
+    store.compact();
+    store.setFault(EmulatedStore::Fault::None);
+    // Objects that are missing after an outage are kept for two seconds.
+    deployment.runFor(4s);
+    expectServed(deployment, "listed again");
+    restartAll(deployment);
+    visitPage([&](const std::string &name) {
+        store.erase("servers", name);
+    });
+    deployment.runFor(3s);
+    expectServed(deployment, "after the entries were removed");
+}
--- a/Tests/platformstoreclienttest.cpp
+++ b/Tests/platformstoreclienttest.cpp
@@ -88,6 +88,19 @@
     platform::PlatformStoreClient client;
 };
 
+/*!
+    Adds objects on three pages to kind "k" and returns their names.
+*/
+std::set<std::string> putSoundObjects(EmulatedStore &store)
+{
+    std::set<std::string> names;
+    for (int i = 1; i <= 9; ++i) {
+        names.insert("m" + std::to_string(i));
+        store.put("k", "m" + std::to_string(i), "{}");
+    }
+    return names;
+}
+
 std::set<std::string> namesOf(const std::vector<StoredObject> &objects)
 {
     std::set<std::string> names;
@@ -212,3 +225,98 @@
         cr_expect(listed->objects.empty(), "%s", texts[i].c_str());
     }
 }
+
+// Guards against an entry that cannot be read ending the reading of the others, or keeping the list
+// from ending.
+Test(platformstoreclient, listsContinueAfterUnreadableEntries)
+{
+    const std::vector<std::string> texts {"null",
+                                          "7",
+                                          "[]",
+                                          "{}",
+                                          R"({"metadata":null})",
+                                          R"({"metadata":{"revision":5}})",
+                                          R"({"metadata":{"name":7}})",
+                                          R"({"metadata":{"name":""}})",
+                                          R"({"metadata":{"name":"m2","name":"m5"}})",
+                                          R"({"metadata":{"name":"m2"},"metadata":{"name":"m5"}})",
+                                          R"({"metadata":{"name":"\u0000"}})",
+                                          R"({"metadata":{"name":"\ud800"}})",
+                                          "{\"metadata\":{\"name\":\"\xff\"}}",
+                                          R"({"metadata":{"name":"m2","revision":1e999}})"};
+    for (const std::string &text : texts) {
+        StoreCalls calls;
+        const std::set<std::string> names = putSoundObjects(calls.store);
+        calls.store.putText("k", "m2x", text);
+        const auto listed = calls.list("k");
+        cr_expect(listed && listed->status == StoreCallStatus::Ok && listed->isComplete,
+                  "%s: the list fails", text.c_str());
+        cr_expect(listed && namesOf(listed->objects) == names, "%s", text.c_str());
+    }
+}
+
+// Guards against a list that ends at pages which have no readable entry, although the entries have
+// names.
+Test(platformstoreclient, listsContinueAfterUnreadablePages)
+{
+    using namespace std::string_literals;
+    struct Odd
+    {
+        std::string begin; //!< Of the names.
+        std::string text; //!< The same as JSON.
+        std::string more; //!< Other members of the metadata.
+    };
+    const std::vector<Odd> odds {{"m2\0"s, "m2\\u0000", ""},
+                                 {"m2\xff", "m2\xff", ""},
+                                 {"m2\n", "m2\n", ""},
+                                 {"m2\\/\"\xff", "m2\\\\\\/\\\"\xff", ""},
+                                 {"m2x", "m2x", R"(,"revision":1e999)"},
+                                 {"m2x", "m2x", R"(,"created":1,"created":1)"}};
+    for (const Odd &odd : odds) {
+        for (const int count : {3, 6, 7}) {
+            StoreCalls calls;
+            const std::set<std::string> names = putSoundObjects(calls.store);
+            for (int i = 0; i < count; ++i) {
+                const std::string n = std::to_string(i);
+                calls.store.putText("k", odd.begin + n,
+                                    R"({"metadata":{"name":")" + odd.text + n + "\"" + odd.more
+                                            + "}}");
+            }
+            const auto listed = calls.list("k");
+            cr_expect(listed && listed->status == StoreCallStatus::Ok && listed->isComplete,
+                      "%d of %s: the list fails", count, odd.text.c_str());
+            cr_expect(listed && namesOf(listed->objects) == names, "%d of %s", count,
+                      odd.text.c_str());
+        }
+    }
+}
+
+// Guards against a list that is taken for complete, or asked for without end, although no entry of
+// a page can be named.
+Test(platformstoreclient, listsThatCannotContinueAreIncomplete)
+{
+    StoreCalls calls;
+    putSoundObjects(calls.store);
+    for (int i = 0; i < 3; ++i)
+        calls.store.putText("k", "m2x" + std::to_string(i), "{}");
+    const auto listed = calls.list("k");
+    cr_assert(listed.has_value());
+    cr_expect(listed->status == StoreCallStatus::Ok);
+    cr_expect_not(listed->isComplete);
+    const std::set<std::string> names {"m1", "m2"};
+    cr_expect(namesOf(listed->objects) == names);
+}
+
+// Guards against a long name that makes the request for the next page too long for a server.
+Test(platformstoreclient, listsContinueBeforeLongNames)
+{
+    StoreCalls calls;
+    std::set<std::string> names = putSoundObjects(calls.store);
+    constexpr std::size_t longName = 100'000;
+    names.insert("m2" + std::string(longName, 'x'));
+    calls.store.put("k", "m2" + std::string(longName, 'x'), "{}");
+    const auto listed = calls.list("k");
+    cr_assert(listed.has_value());
+    cr_expect(listed->status == StoreCallStatus::Ok && listed->isComplete);
+    cr_expect(namesOf(listed->objects) == names);
+}
