--- a/Emulator/emulatedstore.cpp
+++ b/Emulator/emulatedstore.cpp
@@ -154,6 +154,12 @@
     return found == m_objects.end() ? 0 : found->second.size();
 }
 
+bool EmulatedStore::contains(const std::string &kind, const std::string &name) const
+{
+    const auto found = m_objects.find(kind);
+    return found != m_objects.end() && found->second.contains(name);
+}
+
 void EmulatedStore::record(const std::string &kind, const std::string &name, bool deleted)
 {
     ++m_revision;
--- a/Emulator/emulatedstore.h
+++ b/Emulator/emulatedstore.h
@@ -60,6 +60,7 @@
     std::string status(const std::string &kind, const std::string &name) const;
 
     std::size_t objectCount(const std::string &kind) const;
+    bool contains(const std::string &kind, const std::string &name) const;
     std::int64_t callCount() const { return m_callCount; }
 
 private:
--- a/Tests/oddnamesprocesstest.cpp
+++ b/Tests/oddnamesprocesstest.cpp
@@ -18,13 +18,13 @@
 const std::vector<std::string> oddBegins {"&", "#", "+", " ", "%7A"};
 
 /*!
-    Fills a page of the list of engines with entries of another writer, whose names begin with
+    Fills a page of the list of \a kind with entries of another writer, whose names begin with
     \a begin.
 */
-void putOddPage(EmulatedStore &store, const std::string &begin)
+void putOddPage(EmulatedStore &store, const std::string &begin, const std::string &kind = "servers")
 {
     for (int i = 1; i <= pageSize; ++i)
-        store.put("servers", begin + std::to_string(i), R"({"state":"odd"})");
+        store.put(kind, begin + std::to_string(i), R"({"state":"odd"})");
 }
 
 void eraseOddPage(EmulatedStore &store, const std::string &begin)
@@ -124,3 +124,58 @@
     deployment.runFor(3s);
     expectServed(deployment, "after the entries were removed");
 }
+
+// Guards against odd names in any list that keep restarted nodes from serving, from performing the
+// duties or from steering a roll-out.
+Test(oddnames, oddNamesInEachKindAreHarmless)
+{
+    PlatformDeployment deployment(23550, nodeCount, {.contracts = {"rollout"}});
+    EmulatedStore &store = deployment.platform.store;
+    for (const char *kind : {"config", "servers", "rollouts", "rolloutsteps", "nodes", "duties"}) {
+        for (const std::string &begin : oddBegins)
+            putOddPage(store, begin, kind);
+        store.putText(kind, "+4", "{}");
+    }
+    restartAll(deployment);
+    expectServed(deployment, "restarted");
+    deployment.platform.addEngines("plain", "v2", 2);
+    deployment.platform.orderRollout("plain", "v2", 12.0);
+    cr_expect(deployment.runUntil(
+                      [&] {
+                          return !store.status("rollouts", "plain").empty();
+                      },
+                      10s),
+              "the roll-out has no status");
+    cr_expect(deployment.runUntil(
+                      [&] {
+                          return deployment.platform.duties.windowCount() > 0;
+                      },
+                      10s),
+              "no usage was reported");
+    expectServed(deployment, "during a roll-out");
+}
+
+// Guards against an odd record of a node that stays, or whose removal costs a node its own record.
+Test(oddnames, oddRecordsOfNodesAreRemoved)
+{
+    PlatformDeployment deployment(23650, nodeCount);
+    EmulatedStore &store = deployment.platform.store;
+    for (const char *name : {"node-1?x", "node-1#x", "node-1/status", "node%2D1"})
+        store.put("nodes", name, R"({"entry":"127.0.1.99:1","zone":"z"})");
+    const auto hasOwnRecords = [&] {
+        for (int node = 1; node <= nodeCount; ++node) {
+            if (!store.contains("nodes", "node-" + std::to_string(node)))
+                return false;
+        }
+        return true;
+    };
+    bool isEachRecordKept = true;
+    cr_expect(deployment.runUntil(
+                      [&] {
+                          isEachRecordKept = isEachRecordKept && hasOwnRecords();
+                          return store.objectCount("nodes") == nodeCount;
+                      },
+                      40s),
+              "%zu records are left", store.objectCount("nodes"));
+    cr_expect(isEachRecordKept);
+}
