Forward the paths of calls as they were sent

Seen: on the own interface a call to "/orders/stock/a%0D%0AX-Forged:%201" reached the backend server with another header field, and one with an encoded blank line as two requests.

Cause: the route service put the decoded path into its call.

Change: requests have the encoded path too, which is forwarded.

--- a/Source/Adapter/httpmessage.h
+++ b/Source/Adapter/httpmessage.h
@@ -22,7 +22,8 @@
 struct HttpRequest
 {
     std::string method;
-    std::string path; //!< Path of the request target without the query.
+    std::string path; //!< Path of the request target without the query, decoded.
+    std::string encodedPath; //!< The same as it was sent. Only this one may go into another call.
     std::string body;
     //! Returns the value of a header field, or std::nullopt if it is missing.
     std::function<std::optional<std::string>(const char *name)> header;
--- a/Source/Adapter/httpserver.cpp
+++ b/Source/Adapter/httpserver.cpp
@@ -67,7 +67,9 @@
     HttpRequest request;
     request.method = toStd(message->method_string());
     const auto url = boost::urls::parse_origin_form(message->target());
-    request.path = url ? std::string(url->path()) : std::string(toStd(message->target()));
+    const std::string_view target = toStd(message->target());
+    request.path = url ? std::string(url->path()) : std::string(target);
+    request.encodedPath = target.substr(0, target.find('?'));
     // One byte more than the limit is kept, so that the handler can detect a body that is too
     // large.
     request.body = message->body().substr(0, bodyLimit + 1);
--- a/Source/Node/routeservice.cpp
+++ b/Source/Node/routeservice.cpp
@@ -44,7 +44,7 @@
 HttpCall makeCall(const HttpRequest &request, const Route &route)
 {
     HttpCall call {.method = request.method,
-                   .url = request.path,
+                   .url = request.encodedPath,
                    .headers = {},
                    .body = request.body,
                    .timeout = route.timeout};
--- a/Tests/brokenservicerepliesprocesstest.cpp
+++ b/Tests/brokenservicerepliesprocesstest.cpp
@@ -12,12 +12,8 @@
 {
     BrokenServer server;
     TestDeployment deployment({.nodes = 1, .engines = 1, .applications = 0});
-    const std::string instance = R"({"id":"broken","incarnation":1,"kind":"service",)"
-                                 R"("class":"order-system","service":"orders","address":")"
-            + server.url()
-            + R"(","zone":"pathum-a","market":"reclaimable","price_per_hour":1,"state":"running"})";
     cr_assert_eq(callUrl("POST", deployment.cloudUrl() + "/control/instances",
-                         R"({"instances":[)" + instance + "]}")
+                         R"({"instances":[)" + formatServiceInstance("broken", server.url()) + "]}")
                          .status,
                  200);
     const std::string callerUrl = deployment.nodes().front().callerUrl();
--- a/Tests/support/brokenserver.h
+++ b/Tests/support/brokenserver.h
@@ -38,6 +38,17 @@
             {.name = "reset", .bytes = ok + fields + "\r\n" + body, .end = RawEngine::End::Reset}};
 }
 
+/*!
+    Returns an entry of the cloud API's list for the instance \a id of the service "orders" at the
+    URL \a address.
+*/
+inline std::string formatServiceInstance(const std::string &id, const std::string &address)
+{
+    return R"({"id":")" + id + R"(","incarnation":1,"kind":"service","class":"order-system",)"
+            + R"("service":"orders","address":")" + address
+            + R"(","zone":"pathum-a","market":"reclaimable","price_per_hour":1,"state":"running"})";
+}
+
 /*!
     A RawEngine that runs in a thread of its own.
 */
@@ -81,6 +92,15 @@
         return n;
     }
 
+    std::string lastRequest()
+    {
+        std::string request;
+        runInLoop([&] {
+            request = m_engine.lastRequest();
+        });
+        return request;
+    }
+
     int usedConnectionCount()
     {
         int n = 0;
--- a/Tests/support/rawengine.h
+++ b/Tests/support/rawengine.h
@@ -64,6 +64,11 @@
 
     int requestCount() const { return m_requestCount; }
 
+    /*!
+        Returns the head of the last request, with what has arrived of its body.
+    */
+    const std::string &lastRequest() const { return m_lastRequest; }
+
     /*!
         Returns the number of connections that have carried a request.
     */
@@ -107,6 +112,7 @@
     void answer(const std::shared_ptr<Exchange> &exchange)
     {
         ++m_requestCount;
+        m_lastRequest = exchange->input;
         if (!std::exchange(exchange->isUsed, true))
             ++m_usedConnectionCount;
         constexpr std::string_view idField = "Sesameproxy-Attempt-Id: ";
@@ -172,6 +178,7 @@
 
     Tcp::acceptor m_acceptor;
     std::string m_answer;
+    std::string m_lastRequest;
     std::string m_endlessBlock;
     std::size_t m_endlessBytes = 0;
     End m_end = End::Close;
