Encode the ids of instances in calls of the cloud API

Seen: the order to stop the instance "i&id=j" reached the API as one for "i"; ids with a blank or a control character made it unreadable.

Cause: the id went into the query as it was.

Change: it is percent-encoded.

--- a/Source/Adapter/cloudclient.cpp
+++ b/Source/Adapter/cloudclient.cpp
@@ -1,6 +1,7 @@
 #include "Adapter/cloudclient.h"
 
 #include "Core/lastreason.h"
+#include "Http/httptypes.h"
 
 #include <algorithm>
 #include <array>
@@ -182,7 +183,7 @@
 
 bool CloudClient::stop(std::string_view instance) const
 {
-    const BackendReply reply = send("DELETE", "/v1/instances?id=" + std::string(instance));
+    const BackendReply reply = send("DELETE", "/v1/instances?id=" + encodeUrlComponent(instance));
     if (reply.status == CallStatus::Replied
         && (reply.reply.status == statusOk || reply.reply.status == statusNotFound))
         return true;
--- a/Tests/cloudclienttest.cpp
+++ b/Tests/cloudclienttest.cpp
@@ -7,14 +7,15 @@
 
 namespace {
 
-// Cloud API that responds to every call with the same status and body and stores the last request
-// body.
+// Cloud API that responds to every call with the same status and body and stores what the last
+// request contained.
 struct FakeCloudApi
 {
     Endpoint address {.host = "127.0.0.1", .port = freePort()};
     int status = 200;
     std::string body;
     std::string lastBody;
+    std::string lastId; //!< Parameter "id" of the last request's query.
     std::optional<HttpServer> server;
     CloudClient client;
 
@@ -22,6 +23,7 @@
     {
         server = HttpServer::start({.address = address}, [this](const HttpRequest &request) {
             lastBody = request.body;
+            lastId = request.query("id").value_or("");
             HttpResponse response;
             response.status = status;
             response.body = body;
@@ -93,3 +95,15 @@
     api.server->stop();
     cr_expect(api.client.start(order).status == StartStatus::Unavailable);
 }
+
+// Guards against an instance that is not stopped, or another one that is, because of the characters
+// of its id.
+Test(cloudclient, idsAreEncoded)
+{
+    FakeCloudApi api;
+    for (const std::string id :
+         {"i&id=j", "i+j", "i#j", "i%41", "i j", "i/j", "i\r\nX: j", "i\x01"}) {
+        cr_expect(api.client.stop(id), "%s", id.c_str());
+        cr_expect_str_eq(api.lastId.c_str(), id.c_str());
+    }
+}
