Encode the names of accounts in calls of backend servers

Seen: with the account "hotel &+#%41?/" the status lookup of a call with an unknown outcome asked for another key, and a request whose caller had left ran on at its engine.

Cause: the name is a part of the ids that backend servers get. These went into paths and queries as they were.

Change: the ids are percent-encoded there.

Result: accountNamesAreEncodedInStatusLookups and accountNamesAreEncodedInCallsOfEngines failed before and pass now.

--- a/Source/Node/enginecall.cpp
+++ b/Source/Node/enginecall.cpp
@@ -4,6 +4,7 @@
 #include "Adapter/json.h"
 #include "Core/nodesettingsfile.h"
 #include "Core/sseparser.h"
+#include "Http/httptypes.h"
 #include "Node/requestedpause.h"
 
 #include <algorithm>
@@ -172,7 +173,8 @@
 
 std::string makeStreamUrl(const ModelStream &stream, const AttemptEngine &engine)
 {
-    return makeBaseUrl(engine.address) + "/v1/streams/" + stream.engineRequestId();
+    return makeBaseUrl(engine.address) + "/v1/streams/"
+            + encodeUrlComponent(stream.engineRequestId());
 }
 
 std::string signResumeToken(NodeContext &context, ModelStream &stream)
@@ -278,7 +280,7 @@
     }
     const std::uint64_t next = std::max(attempt + 1,
                                         static_cast<std::uint64_t>(context.clock.wallMillis()));
-    const std::string id = "?id=" + stream.engineRequestId() + "&attempt=";
+    const std::string id = "?id=" + encodeUrlComponent(stream.engineRequestId()) + "&attempt=";
     const BackendReply exported = callBackend(
             {.method = "POST",
              .url = makeBaseUrl(source.address) + "/v1/kv/export" + id + std::to_string(attempt),
--- a/Source/Node/routeservice.cpp
+++ b/Source/Node/routeservice.cpp
@@ -3,6 +3,7 @@
 #include "Adapter/json.h"
 #include "Adapter/log.h"
 #include "Core/backoff.h"
+#include "Http/httptypes.h"
 #include "Node/requestedpause.h"
 
 #include <algorithm>
@@ -119,7 +120,7 @@
 std::string makeLookupPath(const Route &route, std::string_view key)
 {
     std::string path = route.statusLookup;
-    path.replace(path.find(keyPlaceholder), keyPlaceholder.size(), key);
+    path.replace(path.find(keyPlaceholder), keyPlaceholder.size(), encodeUrlComponent(key));
     return path;
 }
 
--- a/Tests/oddvaluesprocesstest.cpp
+++ b/Tests/oddvaluesprocesstest.cpp
@@ -1,3 +1,4 @@
+#include "Adapter/json.h"
 #include "support/brokenserver.h"
 #include "support/testdeployment.h"
 
@@ -42,6 +43,31 @@
     TestDeployment deployment;
 };
 
+//! An account of the fleet file whose name has characters with a meaning in a path or a query.
+constexpr const char *oddAccount = "hotel &+#%41?/";
+constexpr const char *encodedOddAccount = "hotel%20%26%2B%23%2541%3F%2F";
+
+/*!
+    Applies the fleet file of \a deployment with another name of the account "hotel" and
+    cancellation when a caller disconnects.
+*/
+void applyOddAccount(TestDeployment &deployment)
+{
+    std::string text = readFile(deployment.fleetFile());
+    for (const auto &[from, to] :
+         {std::pair<std::string, std::string>("name = \"hotel\"",
+                                              std::string("name = \"") + oddAccount + "\""),
+          {"scope = \"account:hotel\"", std::string("scope = \"account:") + oddAccount + "\""},
+          {"cancel_on_disconnect = false", "cancel_on_disconnect = true"}}) {
+        const std::size_t at = text.find(from);
+        if (at != std::string::npos)
+            text.replace(at, from.size(), to);
+    }
+    const std::string changed = deployment.logFile("odd-account") + ".toml";
+    writeFile(changed, text);
+    cr_assert_eq(deployment.apply(changed, {"--wait_seconds=10"}), 0);
+}
+
 } // namespace
 
 // Guards against a path whose encoded characters add header fields or requests of their own to the
@@ -59,3 +85,40 @@
         cr_expect_eq(request.find("\nX-Forged"), std::string::npos, "%s", request.c_str());
     }
 }
+
+// Guards against a status lookup for another call than the one whose outcome is unknown, because of
+// the name of its account.
+Test(oddvalues, accountNamesAreEncodedInStatusLookups)
+{
+    RecordingDeployment recording;
+    applyOddAccount(recording.deployment);
+    recording.server.setAnswer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut",
+                               RawEngine::End::Close);
+    const std::string url = recording.deployment.nodes().front().callerUrl() + "/orders/dispatch";
+    for (int i = 0; i < 2; ++i)
+        cr_expect_str_eq(callUrl("POST", url, "b", callerHeaders("key-1")).outcome.c_str(),
+                         "unknown");
+    const std::string request = recording.server.lastRequest();
+    cr_expect(request.starts_with(std::string("GET /status/") + encodedOddAccount
+                                  + "~key-1 HTTP/1.1\r\n"),
+              "%s", request.c_str());
+}
+
+// Guards against a request that its engine goes on with after its caller has left, because the
+// cancellation names another request.
+Test(oddvalues, accountNamesAreEncodedInCallsOfEngines)
+{
+    TestDeployment deployment({.nodes = 1, .engines = 1, .applications = 1});
+    applyOddAccount(deployment);
+    const std::string chat = deployment.nodes().front().callerUrl() + "/v1/chat/completions";
+    const std::string body = R"({"model":"loft-assessment","max_tokens":2000,"stream":true,)"
+                             R"("messages":[{"role":"user","content":"long note"}]})";
+    const auto countRunning = [&deployment] {
+        const TestReply load = callUrl("GET", deployment.engines().front().url + "/v1/load");
+        return jsonInteger(parseJson(load.body).get(), "running", -1);
+    };
+    callUrl("POST", chat, body, callerHeaders(), 500);
+    cr_expect_eq(countRunning(), 1);
+    sleepMillis(2500);
+    cr_expect_eq(countRunning(), 0);
+}
