Send no calls with line breaks to backend servers

Seen: on the own interface an instance with the address "http://IP:PORT/forged " got calls as "GET /forged /orders/stock/kapok". An account with a line break in its name added a header field, and all its calls had the same idempotency key.

Cause: paths and header values were written as they came.

Change: a call whose path has a blank or control character, or whose header value has a line break, is not sent. Other instances and accounts hold.

Result: addressesAddNoRequests and accountNamesAddNoFields failed before and pass now.

--- a/Source/Adapter/backendclient.cpp
+++ b/Source/Adapter/backendclient.cpp
@@ -21,6 +21,26 @@
 //! Maximum size of a reply that is buffered until it is complete.
 constexpr std::size_t maxReplyBytes = 8U << 20U;
 
+/*!
+    Returns whether \a text can be a part of the head of a request without ending its line.
+*/
+bool isSingleLine(std::string_view text)
+{
+    return text.find_first_of(std::string_view("\r\n\0", 3)) == std::string_view::npos;
+}
+
+/*!
+    Returns whether \a path can be the target of a request: it has neither blanks nor control
+    characters.
+*/
+bool isRequestTarget(std::string_view path)
+{
+    constexpr unsigned char deleteCharacter = 0x7f;
+    return std::none_of(path.begin(), path.end(), [](unsigned char c) {
+        return c <= ' ' || c == deleteCharacter;
+    });
+}
+
 struct Target
 {
     Tcp::endpoint address;
@@ -40,6 +60,8 @@
     if (!address)
         return std::nullopt;
     const std::string_view path = slash < url.size() ? url.substr(slash) : std::string_view("/");
+    if (!isRequestTarget(path))
+        return std::nullopt;
     return Target {.address = *address, .host = std::string(host), .path = std::string(path)};
 }
 
@@ -60,6 +82,14 @@
         const std::optional<Target> target = parseUrl(m_call.url);
         if (!target)
             return {.status = CallStatus::NotSent, .reply = {}, .reason = "not an http URL"};
+        const bool areSingleLines = std::all_of(m_call.headers.begin(), m_call.headers.end(),
+                                                [](const auto &field) {
+                                                    return isSingleLine(field.second);
+                                                });
+        if (!areSingleLines)
+            return {.status = CallStatus::NotSent,
+                    .reply = {},
+                    .reason = "a header field has several lines"};
         m_connection->connect(target->address, std::min(connectTimeout, m_call.timeout),
                               [this, &target](const boost::system::error_code &ec) {
                                   if (ec)
