--- a/Tests/platformformattest.cpp
+++ b/Tests/platformformattest.cpp
@@ -224,6 +224,23 @@
     cr_expect_null(platform::readConfig(nullptr).get());
 }
 
+// Guards against an account whose name adds header fields to requests, or is none, and against such
+// an account ending the reading of the others.
+Test(platformformat, accountNamesAreHeaderValues)
+{
+    const char *text = R"({"version":7,"routes":[],"services":[],"tenants":[
+        {"name":"a\r\nX: 1","apiKeys":["k1"]},{"apiKeys":["k2"]},{"name":"","apiKeys":["k3"]},7,
+        {"name":"b &+#%41","apiKeys":["k4",7,"k5"]}]})";
+    const auto config = platform::readConfig(parseJson(text).get());
+    cr_assert_not_null(config.get());
+    for (const char *key : {"k1", "k2", "k3"})
+        cr_expect_null(config->findAccount(key), "%s", key);
+    for (const char *key : {"k4", "k5"}) {
+        cr_assert_not_null(config->findAccount(key), "%s", key);
+        cr_expect_str_eq(config->findAccount(key)->name.c_str(), "b &+#%41");
+    }
+}
+
 // Guards against a node that fails on an unknown settings field or runs with an invalid one.
 Test(platformformat, settingsAreValidated)
 {
