Read lists of the cloud API and the object service by element

Seen: one instance with a repeated member, a number out of range or bytes that are no UTF-8 made the whole list of instances unreadable. The same held for notices, lists of the object service and cache events of engines.

Cause: these answers were parsed as a whole.

Change: parseJsonList() reads the elements one by one if the whole cannot be parsed. Objects of the object service without a key are left out.

--- a/Source/Adapter/cloudclient.cpp
+++ b/Source/Adapter/cloudclient.cpp
@@ -100,17 +100,16 @@
     return callBackend(call);
 }
 
-JsonPtr CloudClient::read(std::string_view path) const
+std::optional<JsonList> CloudClient::readList(std::string_view path, std::string_view key) const
 {
     const BackendReply reply = send("GET", path);
-    if (reply.status != CallStatus::Replied || reply.reply.status != statusOk) {
-        fail(ResultCode::BackendFailed, "cloud API: " + reply.reason);
-        return nullptr;
-    }
-    JsonPtr value = parseJson(reply.reply.body);
-    if (!value)
-        fail(ResultCode::BackendFailed, "cloud API: the response is not valid JSON");
-    return value;
+    if (reply.status != CallStatus::Replied || reply.reply.status != statusOk)
+        return fail(ResultCode::BackendFailed, "cloud API: " + reply.reason);
+    auto list = parseJsonList(reply.reply.body, key);
+    if (!list)
+        return fail(ResultCode::BackendFailed,
+                    "cloud API: the response has no array \"" + std::string(key) + "\"");
+    return list;
 }
 
 std::optional<std::vector<ListedInstance>> CloudClient::fetchInstances() const
@@ -126,17 +125,12 @@
 
 std::optional<std::vector<ListedInstance>> CloudClient::fetchAllInstances() const
 {
-    const JsonPtr value = read("/v1/instances");
-    if (!value)
+    const auto list = readList("/v1/instances", "instances");
+    if (!list)
         return std::nullopt;
-    const json_t *list = json_object_get(value.get(), "instances");
-    if (!json_is_array(list))
-        return fail(ResultCode::BackendFailed,
-                    "cloud API: the response has no array \"instances\"");
     std::vector<ListedInstance> instances;
-    for (std::size_t n = 0; n < json_array_size(list); ++n) {
-        auto instance = instanceFromJson(json_array_get(list, n));
-        if (instance)
+    for (const JsonPtr &element : list->elements) {
+        if (auto instance = instanceFromJson(element.get()))
             instances.push_back(std::move(*instance));
     }
     return instances;
@@ -144,17 +138,16 @@
 
 std::optional<NoticeBatch> CloudClient::fetchNotices(std::int64_t after) const
 {
-    const JsonPtr value = read("/v1/notices?after=" + std::to_string(after));
-    if (!value)
+    const auto list = readList("/v1/notices?after=" + std::to_string(after), "notices");
+    if (!list)
         return std::nullopt;
-    NoticeBatch batch {.sequence = jsonInteger(value.get(), "sequence", after), .notices = {}};
-    const json_t *list = json_object_get(value.get(), "notices");
-    for (std::size_t n = 0; n < json_array_size(list); ++n) {
-        const json_t *notice = json_array_get(list, n);
-        batch.notices.push_back({.sequence = jsonInteger(notice, "sequence"),
-                                 .instance = jsonString(notice, "instance"),
-                                 .zone = jsonString(notice, "zone"),
-                                 .deadline = jsonInteger(notice, "deadline_unix_ms")});
+    NoticeBatch batch {.sequence = jsonInteger(list->members.get(), "sequence", after),
+                       .notices = {}};
+    for (const JsonPtr &notice : list->elements) {
+        batch.notices.push_back({.sequence = jsonInteger(notice.get(), "sequence"),
+                                 .instance = jsonString(notice.get(), "instance"),
+                                 .zone = jsonString(notice.get(), "zone"),
+                                 .deadline = jsonInteger(notice.get(), "deadline_unix_ms")});
     }
     return batch;
 }
--- a/Source/Adapter/cloudclient.h
+++ b/Source/Adapter/cloudclient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Adapter/backendclient.h"
-#include "Adapter/json.h"
+#include "Adapter/jsonlist.h"
 #include "Core/backendtable.h"
 
 #include <chrono>
@@ -91,7 +91,7 @@
 
 private:
     BackendReply send(std::string method, std::string_view path, std::string body = {}) const;
-    JsonPtr read(std::string_view path) const;
+    std::optional<JsonList> readList(std::string_view path, std::string_view key) const;
 
     std::string m_url;
     std::chrono::milliseconds m_timeout;
--- a/Source/Adapter/objectserviceclient.cpp
+++ b/Source/Adapter/objectserviceclient.cpp
@@ -1,7 +1,7 @@
 #include "Adapter/objectserviceclient.h"
 
 #include "Adapter/backendclient.h"
-#include "Adapter/json.h"
+#include "Adapter/jsonlist.h"
 #include "Core/lastreason.h"
 #include "Http/httptypes.h"
 
@@ -108,21 +108,22 @@
     const BackendReply answer = callBackend(call);
     if (answer.status != CallStatus::Replied)
         return fail(ResultCode::StoreUnavailable, "object service: " + answer.reason);
-    const JsonPtr body = parseJson(answer.reply.body);
-    const json_t *objects = json_object_get(body.get(), "objects");
-    if (answer.reply.status != 200 || !json_is_array(objects)) {
+    const auto objects = answer.reply.status == 200 ? parseJsonList(answer.reply.body, "objects")
+                                                    : std::nullopt;
+    if (!objects) {
         return fail(ResultCode::StoreUnavailable,
                     "object service: status " + std::to_string(answer.reply.status));
     }
-    ObjectList list {.revision = static_cast<std::uint64_t>(jsonInteger(body.get(), "revision")),
-                     .objects = {}};
-    std::size_t n = 0;
-    const json_t *entry = nullptr;
-    json_array_foreach(objects, n, entry)
-    {
+    ObjectList list {
+            .revision = static_cast<std::uint64_t>(jsonInteger(objects->members.get(), "revision")),
+            .objects = {}};
+    for (const JsonPtr &entry : objects->elements) {
+        std::string key = jsonString(entry.get(), "key");
+        if (key.empty())
+            continue;
         list.objects.push_back(
-                {.key = jsonString(entry, "key"),
-                 .version = static_cast<std::uint64_t>(jsonInteger(entry, "version"))});
+                {.key = std::move(key),
+                 .version = static_cast<std::uint64_t>(jsonInteger(entry.get(), "version"))});
     }
     return list;
 }
--- a/Source/Adapter/sesameadapter.h
+++ b/Source/Adapter/sesameadapter.h
@@ -10,6 +10,7 @@
 #include "Adapter/httpmessage.h"
 #include "Adapter/httpserver.h"
 #include "Adapter/json.h"
+#include "Adapter/jsonlist.h"
 #include "Adapter/jsonsplitter.h"
 #include "Adapter/log.h"
 #include "Adapter/messageauthentication.h"
--- a/Source/Node/backendmonitor.cpp
+++ b/Source/Node/backendmonitor.cpp
@@ -1,7 +1,7 @@
 #include "Node/backendmonitor.h"
 
 #include "Adapter/backendclient.h"
-#include "Adapter/json.h"
+#include "Adapter/jsonlist.h"
 #include "Adapter/log.h"
 
 namespace sesame {
@@ -132,18 +132,18 @@
             makePollCall(engine, "/v1/cache_events?after=" + std::to_string(after)));
     if (reply.status != CallStatus::Replied)
         return;
-    const JsonPtr body = parseJson(reply.reply.body);
-    const json_t *list = json_object_get(body.get(), "events");
+    const auto list = parseJsonList(reply.reply.body, "events");
+    if (!list)
+        return;
     std::vector<CacheEvent> events;
-    for (std::size_t n = 0; n < json_array_size(list); ++n) {
-        const json_t *event = json_array_get(list, n);
-        events.push_back({.sequence = static_cast<std::uint64_t>(jsonInteger(event, "sequence")),
-                          .block = parseCacheBlock(event),
-                          .added = jsonString(event, "op") == "add"});
-    }
+    for (const JsonPtr &event : list->elements)
+        events.push_back(
+                {.sequence = static_cast<std::uint64_t>(jsonInteger(event.get(), "sequence")),
+                 .block = parseCacheBlock(event.get()),
+                 .added = jsonString(event.get(), "op") == "add"});
     m_context.router.lock()->applyCacheEvents(engine.id, events, m_context.clock.now());
     const std::lock_guard lock(m_pollMutex);
-    m_cacheEventSequences[engine.id] = jsonInteger(body.get(), "sequence", after);
+    m_cacheEventSequences[engine.id] = jsonInteger(list->members.get(), "sequence", after);
 }
 
 } // namespace sesame
--- a/Tests/cloudclienttest.cpp
+++ b/Tests/cloudclienttest.cpp
@@ -3,10 +3,26 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace sesame;
 
 namespace {
 
+//! Entries of a list that cannot be read, or that make the whole list unreadable to a JSON parser.
+const std::vector<std::string> oddEntries {
+        "null",
+        "7",
+        "[]",
+        "{}",
+        R"({"id":""})",
+        R"({"id":"x","id":"y"})",
+        R"({"id":"x","price_per_hour":1e999})",
+        R"({"id":"\u0000"})",
+        "{\"id\":\"\xff\"}",
+        "{\"id\":\"x\ny\"}",
+        R"({"id":"x","incarnation":123456789012345678901234567890})"};
+
 // Cloud API that responds to every call with the same status and body and stores what the last
 // request contained.
 struct FakeCloudApi
@@ -107,3 +123,30 @@
         cr_expect_str_eq(api.lastId.c_str(), id.c_str());
     }
 }
+
+// Guards against an entry that cannot be read ending the reading of the others.
+Test(cloudclient, unreadableEntriesAreLeftOut)
+{
+    FakeCloudApi api;
+    const std::string sound = R"({"id":"e1","incarnation":3,"kind":"engine","class":"big",)"
+                              R"("address":"http://10.0.0.1:80","zone":"ghent"})";
+    const std::string last = R"({"id":"e2","incarnation":1,"kind":"engine","class":"big",)"
+                             R"("address":"http://10.0.0.2:80","zone":"ghent"})";
+    for (const std::string &odd : oddEntries) {
+        api.body = R"({"instances":[)" + sound + "," + odd + "," + last + "]}";
+        const auto instances = api.client.fetchInstances();
+        cr_assert(instances.has_value(), "%s", odd.c_str());
+        cr_assert_eq(instances->size(), 2U, "%s", odd.c_str());
+        cr_expect(instances->front().id == "e1" && instances->back().id == "e2", "%s", odd.c_str());
+        api.body = R"({"sequence":9,"notices":[{"sequence":8,"instance":"e1"},)" + odd
+                + R"(,{"sequence":9,"instance":"e2"}]})";
+        const auto batch = api.client.fetchNotices(7);
+        cr_assert(batch.has_value(), "%s", odd.c_str());
+        cr_expect_eq(batch->sequence, 9, "%s", odd.c_str());
+        cr_expect_eq(std::count_if(batch->notices.begin(), batch->notices.end(),
+                                   [](const ReclaimNotice &notice) {
+                                       return notice.instance == "e1" || notice.instance == "e2";
+                                   }),
+                     2, "%s", odd.c_str());
+    }
+}
