Escape names in the labels of metrics

Seen: the name of a service, account or roll-out with a quote, a backslash or a line break made the page of metrics unreadable for Prometheus.

Cause: labels were put together without the escapes of the text format.

Change: formatLabel() escapes these characters.

--- a/Source/Serving/requestwaiting.cpp
+++ b/Source/Serving/requestwaiting.cpp
@@ -315,7 +315,7 @@
 {
     ServingMetrics &metrics = m_state.metrics;
     for (const auto &[name, service] : m_services) {
-        const std::string label = absl::StrCat("{service=\"", name, "\"");
+        const std::string label = absl::StrCat("{", formatLabel("service", name));
         const RequestQueueMetrics queue = service.queue.metrics();
         const auto set = [&](const std::string &series, const std::string &more, double value) {
             metrics.setGauge(absl::StrCat(series, label, more, "}"), value);
@@ -336,8 +336,8 @@
         for (const std::string &key : m_waitingGauges)
             set("requests_waiting", key, 0.0);
         for (const auto &[flow, n] : queue.waiting) {
-            const std::string key = absl::StrCat(",rank=\"", flow.first, "\",account=\"",
-                                                 flow.second, "\"");
+            const std::string key = absl::StrCat(",rank=\"", flow.first, "\",",
+                                                 formatLabel("account", flow.second));
             m_waitingGauges.insert(key);
             set("requests_waiting", key, n);
         }
--- a/Source/Serving/servingmetrics.cpp
+++ b/Source/Serving/servingmetrics.cpp
@@ -1,6 +1,7 @@
 #include "Serving/servingmetrics.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
 
 #include <array>
 
@@ -28,6 +29,14 @@
     return "none";
 }
 
+std::string formatLabel(std::string_view name, std::string_view value)
+{
+    const std::string escaped = absl::StrReplaceAll(
+            absl::string_view(value.data(), value.size()),
+            {{"\\", "\\\\"}, {"\"", "\\\""}, {"\n", "\\n"}});
+    return std::string(name) + "=\"" + escaped + "\"";
+}
+
 ServingMetrics::LatencyHistogram::LatencyHistogram()
     : buckets(boost::histogram::make_histogram(Axis(latencyBounds.begin(), latencyBounds.end())))
 {
@@ -42,19 +51,19 @@
 
 void ServingMetrics::recordSend(std::string_view service, std::string_view result)
 {
-    ++m_counters["sesame_engine_sends_total{service=\"" + std::string(service) + "\",result=\""
-                 + std::string(result) + "\"}"];
+    ++m_counters["sesame_engine_sends_total{" + formatLabel("service", service) + ","
+                 + formatLabel("result", result) + "}"];
 }
 
 void ServingMetrics::recordCrashCheck(std::string_view service, std::string_view result)
 {
-    ++m_counters["sesame_engine_crash_checks_total{service=\"" + std::string(service)
-                 + "\",result=\"" + std::string(result) + "\"}"];
+    ++m_counters["sesame_engine_crash_checks_total{" + formatLabel("service", service) + ","
+                 + formatLabel("result", result) + "}"];
 }
 
 void ServingMetrics::recordFirstByte(std::string_view service, Duration duration)
 {
-    recordLatency(m_firstByteSeconds, "service=\"" + std::string(service) + "\"",
+    recordLatency(m_firstByteSeconds, formatLabel("service", service),
                   std::chrono::duration<double>(duration).count());
 }
 
--- a/Source/Serving/servingmetrics.h
+++ b/Source/Serving/servingmetrics.h
@@ -85,6 +85,12 @@
     LatencyHistograms m_predictionRatios; //!< Observed divided by predicted time.
 };
 
+/*!
+    Returns the label \a name with \a value, which may contain any character, as in the Prometheus
+    text format.
+*/
+std::string formatLabel(std::string_view name, std::string_view value);
+
 /*!
     Returns the name of \a kind for logs and metrics.
 */
--- a/Source/Serving/servingnodecalls.cpp
+++ b/Source/Serving/servingnodecalls.cpp
@@ -25,7 +25,7 @@
 std::string formatSeries(const std::string &name, const std::string &label,
                          const std::string &value)
 {
-    return name + "{" + label + "=\"" + value + "\"}";
+    return name + "{" + formatLabel(label, value) + "}";
 }
 
 std::string_view pathOf(const RequestMessage &request)
