Escape control characters in the output of explain

Seen: an engine's id with a line break added a line to the history of a request, and escape sequences of logged values reached the terminal.

Cause: the command decodes the JSON of the log and printed the values.

Change: control characters are replaced by escapes.

Result: controlCharactersAreEscaped failed before and passes now.

--- a/Source/Adapter/requesttimeline.cpp
+++ b/Source/Adapter/requesttimeline.cpp
@@ -1,5 +1,7 @@
 #include "Adapter/requesttimeline.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -23,10 +25,36 @@
 constexpr std::array<std::string_view, 5> nodeEventPrefixes {"config.", "store.", "node.", "clock.",
                                                              "engines.listed"};
 
+/*!
+    Returns the UTF-8 \a text with its control characters replaced by escapes. Names and values come
+    from other writers, and a terminal would obey them.
+*/
+std::string escapeControls(std::string_view text)
+{
+    constexpr unsigned char deleteCharacter = 0x7f;
+    // U+0080 to U+009F are control characters too.
+    constexpr unsigned char firstByteOfC1 = 0xc2;
+    constexpr unsigned char afterLastC1 = 0xa0;
+    std::string escaped;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const auto c = static_cast<unsigned char>(text[i]);
+        const unsigned char next = i + 1 < text.size() ? static_cast<unsigned char>(text[i + 1])
+                                                       : afterLastC1;
+        const bool isC1 = c == firstByteOfC1 && next < afterLastC1;
+        if (c >= ' ' && c != deleteCharacter && !isC1) {
+            escaped += text[i];
+            continue;
+        }
+        absl::StrAppend(&escaped, "\\u", absl::Hex(isC1 ? next : c, absl::kZeroPad4));
+        i += isC1 ? 1 : 0;
+    }
+    return escaped;
+}
+
 std::string formatValue(const json_t *value)
 {
     if (json_is_string(value))
-        return json_string_value(value);
+        return escapeControls(json_string_value(value));
     if (!json_is_real(value))
         return json_is_integer(value) ? std::to_string(json_integer_value(value))
                                       : std::string(json_is_true(value) ? "true" : "false");
@@ -47,7 +75,7 @@
             continue;
         const std::string shown = formatValue(value);
         const bool hasSpace = shown.empty() || shown.find(' ') != std::string::npos;
-        text += std::string(text.empty() ? "" : " ") + key + "=";
+        text += std::string(text.empty() ? "" : " ") + escapeControls(key) + "=";
         text += hasSpace ? "\"" + shown + "\"" : shown;
     }
     return text;
@@ -87,9 +115,9 @@
 void RequestTimeline::addLine(const json_t *object, std::int64_t clockOffset)
 {
     Line line {.trueMillis = jsonInteger(object, "time_unix_ms") + clockOffset,
-               .node = jsonString(object, "node"),
-               .event = jsonString(object, "event")};
-    const std::string engine = jsonString(object, "engine");
+               .node = escapeControls(jsonString(object, "node")),
+               .event = escapeControls(jsonString(object, "event"))};
+    const std::string engine = escapeControls(jsonString(object, "engine"));
     line.isRequestLine = jsonString(object, "request") == m_request;
     if (!line.isRequestLine) {
         const bool isContext = json_object_get(object, "request")
@@ -107,7 +135,7 @@
         m_engines.insert(engine);
     if (line.event == "request.finished") {
         m_status = static_cast<int>(jsonInteger(object, "status"));
-        m_outcome = jsonString(object, "outcome");
+        m_outcome = escapeControls(jsonString(object, "outcome"));
     }
     m_requestLines.push_back(std::move(line));
 }
--- a/Tests/requesttimelinetest.cpp
+++ b/Tests/requesttimelinetest.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 
@@ -103,3 +104,23 @@
     cr_expect_not(timeline.addLog("/nonexistent/log"));
     cr_expect(timeline.isEmpty());
 }
+
+// Guards against a logged name or value that adds lines of its own, or controls the terminal.
+Test(requesttimeline, controlCharactersAreEscaped)
+{
+    const TemporaryLogs logs;
+    RequestTimeline timeline("r-1");
+    cr_assert(timeline.addLog(logs.write(
+            "a",
+            formatLine(0, "a\\u001b[2J", "request.sent\\u0007",
+                       R"(,"request":"r-1","engine":"i\n* +0 ms forged\u001b[2J")")
+                    + formatLine(5, "a", "request.finished",
+                                 R"(,"request":"r-1","status":200,"outcome":"x\r\u007f\ny")"))));
+    const std::string text = timeline.format();
+    cr_expect(std::all_of(text.begin(), text.end(),
+                          [](unsigned char c) {
+                              return c == '\n' || (c >= ' ' && c != 0x7f);
+                          }),
+              "%s", text.c_str());
+    cr_expect_eq(std::count(text.begin(), text.end(), '\n'), 3, "%s", text.c_str());
+}
