Keep the ids of instances in the record of the starts

Seen: the id of a started instance that has a line break was read back without what follows the break, so that a later holder of the lease does not find the instance.

Cause: the id was read up to the end of a line.

Change: the id is the rest of the text.

Result: idsOfInstancesAreKept failed before for two of seven ids and passes now.

--- a/Source/Core/startrecord.h
+++ b/Source/Core/startrecord.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <cstdint>
+#include <iterator>
 #include <optional>
 #include <sstream>
 #include <string>
@@ -150,7 +151,8 @@
             std::getline(text, slot.backendClass, '\t');
             std::getline(text, slot.zone, '\t');
             std::getline(text, market, '\t');
-            std::getline(text, slot.instance);
+            // The id comes from the cloud API and may contain any character.
+            slot.instance.assign(std::istreambuf_iterator<char>(text), {});
             slot.market = market == "0" ? Market::Reclaimable : Market::OnDemand;
             for (std::size_t n = 0; n < stateNames.size(); ++n) {
                 if (stateNames[n] == state)
