--- a/Tests/platformformattest.cpp
+++ b/Tests/platformformattest.cpp
@@ -224,6 +224,17 @@
     cr_expect_null(platform::readConfig(nullptr).get());
 }
 
+// Guards against an entry of another writer that replaces the order of a service under another
+// name.
+Test(platformformat, rolloutOrdersAreNamedByTheirService)
+{
+    const char *order = R"({"service":"s","target":"v2","durationS":30})";
+    cr_expect(platform::readRollout("s", parseJson(order).get()).has_value());
+    cr_expect(platform::readRollout("s", parseJson(R"({"target":"v2"})").get()).has_value());
+    for (const char *name : {"", "x", "s&x", "s ", "s/status"})
+        cr_expect_not(platform::readRollout(name, parseJson(order).get()).has_value(), "%s", name);
+}
+
 // Guards against an account whose name adds header fields to requests, or is none, and against such
 // an account ending the reading of the others.
 Test(platformformat, accountNamesAreHeaderValues)
