--- a/Tests/cloudclienttest.cpp
+++ b/Tests/cloudclienttest.cpp
@@ -133,7 +133,8 @@
     const std::string last = R"({"id":"e2","incarnation":1,"kind":"engine","class":"big",)"
                              R"("address":"http://10.0.0.2:80","zone":"ghent"})";
     for (const std::string &odd : oddEntries) {
-        api.body = R"({"instances":[)" + sound + "," + odd + "," + last + "]}";
+        api.body = R"({"instances":[)";
+        api.body.append(sound).append(",").append(odd).append(",").append(last).append("]}");
         const auto instances = api.client.fetchInstances();
         cr_assert(instances.has_value(), "%s", odd.c_str());
         cr_assert_eq(instances->size(), 2U, "%s", odd.c_str());
