Escape control characters in the output of apply, report burn and status

Seen: lines of the stored fleet file and prefixes of routes reached the operator's terminal with their control characters, and a line break in a prefix added a line to the report.

Cause: as in explain, values of others were printed as they were.

Change: the function of explain is shared, in Core/printabletext.h.

Result: differencesHaveNoControlCharacters and routesAddNoLinesToTheBurnReport failed before and pass now. The output of status has no test of its own.

--- a/Source/Adapter/requesttimeline.cpp
+++ b/Source/Adapter/requesttimeline.cpp
@@ -1,6 +1,6 @@
 #include "Adapter/requesttimeline.h"
 
-#include <absl/strings/str_cat.h>
+#include "Core/printabletext.h"
 
 #include <algorithm>
 #include <array>
@@ -25,32 +25,6 @@
 constexpr std::array<std::string_view, 5> nodeEventPrefixes {"config.", "store.", "node.", "clock.",
                                                              "engines.listed"};
 
-/*!
-    Returns the UTF-8 \a text with its control characters replaced by escapes. Names and values come
-    from other writers, and a terminal would obey them.
-*/
-std::string escapeControls(std::string_view text)
-{
-    constexpr unsigned char deleteCharacter = 0x7f;
-    // U+0080 to U+009F are control characters too.
-    constexpr unsigned char firstByteOfC1 = 0xc2;
-    constexpr unsigned char afterLastC1 = 0xa0;
-    std::string escaped;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const auto c = static_cast<unsigned char>(text[i]);
-        const unsigned char next = i + 1 < text.size() ? static_cast<unsigned char>(text[i + 1])
-                                                       : afterLastC1;
-        const bool isC1 = c == firstByteOfC1 && next < afterLastC1;
-        if (c >= ' ' && c != deleteCharacter && !isC1) {
-            escaped += text[i];
-            continue;
-        }
-        absl::StrAppend(&escaped, "\\u", absl::Hex(isC1 ? next : c, absl::kZeroPad4));
-        i += isC1 ? 1 : 0;
-    }
-    return escaped;
-}
-
 std::string formatValue(const json_t *value)
 {
     if (json_is_string(value))
--- a/Source/Command/statuscommand.cpp
+++ b/Source/Command/statuscommand.cpp
@@ -1,3 +1,4 @@
+#include "Core/sesamecore.h"
 #include "commands.h"
 #include "operatorclient.h"
 
@@ -15,7 +16,8 @@
     int exitCode = ExitSuccess;
     for (const std::string &node : nodes) {
         const std::optional<NodeStatus> status = queryNodeStatus(node);
-        std::printf("%s %s\n", node.c_str(), status ? status->json.c_str() : "no answer");
+        std::printf("%s %s\n", node.c_str(),
+                    status ? escapeControls(status->json).c_str() : "no answer");
         if (!status || status->confirmation != "confirmed")
             exitCode = ExitFailure;
     }
--- a/Source/Core/burnreport.cpp
+++ b/Source/Core/burnreport.cpp
@@ -1,6 +1,7 @@
 #include "Core/burnreport.h"
 
 #include "Core/fleetfile.h"
+#include "Core/printabletext.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -31,9 +32,10 @@
     const BurnCount &count = row.counts[window];
     const std::string rank(toString(row.rank));
     const std::string name(burnWindows[window].name);
+    const std::string route = escapeControls(row.route);
     char buf[192];
     std::snprintf(buf, sizeof(buf), "%-9s %-24.64s %9.5f %-6s %12llu %12llu %10.2f %11.1f%%\n",
-                  rank.c_str(), row.route.c_str(), row.objective, name.c_str(),
+                  rank.c_str(), route.c_str(), row.objective, name.c_str(),
                   static_cast<unsigned long long>(count.good),
                   static_cast<unsigned long long>(count.total), burnRate(count, row.objective),
                   100.0 * budgetLeft(row));
--- a/Source/Core/linedifference.cpp
+++ b/Source/Core/linedifference.cpp
@@ -1,5 +1,7 @@
 #include "Core/linedifference.h"
 
+#include "Core/printabletext.h"
+
 #include <algorithm>
 #include <span>
 #include <vector>
@@ -24,7 +26,7 @@
 void appendLines(std::string &out, Lines lines, std::string_view prefix, std::size_t maxLines)
 {
     for (std::string_view line : lines.first(std::min(maxLines, lines.size())))
-        out += std::string(prefix) + std::string(line) + "\n";
+        out += std::string(prefix) + escapeControls(line) + "\n";
     if (lines.size() > maxLines)
         out += std::string(prefix) + "... " + std::to_string(lines.size() - maxLines)
                 + " more lines\n";
--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -43,6 +43,7 @@
 #include "Core/orderissuer.h"
 #include "Core/peerdirectory.h"
 #include "Core/ports.h"
+#include "Core/printabletext.h"
 #include "Core/promptblocks.h"
 #include "Core/promptcrashtable.h"
 #include "Core/quotabucket.h"
