Log the store's era and revision with each takeover of the duties

Users saw two holders of the duties with one fencing token. The log could not tell a store that had been restored from an older copy from a write without a revision or an unreadable record: a takeover named its term only, and a report was logged only once it was accepted.

--- a/Source/Http/httpcaller.cpp
+++ b/Source/Http/httpcaller.cpp
@@ -32,6 +32,7 @@
         ResponseSink sink;
         sink.head = [self](const ResponseHead &head) {
             self->response.status = head.result_int();
+            self->response.fields = head;
             return ResponseSink::Verdict::Take;
         };
         sink.body = [self](std::string_view piece) {
--- a/Source/Http/httpcaller.h
+++ b/Source/Http/httpcaller.h
@@ -9,6 +9,7 @@
 {
     unsigned status = 0; //!< HTTP status, or 0 if no complete response arrived. The request
                          //!< may then have taken effect, unless wasSent is false.
+    HttpFields fields {}; //!< Fields of the head.
     std::string body;
     bool wasSent = true; //!< False if no connection could be established, so that the server
                          //!< received nothing.
--- a/Source/Serving/dutycoordinator.cpp
+++ b/Source/Serving/dutycoordinator.cpp
@@ -272,7 +272,10 @@
         const bool isNewTerm = m_term.term() == 0;
         m_term.confirmWrite(record, result.revision, steadyStart, bootStart);
         if (isNewTerm)
-            logEvent(LogLevel::Info, "duties.taken", {{"term", record.term}});
+            logEvent(LogLevel::Info, "duties.taken",
+                     {{"term", record.term},
+                      {"era", static_cast<std::int64_t>(result.era)},
+                      {"revision", static_cast<std::int64_t>(result.revision)}});
         return;
     }
     m_nextStoreCallTime = steadyNow() + tickInterval;
@@ -312,6 +315,7 @@
     m_reportPending = true;
     m_nextReportTime = steadyNow() + reportRetryDelay;
     const std::int64_t window = m_decidedWindow;
+    logEvent(LogLevel::Info, "usage.sent", {{"window", window}, {"term", m_term.term()}});
     m_dutyClient.reportUsage(
             window, m_decidedCounts, m_term.term(), [this, window](DutyCallStatus status) {
                 m_reportPending = false;
--- a/Source/Serving/objectstoreclient.h
+++ b/Source/Serving/objectstoreclient.h
@@ -44,6 +44,9 @@
     StoreCallStatus status = StoreCallStatus::Unknown;
     std::vector<StoredObject> objects;
     std::uint64_t revision = 0; //!< Revision of the store from which a watch continues.
+    //! Number that rises each time the store has been restored from an older copy; 0 if unknown.
+    //! Revisions of different eras are unrelated.
+    std::uint64_t era = 0;
     //! False if a list ends early because no object of a page has a usable name to continue after.
     bool isComplete = true;
 };
@@ -55,6 +58,7 @@
 {
     StoreCallStatus status = StoreCallStatus::Unknown;
     std::uint64_t revision = 0; //!< Revision of the object after a successful write.
+    std::uint64_t era = 0; //!< As in StoreReadResult.
 };
 
 /*!
--- a/Source/Serving/storewatcher.cpp
+++ b/Source/Serving/storewatcher.cpp
@@ -75,6 +75,7 @@
         return;
     }
     onSuccess();
+    noteEra(result);
     m_mustRelist = false;
     m_revision = result.revision;
     if (m_isListComplete != result.isComplete)
@@ -100,6 +101,7 @@
         return;
     }
     onSuccess();
+    noteEra(result);
     m_revision = std::max(m_revision, result.revision);
     // Without changes, the store has answered only after the whole wait.
     const Timestamp waitEnd = m_callStart + m_watchWait;
@@ -154,6 +156,23 @@
         m_handlers.reachabilityChanged(true);
 }
 
+/*!
+    Logs that the store was restored from an older copy since the previous answer.
+*/
+void StoreWatcher::noteEra(const StoreReadResult &result)
+{
+    if (result.era == m_era)
+        return;
+    if (m_era != 0)
+        logEvent(LogLevel::Warning, "store.restored",
+                 {{"kind", m_kind},
+                  {"era", static_cast<std::int64_t>(result.era)},
+                  {"previous_era", static_cast<std::int64_t>(m_era)},
+                  {"revision", static_cast<std::int64_t>(result.revision)},
+                  {"previous_revision", static_cast<std::int64_t>(m_revision)}});
+    m_era = result.era;
+}
+
 StoreReadContext StoreWatcher::readContext(Timestamp knownAt) const
 {
     StoreReadContext context {.revision = m_revision, .knownAt = knownAt};
--- a/Source/Serving/storewatcher.h
+++ b/Source/Serving/storewatcher.h
@@ -78,6 +78,7 @@
     void onWatched(const StoreReadResult &result);
     void onFailure();
     void onSuccess();
+    void noteEra(const StoreReadResult &result);
     StoreReadContext readContext(Timestamp knownAt) const;
 
     boost::asio::steady_timer m_timer;
@@ -89,6 +90,7 @@
     //! Number of the latest call. Results of earlier calls are discarded.
     std::uint64_t m_callNumber = 0;
     std::uint64_t m_revision = 0;
+    std::uint64_t m_era = 0; //!< Era of the latest answer; 0 if the store has stated none.
     bool m_isReachable = true;
     bool m_mustRelist = true;
     //! Whether the last list was complete. If not, lists alternate with watches.
