Reproduce two holders of one fencing token after a restoration

The emulated store can take a copy, go back to it, raise Store-Era and give revisions out again; what the platform's writers wrote is written again. restoredstoreprocesstest kills the first holder after the copy, lets the second act, kills it, restores the copy and waits for the third.

--- a/Emulator/emulatedstore.cpp
+++ b/Emulator/emulatedstore.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <optional>
 #include <stdexcept>
+#include <utility>
 
 namespace sesame {
 
@@ -16,14 +17,6 @@
 constexpr std::string_view objectsPath = "/api/objects/";
 constexpr std::size_t maxConnections = 512;
 
-void sendJson(const std::shared_ptr<ServerConnection> &connection, unsigned status,
-              const std::string &body)
-{
-    HttpFields fields;
-    fields.set("Content-Type", "application/json");
-    connection->sendResponse(status, fields, body);
-}
-
 /*!
     Resolves the percent-encoded bytes of \a text, and plus signs if \a isForm is set. Returns
     std::nullopt if no two hexadecimal digits follow a percent sign.
@@ -129,6 +122,49 @@
         throw std::runtime_error("store address: " + ec.message());
 }
 
+void EmulatedStore::sendJson(const ConnectionPtr &connection, unsigned status,
+                             const std::string &body) const
+{
+    HttpFields fields;
+    fields.set("Content-Type", "application/json");
+    fields.set("Store-Era", std::to_string(m_era));
+    connection->sendResponse(status, fields, body);
+}
+
+void EmulatedStore::restoreCopy()
+{
+    const Objects lost = std::exchange(m_objects, m_copy.objects);
+    m_revision = m_copy.revision;
+    ++m_era;
+    std::erase_if(m_history, [this](const Change &change) {
+        return change.revision > m_revision;
+    });
+    for (const auto &watch : std::exchange(m_watches, {})) {
+        watch->timer->cancel();
+        if (const auto connection = watch->connection.lock())
+            sendJson(connection, 410, "{}");
+        watch->connection.reset();
+    }
+    for (const std::string kind : {"config", "servers", "rollouts"}) {
+        const auto found = lost.find(kind);
+        const std::map<std::string, Object> objects = found == lost.end()
+                ? std::map<std::string, Object>()
+                : found->second;
+        for (const auto &[name, object] : std::map(m_objects[kind])) {
+            if (!objects.contains(name))
+                erase(kind, name);
+        }
+        for (const auto &[name, object] : objects) {
+            const auto known = m_objects[kind].find(name);
+            if (known != m_objects[kind].end() && known->second.spec == object.spec
+                && known->second.text == object.text)
+                continue;
+            m_objects[kind][name] = object;
+            record(kind, name, false);
+        }
+    }
+}
+
 void EmulatedStore::put(const std::string &kind, const std::string &name, const std::string &spec)
 {
     m_objects[kind][name].spec = spec;
@@ -253,7 +289,7 @@
 void EmulatedStore::serveWatch(const ConnectionPtr &connection, const std::string &kind,
                                std::uint64_t revision, int waitMs)
 {
-    if (revision < m_oldestRevision) {
+    if (revision < m_oldestRevision || revision > m_revision) {
         sendJson(connection, 410, "{}");
         return;
     }
--- a/Emulator/emulatedstore.h
+++ b/Emulator/emulatedstore.h
@@ -36,6 +36,18 @@
     */
     void compact() { m_oldestRevision = m_revision; }
 
+    /*!
+        Keeps a copy of all objects, for restoreCopy().
+    */
+    void takeCopy() { m_copy = {m_objects, m_revision}; }
+
+    /*!
+        Goes back to the copy and raises the era. Revisions after it are given out again. What the
+        platform's own writers put or erased since the copy is written again, so that only the
+        objects of the system go back.
+    */
+    void restoreCopy();
+
     /*!
         Leaves the newest waiting watch of \a kind open without ever answering it. Returns false if
         there is none.
@@ -86,8 +98,15 @@
         std::weak_ptr<ServerConnection> connection;
         std::unique_ptr<asio::steady_timer> timer;
     };
+    using Objects = std::map<std::string, std::map<std::string, Object>>;
+    struct Copy
+    {
+        Objects objects;
+        std::uint64_t revision = 1;
+    };
     using ConnectionPtr = std::shared_ptr<ServerConnection>;
 
+    void sendJson(const ConnectionPtr &connection, unsigned status, const std::string &body) const;
     void serve(const ConnectionPtr &connection, const RequestMessage &request);
     void serveRead(const ConnectionPtr &connection, const std::string &kind,
                    const std::string &name, const std::map<std::string, std::string> &query);
@@ -107,7 +126,9 @@
     int m_answersToLose = 0;
     std::uint64_t m_revision = 1;
     std::uint64_t m_oldestRevision = 1;
-    std::map<std::string, std::map<std::string, Object>> m_objects;
+    std::uint64_t m_era = 1;
+    Objects m_objects;
+    Copy m_copy;
     std::deque<Change> m_history;
     std::vector<std::shared_ptr<Watch>> m_watches;
     std::vector<ConnectionPtr> m_unanswered; //!< Calls that are never answered.
--- /dev/null
+++ b/Tests/restoredstoreprocesstest.cpp
@@ -0,0 +1,86 @@
+#include "support/platformdeployment.h"
+
+#include <csignal>
+
+using namespace sesame;
+using namespace sesame::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int nodeCount = 3;
+
+/*!
+    Calls \a sendRequest for each running node until \a condition holds or \a limit has passed.
+*/
+bool serveUntil(PlatformDeployment &deployment, const std::function<bool()> &condition,
+                std::chrono::milliseconds limit)
+{
+    static int requestCount = 0;
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end) {
+        if (condition())
+            return true;
+        for (int node = 1; node <= nodeCount; ++node) {
+            if (!deployment.hasExited(node))
+                deployment.sendRequest(node, "GET", "/read/x", std::to_string(++requestCount));
+        }
+        deployment.runFor(50ms);
+    }
+    return condition();
+}
+
+/*!
+    Waits until a node other than \a previous has taken the duties and sent a call, and returns it.
+*/
+int waitForHolder(PlatformDeployment &deployment, int previous)
+{
+    const auto calls = [&deployment] {
+        return deployment.platform.duties.windowCount() + deployment.platform.duties.orderCount();
+    };
+    std::optional<std::size_t> callsBefore;
+    cr_assert(serveUntil(
+                      deployment,
+                      [&] {
+                          if (deployment.findHolder(nodeCount) == previous)
+                              return false;
+                          callsBefore = callsBefore.value_or(calls());
+                          return calls() > *callsBefore;
+                      },
+                      15s),
+              "no holder after node %d", previous);
+    return deployment.findHolder(nodeCount);
+}
+
+void killNode(PlatformDeployment &deployment, int node)
+{
+    deployment.signalNode(node, SIGKILL);
+    cr_assert(deployment.runUntil(
+            [&] {
+                return deployment.hasExited(node);
+            },
+            2s));
+}
+
+void expectNoViolations(const PlatformDeployment &deployment)
+{
+    for (const std::string &violation : deployment.platform.duties.violations())
+        cr_expect_fail("%s", violation.c_str());
+}
+
+} // namespace
+
+// Guards against two holders with the same fencing token after the store was restored from a copy
+// that lacks the takeover of the first one.
+Test(restoredstore, twoHoldersNeverShareAToken)
+{
+    PlatformDeployment deployment(28500, nodeCount);
+    const int first = waitForHolder(deployment, 0);
+    deployment.platform.store.takeCopy();
+    killNode(deployment, first);
+    const int second = waitForHolder(deployment, first);
+    killNode(deployment, second);
+    deployment.platform.store.restoreCopy();
+    waitForHolder(deployment, second);
+    expectNoViolations(deployment);
+}
