Never give a fencing token to two holders after the store was restored

Users saw two holders of the duties with one fencing token, and nodes that report a usage window twice follow from the same cause: the store came back from an older copy, which lacked the last takeover, and the next holder computed its token from the record of the one before. A revision alone was taken to name one state for good, though revisions are given out again.

Tokens contain the era and the revision of the replaced record. A record of an older era, or none, does not tell the holder: a successor observes it for a lease and the margin. A holder whose record was lost goes on, since nobody else may act before its term expires, and writes it again. Answers of another era confirm nothing, and a takeover follows a read that is not stale. Windows that a lost holder may have reported are left out.

--- a/Source/Core/dutyterm.cpp
+++ b/Source/Core/dutyterm.cpp
@@ -1,37 +1,71 @@
 #include "Core/dutyterm.h"
 
+#include <algorithm>
+
 namespace sesame {
 
-void DutyTerm::observe(const std::optional<DutyRecord> &record, std::uint64_t revision,
+namespace {
+
+//! Bits of a token that count revisions: 21 years at 1,600 changes a second.
+constexpr int revisionBits = 40;
+//! Latest era that fits into a token.
+constexpr std::uint64_t maxEra = (1ULL << 22U) - 1;
+
+} // namespace
+
+void DutyTerm::observe(const std::optional<DutyRecord> &record, StoreRevision revision,
                        Timestamp now)
 {
-    if (!m_hasObserved || revision != m_revision) {
+    if (revision.era < m_revision.era)
+        return;
+    m_isFirstRecord = m_isFirstRecord && (!m_hasObserved || revision.era == m_revision.era);
+    // After a restoration, a stale answer may have another record with the same revision.
+    if (!m_hasObserved || revision != m_revision || record != m_observedRecord) {
         m_hasObserved = true;
         m_revision = revision;
         m_observedSince = now;
     }
     m_observedRecord = record;
+    m_isFirstRecord = m_isFirstRecord && !record;
 }
 
 std::optional<DutyRecord> DutyTerm::proposeTakeover(Timestamp now) const
 {
-    if (!m_hasObserved)
+    if (!m_hasObserved || m_revision.era > maxEra)
         return std::nullopt;
     // An earlier process of this node has ended, so its term need not expire first.
     const bool isOther = m_observedRecord && !m_observedRecord->holder.empty()
             && m_observedRecord->holder != m_holder;
-    if (isOther && now < m_observedSince + m_options.leaseDuration + m_options.clockMargin)
+    if ((isOther || isRecordOutdated())
+        && now < m_observedSince + m_options.leaseDuration + m_options.clockMargin)
         return std::nullopt;
-    const std::int64_t last = m_observedRecord ? m_observedRecord->term : 0;
-    return DutyRecord {.holder = m_holder, .incarnation = m_incarnation, .term = last + 1};
+    std::int64_t last = m_observedRecord ? m_observedRecord->term : 0;
+    if (m_revision.era != 0)
+        last = std::max(
+                last,
+                static_cast<std::int64_t>((m_revision.era << revisionBits) + m_revision.number));
+    return DutyRecord {.holder = m_holder,
+                       .incarnation = m_incarnation,
+                       .term = last + 1,
+                       .era = m_revision.era};
+}
+
+bool DutyTerm::isRecordOutdated() const
+{
+    if (m_observedRecord)
+        return m_observedRecord->era != m_revision.era;
+    return m_revision.era != 0 && !m_isFirstRecord;
 }
 
 DutyRecord DutyTerm::currentRecord() const
 {
-    return {.holder = m_holder, .incarnation = m_incarnation, .term = m_term};
+    return {.holder = m_holder,
+            .incarnation = m_incarnation,
+            .term = m_term,
+            .era = m_revision.era};
 }
 
-void DutyTerm::confirmWrite(const DutyRecord &record, std::uint64_t revision, Timestamp steady,
+void DutyTerm::confirmWrite(const DutyRecord &record, StoreRevision revision, Timestamp steady,
                             Timestamp boot)
 {
     const bool isFirst = m_term == 0;
@@ -39,7 +73,7 @@
     // to act immediately. If the term was released, its holder may have sent a call just before the
     // release, so this node has to wait before it acts.
     const bool wasReleased = m_observedRecord && m_observedRecord->term > 0
-            && m_observedRecord->holder.empty();
+            && m_observedRecord->holder.empty() && !isRecordOutdated();
     m_term = record.term;
     m_revision = revision;
     m_observedRecord = record;
@@ -51,13 +85,15 @@
                                           : steady;
 }
 
-bool DutyTerm::adoptRevision(const std::optional<DutyRecord> &record, std::uint64_t revision)
+bool DutyTerm::adoptRevision(const std::optional<DutyRecord> &record, StoreRevision revision)
 {
-    const bool isOwn = m_term != 0 && record && record->holder == m_holder
-            && record->incarnation == m_incarnation && record->term == m_term;
-    if (isOwn)
-        m_revision = revision;
-    return isOwn;
+    const bool isOwn = record && record->holder == m_holder && record->incarnation == m_incarnation
+            && record->term == m_term;
+    const bool isLost = record ? record->era < revision.era : revision.era > m_revision.era;
+    if (m_term == 0 || revision.era < m_revision.era || !(isOwn || isLost))
+        return false;
+    m_revision = revision;
+    return true;
 }
 
 void DutyTerm::endTerm()
--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -59,6 +59,7 @@
 #include "Core/sseparser.h"
 #include "Core/startrecord.h"
 #include "Core/stopschedule.h"
+#include "Core/storerevision.h"
 #include "Core/streamsession.h"
 #include "Core/suspecttable.h"
 #include "Core/suspensionguard.h"
--- a/Source/Serving/dutycoordinator.cpp
+++ b/Source/Serving/dutycoordinator.cpp
@@ -47,12 +47,32 @@
     return counts;
 }
 
+std::optional<DutyRecord> parseRecord(const StoredObject *object)
+{
+    if (!object)
+        return std::nullopt;
+    const json_t *content = object->content.get();
+    return DutyRecord {.holder = jsonString(content, "holder"),
+                       .incarnation = jsonInteger(content, "incarnation"),
+                       .term = jsonInteger(content, "term"),
+                       .era = static_cast<std::uint64_t>(jsonInteger(content, "era"))};
+}
+
+/*!
+    Returns the revision of \a object in \a result, which is null if the object does not exist.
+*/
+StoreRevision revisionOf(const StoreReadResult &result, const StoredObject *object)
+{
+    return {.era = result.era, .number = object ? object->revision : 0};
+}
+
 } // namespace
 
 DutyCoordinator::DutyCoordinator(ServingState &state, std::unique_ptr<ObjectStoreClient> store,
                                  DutyClient &dutyClient)
     : m_state(state), m_store(std::move(store)), m_dutyClient(dutyClient),
-      m_term({.leaseDuration = state.settings.lease}, state.settings.node, state.incarnation),
+      m_term({.leaseDuration = state.settings.lease, .isFirstStart = state.settings.isFirstStart},
+             state.settings.node, state.incarnation),
       m_timer(state.context)
 {
 }
@@ -99,7 +119,7 @@
         return;
     if (m_term.term() == 0) {
         if (m_state.tally.isAggregator())
-            readRecord();
+            readRecord(true);
         return;
     }
     DutyRecord record = m_term.currentRecord();
@@ -119,72 +139,86 @@
     return now - m_lastEligibleTime < eligibilityGrace;
 }
 
-void DutyCoordinator::readRecord()
+void DutyCoordinator::readRecord(bool allowStale)
 {
     if (m_withdrawn)
         return;
     m_storeCallPending = true;
     m_nextStoreCallTime = steadyNow() + recordPollInterval;
-    // A stale read is safe because the takeover write is conditional on the revision read here.
-    m_store->list(recordKind, true, [this](const StoreReadResult &result) {
+    m_store->list(recordKind, allowStale, [this, allowStale](const StoreReadResult &result) {
         m_storeCallPending = false;
-        onRecordRead(result);
+        onRecordRead(result, allowStale);
     });
 }
 
-std::optional<DutyRecord> DutyCoordinator::extractRecord(const StoreReadResult &result,
-                                                         std::uint64_t &revision)
+/*!
+    Returns the record in \a result, or null if there is none, and remembers whether it exists.
+*/
+const StoredObject *DutyCoordinator::findRecord(const StoreReadResult &result)
 {
-    std::optional<DutyRecord> record;
-    for (const StoredObject &object : result.objects) {
-        if (object.name != recordName)
-            continue;
-        record = parseRecord(object.content.get());
-        revision = object.revision;
-    }
-    m_recordExists = record.has_value();
-    return record;
+    const auto found = std::find_if(result.objects.begin(), result.objects.end(),
+                                    [](const StoredObject &object) {
+                                        return object.name == recordName;
+                                    });
+    m_recordExists = found != result.objects.end();
+    return m_recordExists ? &*found : nullptr;
 }
 
 /*!
-    Reads the record again after a write conflict. The conflicting revision may come from an earlier
-    write of this node whose response was lost.
+    Reads the record again after a write was refused. The conflicting revision may come from an
+    earlier write of this node whose response was lost, or the store may have lost the record.
 */
 void DutyCoordinator::rereadRecord()
 {
     m_storeCallPending = true;
     m_store->list(recordKind, false, [this](const StoreReadResult &result) {
         m_storeCallPending = false;
-        if (result.status != StoreCallStatus::Ok)
+        if (result.status != StoreCallStatus::Ok || result.era < m_term.observedRevision().era)
             return;
-        std::uint64_t revision = 0;
-        const std::optional<DutyRecord> record = extractRecord(result, revision);
-        if (m_term.adoptRevision(record, revision))
+        const StoredObject *object = findRecord(result);
+        const std::optional<DutyRecord> record = parseRecord(object);
+        const StoreRevision revision = revisionOf(result, object);
+        if (m_term.adoptRevision(record, revision)) {
+            // What this node decided may be missing from the record, which it replaces now.
+            m_isDecisionStored = false;
+            m_nextStoreCallTime = steadyNow();
             return;
+        }
         logEvent(LogLevel::Warning, "duties.lost",
                  {{"term", m_term.term()}, {"reason", "another holder"}});
         m_term.endTerm();
         m_term.observe(record, revision, steadyNow());
+        adoptContent(object ? object->content.get() : nullptr);
     });
 }
 
-void DutyCoordinator::onRecordRead(const StoreReadResult &result)
+void DutyCoordinator::onRecordRead(const StoreReadResult &result, bool isStale)
 {
-    if (result.status != StoreCallStatus::Ok || m_withdrawn)
+    if (result.status != StoreCallStatus::Ok || m_withdrawn
+        || result.era < m_term.observedRevision().era)
+        return;
+    const StoredObject *object = findRecord(result);
+    adoptContent(object ? object->content.get() : nullptr);
+    m_term.observe(parseRecord(object), revisionOf(result, object), steadyNow());
+    const auto proposal = m_term.proposeTakeover(steadyNow());
+    if (!proposal)
         return;
-    std::uint64_t revision = 0;
-    const std::optional<DutyRecord> record = extractRecord(result, revision);
-    m_term.observe(record, revision, steadyNow());
-    if (const auto proposal = m_term.proposeTakeover(steadyNow()))
-        writeRecord(*proposal);
+    // A stale answer may be from before a restoration, after which its revision belongs to another
+    // holder's record.
+    if (isStale) {
+        readRecord(false);
+        return;
+    }
+    if (m_term.isRecordOutdated())
+        skipUncertainWindows();
+    writeRecord(*proposal);
 }
 
-std::optional<DutyRecord> DutyCoordinator::parseRecord(const json_t *content)
+/*!
+    Takes over the counts and the decided report of a record, of which \a content may be null.
+*/
+void DutyCoordinator::adoptContent(const json_t *content)
 {
-    DutyRecord record;
-    record.holder = jsonString(content, "holder");
-    record.incarnation = jsonInteger(content, "incarnation");
-    record.term = jsonInteger(content, "term");
     m_reportedThrough = std::max(m_reportedThrough, jsonInteger(content, "reportedThrough"));
     m_decidedWindow = jsonInteger(content, "decidedWindow");
     m_decidedCounts = readCounts(json_object_get(content, "decidedCounts"));
@@ -203,7 +237,6 @@
         json_object_foreach(zones, zone, counts)
                 m_state.usage.mergeZone(std::atoll(window), zone, readCounts(counts));
     }
-    return record;
 }
 
 std::shared_ptr<json_t> DutyCoordinator::formatRecord(const DutyRecord &record) const
@@ -215,6 +248,7 @@
     set("holder", json_string(record.holder.c_str()));
     set("incarnation", json_integer(record.incarnation));
     set("term", json_integer(record.term));
+    set("era", json_integer(static_cast<json_int_t>(record.era)));
     set("reportedThrough", json_integer(m_reportedThrough));
     set("decidedWindow", json_integer(m_decidedWindow));
     set("decidedCounts", formatCounts(m_decidedCounts));
@@ -245,16 +279,20 @@
     const Timestamp bootStart = bootNow();
     m_nextStoreCallTime = steadyStart + renewInterval;
     const std::shared_ptr<json_t> content = formatRecord(record);
-    const auto done = [this, record, steadyStart, bootStart,
-                       writtenWindow = m_decidedWindow](const StoreWriteResult &result) {
+    const StoreRevision expected = m_term.observedRevision();
+    const auto done = [this, record, steadyStart, bootStart, expected,
+                       writtenWindow = m_decidedWindow](StoreWriteResult result) {
         m_storeCallPending = false;
+        // After a restoration, the condition of the write refers to another revision.
+        if (result.status == StoreCallStatus::Ok && result.era != expected.era)
+            result.status = StoreCallStatus::Conflict;
         // Another report may have been decided since the write began.
         if (result.status == StoreCallStatus::Ok)
             m_isDecisionStored = writtenWindow != 0 && m_decidedWindow == writtenWindow;
         onRecordWritten(record, result, steadyStart, bootStart);
     };
     if (m_recordExists)
-        m_store->replace(recordKind, recordName, content.get(), m_term.observedRevision(), done);
+        m_store->replace(recordKind, recordName, content.get(), expected.number, done);
     else
         m_store->create(recordKind, recordName, content.get(), done);
 }
@@ -270,7 +308,8 @@
             return;
         }
         const bool isNewTerm = m_term.term() == 0;
-        m_term.confirmWrite(record, result.revision, steadyStart, bootStart);
+        m_term.confirmWrite(record, {.era = result.era, .number = result.revision}, steadyStart,
+                            bootStart);
         if (isNewTerm)
             logEvent(LogLevel::Info, "duties.taken",
                      {{"term", record.term},
@@ -279,10 +318,36 @@
         return;
     }
     m_nextStoreCallTime = steadyNow() + tickInterval;
-    if (result.status == StoreCallStatus::Conflict && m_term.term() != 0)
+    const bool isRefused = result.status == StoreCallStatus::Conflict
+            || result.status == StoreCallStatus::NotFound;
+    if (isRefused && m_term.term() != 0)
         rereadRecord();
 }
 
+/*!
+    Leaves out the windows that a holder whose record was lost may have reported, except for a
+    decided report, which all holders send with the same counts.
+*/
+void DutyCoordinator::skipUncertainWindows()
+{
+    if (!m_state.settings.metersUsage)
+        return;
+    const std::int64_t through = lastSettledWindow();
+    if (through <= m_reportedThrough)
+        return;
+    logEvent(LogLevel::Warning, "usage.skipped",
+             {{"after_window", m_reportedThrough},
+              {"through_window", through},
+              {"decided_window", m_decidedWindow}});
+    m_reportedThrough = through;
+}
+
+std::int64_t DutyCoordinator::lastSettledWindow() const
+{
+    const std::int64_t now = m_state.trueTime.now(bootMillis());
+    return (now - windowSettleMillis) / m_state.settings.usageWindow.count() - 1;
+}
+
 /*!
     Decides the report of the oldest complete window that has not been reported. Returns whether
     there is such a window.
@@ -291,9 +356,7 @@
 {
     if (!m_state.settings.metersUsage)
         return false;
-    const std::int64_t windowMillis = m_state.settings.usageWindow.count();
-    const std::int64_t now = m_state.trueTime.now(bootMillis());
-    const std::int64_t lastWindow = (now - windowSettleMillis) / windowMillis - 1;
+    const std::int64_t lastWindow = lastSettledWindow();
     const std::int64_t firstWindow = std::max(m_reportedThrough + 1,
                                               lastWindow - retainedWindows + 1);
     for (std::int64_t window = firstWindow; window <= lastWindow; ++window) {
--- a/Source/Serving/dutycoordinator.h
+++ b/Source/Serving/dutycoordinator.h
@@ -49,15 +49,17 @@
     void scheduleTick();
     void tick();
     bool isEligible(Timestamp now);
-    void readRecord();
-    void onRecordRead(const StoreReadResult &result);
+    void readRecord(bool allowStale);
+    void onRecordRead(const StoreReadResult &result, bool isStale);
     void rereadRecord();
-    std::optional<DutyRecord> extractRecord(const StoreReadResult &result, std::uint64_t &revision);
+    const StoredObject *findRecord(const StoreReadResult &result);
     void writeRecord(const DutyRecord &record);
     void onRecordWritten(const DutyRecord &record, const StoreWriteResult &result,
                          Timestamp steadyStart, Timestamp bootStart);
     std::shared_ptr<json_t> formatRecord(const DutyRecord &record) const;
-    std::optional<DutyRecord> parseRecord(const json_t *content);
+    void adoptContent(const json_t *content);
+    void skipUncertainWindows();
+    std::int64_t lastSettledWindow() const;
     bool decideNextReport();
     void sendReport();
     bool canPerformDuties() const;
--- a/Tests/restoredstoreprocesstest.cpp
+++ b/Tests/restoredstoreprocesstest.cpp
@@ -84,3 +84,54 @@
     waitForHolder(deployment, second);
     expectNoViolations(deployment);
 }
+
+// Guards against other counts for a window that was reported after the copy was taken. Nodes that
+// have just started know of no report that the copy lacks.
+Test(restoredstore, windowsAreNotReportedTwice)
+{
+    PlatformDeployment deployment(28600, nodeCount);
+    const EmulatedDuties &duties = deployment.platform.duties;
+    const auto waitForWindows = [&](std::size_t count) {
+        const std::size_t before = duties.windowCount();
+        cr_assert(serveUntil(
+                deployment,
+                [&] {
+                    return duties.windowCount() >= before + count;
+                },
+                15s));
+    };
+    waitForHolder(deployment, 0);
+    waitForWindows(1);
+    deployment.platform.store.takeCopy();
+    waitForWindows(3);
+    for (int node = 1; node <= nodeCount; ++node)
+        killNode(deployment, node);
+    deployment.platform.store.restoreCopy();
+    for (int node = 1; node <= nodeCount; ++node)
+        deployment.startNode(node, false);
+    waitForWindows(2);
+    expectNoViolations(deployment);
+}
+
+// Guards against a holder that gives the duties up because the store lost its record, although
+// nobody else may have taken them over.
+Test(restoredstore, theHolderKeepsItsDuties)
+{
+    PlatformDeployment deployment(28700, nodeCount);
+    const int first = waitForHolder(deployment, 0);
+    deployment.platform.store.takeCopy();
+    killNode(deployment, first);
+    const int second = waitForHolder(deployment, first);
+    for (int i = 0; i < 3; ++i) {
+        deployment.platform.store.restoreCopy();
+        const std::size_t windows = deployment.platform.duties.windowCount();
+        cr_assert(serveUntil(
+                deployment,
+                [&] {
+                    return deployment.platform.duties.windowCount() > windows + 1;
+                },
+                10s));
+        cr_expect_eq(deployment.findHolder(nodeCount), second);
+    }
+    expectNoViolations(deployment);
+}
