Keep the wait after a release of the duties across a restart

A node that takes the duties over after a release acts a lease later, so that two holders do not alternate within a lease. A process that was restarted meanwhile took its own record for one that it may act on, and acted at once.

The record tells that its holder is waiting, and a restarted process waits anew.

--- a/Source/Core/dutyterm.cpp
+++ b/Source/Core/dutyterm.cpp
@@ -47,7 +47,21 @@
     return DutyRecord {.holder = m_holder,
                        .incarnation = m_incarnation,
                        .term = last + 1,
-                       .era = m_revision.era};
+                       .era = m_revision.era,
+                       .isWaiting = mustWaitToAct()};
+}
+
+/*!
+    Returns whether a term that begins now may act only later. If the previous term expired, its
+    holder stopped sending calls long enough ago. If it was released, its holder may have sent one
+    just before, also if this node has been restarted since it took over.
+*/
+bool DutyTerm::mustWaitToAct() const
+{
+    if (!m_observedRecord || m_observedRecord->term == 0 || isRecordOutdated())
+        return false;
+    return m_observedRecord->holder.empty()
+            || (m_observedRecord->holder == m_holder && m_observedRecord->isWaiting);
 }
 
 bool DutyTerm::isRecordOutdated() const
@@ -57,23 +71,20 @@
     return m_revision.era != 0 && !m_isFirstRecord;
 }
 
-DutyRecord DutyTerm::currentRecord() const
+DutyRecord DutyTerm::currentRecord(Timestamp steady) const
 {
     return {.holder = m_holder,
             .incarnation = m_incarnation,
             .term = m_term,
-            .era = m_revision.era};
+            .era = m_revision.era,
+            .isWaiting = steady < m_actingAllowedFrom};
 }
 
 void DutyTerm::confirmWrite(const DutyRecord &record, StoreRevision revision, Timestamp steady,
                             Timestamp boot)
 {
     const bool isFirst = m_term == 0;
-    // If the previous term expired, its holder stopped sending calls long enough ago for this node
-    // to act immediately. If the term was released, its holder may have sent a call just before the
-    // release, so this node has to wait before it acts.
-    const bool wasReleased = m_observedRecord && m_observedRecord->term > 0
-            && m_observedRecord->holder.empty() && !isRecordOutdated();
+    const bool mustWait = mustWaitToAct();
     m_term = record.term;
     m_revision = revision;
     m_observedRecord = record;
@@ -81,8 +92,8 @@
     m_steadyDeadline = steady + m_options.leaseDuration - m_options.clockMargin;
     m_bootDeadline = boot + m_options.leaseDuration - m_options.clockMargin;
     if (isFirst)
-        m_actingAllowedFrom = wasReleased ? steady + m_options.leaseDuration + m_options.clockMargin
-                                          : steady;
+        m_actingAllowedFrom = mustWait ? steady + m_options.leaseDuration + m_options.clockMargin
+                                       : steady;
 }
 
 bool DutyTerm::adoptRevision(const std::optional<DutyRecord> &record, StoreRevision revision)
--- a/Source/Core/dutyterm.h
+++ b/Source/Core/dutyterm.h
@@ -18,6 +18,8 @@
     std::int64_t incarnation = 0; //!< Incarnation of the holder's process.
     std::int64_t term = 0; //!< Fencing token, which increases with each change of holder.
     std::uint64_t era = 0; //!< Era of the store for which the holder wrote the record.
+    //! The holder may not act yet, because the duties were released shortly before its term.
+    bool isWaiting = false;
 
     bool operator==(const DutyRecord &) const = default;
 };
@@ -71,9 +73,9 @@
     std::optional<DutyRecord> proposeTakeover(Timestamp now) const;
 
     /*!
-        Returns the record that renews the held term.
+        Returns the record that renews the held term at \a steady.
     */
-    DutyRecord currentRecord() const;
+    DutyRecord currentRecord(Timestamp steady) const;
 
     /*!
         Processes a confirmed write of \a record with the new \a revision. \a steady and \a boot are
@@ -111,6 +113,8 @@
     StoreRevision observedRevision() const { return m_revision; }
 
 private:
+    bool mustWaitToAct() const;
+
     DutyTermOptions m_options;
     std::string m_holder;
     std::int64_t m_incarnation;
--- a/Source/Serving/dutycoordinator.cpp
+++ b/Source/Serving/dutycoordinator.cpp
@@ -55,7 +55,8 @@
     return DutyRecord {.holder = jsonString(content, "holder"),
                        .incarnation = jsonInteger(content, "incarnation"),
                        .term = jsonInteger(content, "term"),
-                       .era = static_cast<std::uint64_t>(jsonInteger(content, "era"))};
+                       .era = static_cast<std::uint64_t>(jsonInteger(content, "era")),
+                       .isWaiting = jsonBool(content, "waiting")};
 }
 
 /*!
@@ -122,7 +123,7 @@
             readRecord(true);
         return;
     }
-    DutyRecord record = m_term.currentRecord();
+    DutyRecord record = m_term.currentRecord(now);
     if (m_withdrawn || !isEligible(now))
         record.holder.clear();
     writeRecord(record);
@@ -249,6 +250,7 @@
     set("incarnation", json_integer(record.incarnation));
     set("term", json_integer(record.term));
     set("era", json_integer(static_cast<json_int_t>(record.era)));
+    set("waiting", json_boolean(record.isWaiting));
     set("reportedThrough", json_integer(m_reportedThrough));
     set("decidedWindow", json_integer(m_decidedWindow));
     set("decidedCounts", formatCounts(m_decidedCounts));
--- a/Tests/dutytermtest.cpp
+++ b/Tests/dutytermtest.cpp
@@ -130,7 +130,7 @@
             return;
         }
         if (node.term->isHeld(m_now - node.steadyLag, m_now) && chance(0.0008)) {
-            DutyRecord released = node.term->currentRecord();
+            DutyRecord released = node.term->currentRecord(m_now - node.steadyLag);
             released.holder.clear();
             apply({released, node.term->observedRevision(), m_now});
             node.term->endTerm();
@@ -146,7 +146,7 @@
         if (node.term->term() != 0 && !node.term->isHeld(steady, m_now))
             node.term->endTerm();
         if (node.term->term() != 0) {
-            write(node, node.term->currentRecord(), steady);
+            write(node, node.term->currentRecord(steady), steady);
             return;
         }
         if (chance(0.1))
@@ -264,7 +264,7 @@
     const std::int64_t token = term.term();
     cr_expect_gt(token, 4);
     cr_expect(term.adoptRevision(earlier, {3, 9}));
-    cr_expect_eq(term.currentRecord().era, 3U);
+    cr_expect_eq(term.currentRecord(taken).era, 3U);
     cr_expect_eq(term.term(), token);
     // Another node that took over in the new era ends the term.
     const DutyRecord later {.holder = "other", .incarnation = 7, .term = token + 1, .era = 3};
@@ -340,3 +340,26 @@
     term.confirmWrite(*proposal, {0, 12}, now + 4s, now + 4s);
     cr_expect(term.canAct(now + 4s, now + 4s));
 }
+
+// Guards against holders that alternate within a lease duration because the process of the second
+// one restarts while it waits.
+Test(dutyterm, aRestartDoesNotEndTheWaitAfterARelease)
+{
+    const Timestamp now {1h};
+    DutyTerm term({.leaseDuration = lease}, "node", 1);
+    term.observe(DutyRecord {.holder = "", .incarnation = 1, .term = 4}, {0, 9}, now);
+    const auto proposal = term.proposeTakeover(now);
+    cr_assert(proposal.has_value());
+    term.confirmWrite(*proposal, {0, 10}, now, now);
+    for (const DutyRecord &record : {*proposal, term.currentRecord(now + 1s)}) {
+        DutyTerm restarted({.leaseDuration = lease}, "node", 2);
+        restarted.observe(record, {0, 10}, now + 1s);
+        const auto next = restarted.proposeTakeover(now + 1s);
+        cr_assert(next.has_value());
+        restarted.confirmWrite(*next, {0, 11}, now + 1s, now + 1s);
+        cr_expect_not(restarted.canAct(now + 1s, now + 1s));
+        restarted.confirmWrite(*next, {0, 12}, now + 3s, now + 3s);
+        restarted.confirmWrite(*next, {0, 13}, now + 5s, now + 5s);
+        cr_expect(restarted.canAct(now + 5s, now + 5s));
+    }
+}
