Log the version of the engine and the attempt whose stream goes on

The log of a send named neither the engine's version nor the attempt that a caller takes up.

The platform's format decodes Resumes, and request.sent has version and resumes.

--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -264,10 +264,13 @@
 */
 void ProxiedRequest::logSend(Milliseconds remainingTime) const
 {
+    const EngineState *engine = m_state.engines.find(m_assignment.engineId());
     logEvent(LogLevel::Info, "request.sent",
              {{"request", m_requestInfo.id},
               {"send", static_cast<std::int64_t>(m_sendCount)},
               {"engine", m_assignment.engineId()},
+              {"version", engine ? std::string_view(engine->entry.version) : std::string_view()},
+              {"resumes", m_requestInfo.resumedId},
               {"config", m_config->version},
               {"engine_requests", static_cast<std::int64_t>(m_assignment.inputs().requests)},
               {"engine_tokens", m_assignment.inputs().tokens},
--- a/Source/Serving/requestformat.h
+++ b/Source/Serving/requestformat.h
@@ -21,6 +21,8 @@
     std::optional<Milliseconds> deadline; //!< Time that the caller waits for the response.
     //! Set if the caller resumes a stream after this event.
     std::optional<std::string> lastEventId;
+    //! Attempt that brought the first event of that stream; empty if the caller names none.
+    std::string resumedId;
     RequestSize work;
     bool hasTokenCounts = false; //!< Whether the caller stated the token counts in \c work.
 };
--- a/Tests/platformformattest.cpp
+++ b/Tests/platformformattest.cpp
@@ -167,6 +167,19 @@
     cr_expect(format.readResponse(head).isLeaving);
 }
 
+// Guards against a stream that is taken up without the attempt that began it.
+Test(platformformat, resumedStreamIsRead)
+{
+    const platform::PlatformRequestFormat format;
+    RequestMessage request;
+    cr_expect(format.readRequest(request).resumedId.empty());
+    request.set("Last-Event-Id", "7");
+    request.set("Resumes", "id-1");
+    const RequestInfo info = format.readRequest(request);
+    cr_expect(info.lastEventId == "7");
+    cr_expect(info.resumedId == "id-1");
+}
+
 // Guards against treating entries of other writers as engines.
 Test(platformformat, invalidEngineEntriesAreRejected)
 {
