Reproduce streams that are joined from two software versions

streamversionsprocesstest lets engines of two versions break streams off, and callers take streams up at another node, after a node was killed, after all were, and after the old version has left.

--- /dev/null
+++ b/Tests/streamversionsprocesstest.cpp
@@ -0,0 +1,245 @@
+#include "support/platformdeployment.h"
+
+#include <csignal>
+
+using namespace sesame;
+using namespace sesame::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int nodeCount = 2;
+constexpr auto *target = "/stream/again/x";
+
+/*!
+    A deployment whose model engines have the versions "v1" and "v2", or "v1" only.
+*/
+class VersionedDeployment : public PlatformDeployment
+{
+public:
+    VersionedDeployment(std::uint16_t firstPort, int newEngines)
+        : PlatformDeployment(firstPort, nodeCount)
+    {
+        addEngines("v2", newEngines);
+        for (std::size_t i = 0; i < EmulatedPlatform::modelEngineCount; ++i)
+            prepare(i);
+        runFor(500ms);
+    }
+
+    void addEngines(const std::string &version, int count)
+    {
+        if (count == 0)
+            return;
+        m_firstNewEngine = platform.addEngines("model", version, count);
+        for (std::size_t i = m_firstNewEngine; i < platform.engines.size(); ++i)
+            prepare(i);
+    }
+
+    /*!
+        Returns how many times engines of the old or the new version have run the attempt \a id.
+    */
+    int runCount(bool isNew, const std::string &id) const
+    {
+        int n = 0;
+        for (std::size_t i = 0; i < platform.engines.size(); ++i) {
+            if ((i >= m_firstNewEngine) == isNew)
+                n += platform.engines[i]->runCount(id);
+        }
+        return n;
+    }
+
+    /*!
+        Sends the streaming request \a id to \a node, waits for its first event and keeps the
+        connection open.
+    */
+    void beginStream(int node, const std::string &id)
+    {
+        const auto connection = std::make_shared<ClientConnection>(context);
+        const auto body = std::make_shared<std::string>();
+        connection->connect(platform.entryAddress(node), 1s, [=](const auto &ec) {
+            cr_assert_not(ec);
+            connection->send(formatRequest("POST", target, requestFields(id, "key-large"), "p"),
+                             false,
+                             {.head =
+                                      [](const ResponseHead &) {
+                                          return ResponseSink::Verdict::Take;
+                                      },
+                              .body =
+                                      [body](std::string_view piece) {
+                                          body->append(piece);
+                                      },
+                              .done = [] {},
+                              .failed = [](ExchangeFailure) {}});
+        });
+        cr_assert(runUntil(
+                          [&] {
+                              return !body->empty();
+                          },
+                          3s),
+                  "no event of %s", id.c_str());
+        m_streams.push_back(connection);
+    }
+
+    /*!
+        Breaks off all streams at the callers' side.
+    */
+    void closeStreams()
+    {
+        for (const auto &connection : m_streams)
+            connection->close();
+        m_streams.clear();
+    }
+
+    /*!
+        Takes the stream up that the attempt \a origin began, with the attempt \a id at \a node.
+    */
+    CallResponse takeUp(int node, const std::string &id, const std::string &origin)
+    {
+        HttpFields fields = requestFields(id, "key-large");
+        fields.set("Last-Event-Id", "1");
+        fields.set("Resumes", origin);
+        return sendCall(platform.entryAddress(node), "POST", target, fields, "p");
+    }
+
+    /*!
+        Expects that the stream of \a origin goes on at the version that began it.
+    */
+    void expectSameVersion(int node, const std::string &origin)
+    {
+        const std::string id = "up-" + origin;
+        const CallResponse answer = takeUp(node, id, origin);
+        cr_expect_eq(answer.status, 200U, "%s: %u %s", origin.c_str(), answer.status,
+                     answer.body.c_str());
+        for (const bool isNew : {false, true})
+            cr_expect(runCount(isNew, origin) > 0 || runCount(isNew, id) == 0, "%s",
+                      origin.c_str());
+    }
+
+    void killNodes(int first, int last)
+    {
+        for (int node = first; node <= last; ++node)
+            signalNode(node, SIGKILL);
+        for (int node = first; node <= last; ++node)
+            cr_assert(runUntil(
+                    [&] {
+                        return hasExited(node);
+                    },
+                    2s));
+    }
+
+    void restartNodes()
+    {
+        for (int node = 1; node <= nodeCount; ++node)
+            startNode(node, false);
+        for (int node = 1; node <= nodeCount; ++node)
+            cr_assert(runUntil(
+                    [&] {
+                        return isReady(node);
+                    },
+                    10s));
+    }
+
+private:
+    void prepare(std::size_t engine)
+    {
+        platform.engines[engine]->setEventCount(40);
+        platform.engines[engine]->setEventInterval(20ms);
+    }
+
+    std::size_t m_firstNewEngine = 1000;
+    std::vector<std::shared_ptr<ClientConnection>> m_streams;
+};
+
+} // namespace
+
+// Guards against an answer that the node continues at an engine of another version.
+Test(streamversions, anAnswerStaysAtItsVersion)
+{
+    VersionedDeployment deployment(28800, 3);
+    int begunAtOld = 0;
+    for (int i = 0; i < 12; ++i) {
+        for (std::size_t engine = 0; engine < EmulatedPlatform::modelEngineCount; ++engine)
+            deployment.platform.engines[engine]->setFault(EmulatedEngine::Fault::BrokenStream, 1);
+        const std::string id = "s-" + std::to_string(i);
+        deployment.sendRequest(1, "POST", target, id);
+        const int old = deployment.runCount(false, id);
+        begunAtOld += old > 0 ? 1 : 0;
+        cr_expect(old == 0 || deployment.runCount(true, id) == 0, "%s", id.c_str());
+    }
+    cr_expect_gt(begunAtOld, 2);
+}
+
+// Guards against a stream that its caller takes up at another node, which continues it at an engine
+// of another version: while the first node still runs and after it was killed.
+Test(streamversions, takenUpStreamsStayAtTheirVersion)
+{
+    VersionedDeployment deployment(28900, 3);
+    for (int i = 0; i < 10; ++i) {
+        const std::string origin = "a-" + std::to_string(i);
+        deployment.beginStream(1, origin);
+        deployment.closeStreams();
+        deployment.expectSameVersion(2, origin);
+    }
+    for (int i = 0; i < 6; ++i)
+        deployment.beginStream(1, "b-" + std::to_string(i));
+    deployment.runFor(300ms);
+    deployment.killNodes(1, 1);
+    for (int i = 0; i < 6; ++i)
+        deployment.expectSameVersion(2, "b-" + std::to_string(i));
+}
+
+// Guards against streams that go on at another version because all nodes were killed and know
+// nothing of who began them.
+Test(streamversions, takenUpStreamsStayAtTheirVersionAfterAllNodesWereKilled)
+{
+    VersionedDeployment deployment(29000, 3);
+    for (int i = 0; i < 10; ++i)
+        deployment.beginStream(1 + i % nodeCount, "c-" + std::to_string(i));
+    deployment.runFor(300ms);
+    deployment.killNodes(1, nodeCount);
+    deployment.restartNodes();
+    for (int i = 0; i < 10; ++i)
+        deployment.expectSameVersion(1 + (i + 1) % nodeCount, "c-" + std::to_string(i));
+}
+
+// Guards against the same if the engines of the old version left while the nodes were down, so that
+// the store lists the new version only. What the old version began cannot go on.
+Test(streamversions, streamsOfAVersionThatLeftAreRefused)
+{
+    VersionedDeployment deployment(29100, 0);
+    deployment.beginStream(1, "d-0");
+    deployment.addEngines("v2", 3);
+    deployment.runFor(500ms);
+    for (int i = 1; i < 10; ++i)
+        deployment.beginStream(1 + i % nodeCount, "d-" + std::to_string(i));
+    deployment.runFor(300ms);
+    deployment.killNodes(1, nodeCount);
+    deployment.platform.stopOtherEngines("model", "v2");
+    deployment.restartNodes();
+    int refused = 0;
+    for (int i = 0; i < 10; ++i) {
+        const std::string origin = "d-" + std::to_string(i);
+        const std::string id = "up-" + origin;
+        const unsigned status = deployment.takeUp(1 + i % nodeCount, id, origin).status;
+        const bool isOld = deployment.runCount(false, origin) > 0;
+        cr_expect_eq(status, isOld ? 503U : 200U, "%s", origin.c_str());
+        cr_expect(!isOld || deployment.runCount(true, id) == 0, "%s", origin.c_str());
+        refused += isOld ? 1 : 0;
+    }
+    cr_expect_gt(refused, 1);
+    // Whether the old version began this one is not known.
+    cr_expect_eq(deployment.takeUp(1, "up-unknown", "unknown").status, 503U);
+    cr_expect_eq(deployment.sendRequest(2, "POST", target, "new").status, 200U);
+}
+
+// Guards against refusing streams that can only have begun at the one version in service.
+Test(streamversions, streamsOfTheOnlyVersionGoOn)
+{
+    VersionedDeployment deployment(29200, 0);
+    deployment.beginStream(1, "e-0");
+    deployment.beginStream(2, "e-1");
+    deployment.killNodes(1, nodeCount);
+    deployment.restartNodes();
+    deployment.expectSameVersion(2, "e-0");
+    deployment.expectSameVersion(1, "e-1");
+}
