Continue a stream only at engines of the version that began it

Callers saw answers whose first events came from one software version of a service and the rest from another: when an engine broke a stream off, the node sent the request with Last-Event-Id to any other engine of the service. What two versions write does not fit together, and engines do not check it.

Once a caller has events of a version, further sends of the request go to engines of that version only; if there is none, the stream is broken off.

streamversionsprocesstest anAnswerStaysAtItsVersion fails without this (streams s-0 and s-2 went on at the new version). It begins its streams at once now: one after the other, the old engines, which had failed before, were avoided, so that hardly any stream began there.

--- a/Source/Serving/engineassignment.cpp
+++ b/Source/Serving/engineassignment.cpp
@@ -32,8 +32,12 @@
                                                       const Completion &completion)
 {
     const EngineGate gate(m_state);
-    const std::vector<EngineState *> candidates = gate.openEngines(demand.service,
-                                                                   demand.prefersRolloutTarget);
+    std::vector<EngineState *> candidates = gate.openEngines(demand.service,
+                                                             demand.prefersRolloutTarget);
+    if (demand.version)
+        std::erase_if(candidates, [&](const EngineState *engine) {
+            return engine->entry.version != *demand.version;
+        });
     const std::string withheld = gate.describeWithheld(demand.service);
     if (!withheld.empty())
         logEvent(LogLevel::Info, "request.engines_withheld",
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -140,7 +140,8 @@
              .work = m_requestInfo.work,
              .priority = requestPriority(),
              .isRepeatable = route().isRepeatable(),
-             .prefersRolloutTarget = m_prefersRolloutTarget},
+             .prefersRolloutTarget = m_prefersRolloutTarget,
+             .version = m_streamVersion ? &*m_streamVersion : nullptr},
             [self = shared_from_this()](const boost::system::error_code &ec) {
                 self->contain([&] {
                     self->onConnectionResult(ec);
@@ -249,6 +250,8 @@
     m_responseBody.clear();
     m_responseStatus = 0;
     m_eventSplitter.dropPartial();
+    const EngineState *engine = m_state.engines.find(m_assignment.engineId());
+    m_engineVersion = engine ? engine->entry.version : std::string();
     m_assignment.recordSent(m_requestInfo.work);
     recordVersionSend();
     m_assignment.connection()->send(
@@ -264,12 +267,11 @@
 */
 void ProxiedRequest::logSend(Milliseconds remainingTime) const
 {
-    const EngineState *engine = m_state.engines.find(m_assignment.engineId());
     logEvent(LogLevel::Info, "request.sent",
              {{"request", m_requestInfo.id},
               {"send", static_cast<std::int64_t>(m_sendCount)},
               {"engine", m_assignment.engineId()},
-              {"version", engine ? std::string_view(engine->entry.version) : std::string_view()},
+              {"version", m_engineVersion},
               {"resumes", m_requestInfo.resumedId},
               {"config", m_config->version},
               {"engine_requests", static_cast<std::int64_t>(m_assignment.inputs().requests)},
--- a/Source/Serving/proxiedrequestrelay.cpp
+++ b/Source/Serving/proxiedrequestrelay.cpp
@@ -113,6 +113,7 @@
         return;
     if (!m_isStreamStarted) {
         m_firstEventTime = steadyNow();
+        m_streamVersion = m_engineVersion;
         if (m_state.waiting)
             m_state.waiting->recordFirstEvent(selectService(), route(),
                                               m_firstEventTime - m_sendStartTime);
--- a/Tests/streamversionsprocesstest.cpp
+++ b/Tests/streamversionsprocesstest.cpp
@@ -156,12 +156,15 @@
 Test(streamversions, anAnswerStaysAtItsVersion)
 {
     VersionedDeployment deployment(28800, 3);
+    for (std::size_t engine = 0; engine < EmulatedPlatform::modelEngineCount; ++engine)
+        deployment.platform.engines[engine]->setFault(EmulatedEngine::Fault::BrokenStream, 100);
+    constexpr int streams = 12;
+    for (int i = 0; i < streams; ++i)
+        deployment.beginStream(1, "s-" + std::to_string(i));
+    deployment.runFor(1500ms);
     int begunAtOld = 0;
-    for (int i = 0; i < 12; ++i) {
-        for (std::size_t engine = 0; engine < EmulatedPlatform::modelEngineCount; ++engine)
-            deployment.platform.engines[engine]->setFault(EmulatedEngine::Fault::BrokenStream, 1);
+    for (int i = 0; i < streams; ++i) {
         const std::string id = "s-" + std::to_string(i);
-        deployment.sendRequest(1, "POST", target, id);
         const int old = deployment.runCount(false, id);
         begunAtOld += old > 0 ? 1 : 0;
         cr_expect(old == 0 || deployment.runCount(true, id) == 0, "%s", id.c_str());
