Let a stream that is taken up go on at the version that began it

Callers whose streams had broken off took them up again and got answers that were joined from two software versions, with nothing to show it: at another node, after a node was killed, and after all were killed and the old version had left. The node chose among all engines of the service; who began the stream stood in the memory of one process at most.

Each node keeps an object in the store that names the versions at which its streams may have begun, written before a version is used, and the attempts while a service has several versions. A stream goes on at the version that the objects name for the attempt in Resumes, or at the only version that they name; otherwise it is refused with 503 before any engine has run it.

--- a/Source/Core/sesamecore.h
+++ b/Source/Core/sesamecore.h
@@ -6,6 +6,7 @@
 #include "Core/Capacity/engineplanner.h"
 #include "Core/Capacity/serviceratemeter.h"
 #include "Core/Placement/enginechooser.h"
+#include "Core/Streams/streamorigins.h"
 #include "Core/admissioncontroller.h"
 #include "Core/backendtable.h"
 #include "Core/backoff.h"
--- a/Source/Serving/engineassignment.cpp
+++ b/Source/Serving/engineassignment.cpp
@@ -38,6 +38,8 @@
         std::erase_if(candidates, [&](const EngineState *engine) {
             return engine->entry.version != *demand.version;
         });
+    else if (demand.isResumable)
+        m_state.streamOrigins.removeUnrecorded(candidates);
     const std::string withheld = gate.describeWithheld(demand.service);
     if (!withheld.empty())
         logEvent(LogLevel::Info, "request.engines_withheld",
--- a/Source/Serving/engineassignment.h
+++ b/Source/Serving/engineassignment.h
@@ -21,6 +21,8 @@
     int priority = 0; //!< 0 is the most urgent.
     bool isRepeatable = false; //!< The request may run more than once.
     bool prefersRolloutTarget = false; //!< The request was chosen for the target of a roll-out.
+    bool isResumable
+            = false; //!< The caller may take the answer up, a stream, with another request.
     const std::string *version = nullptr; //!< Software version that is required; null for any.
 };
 
--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -4,6 +4,7 @@
 #include "Serving/clocks.h"
 #include "Serving/enginecrashcheck.h"
 #include "Serving/enginegate.h"
+#include "Serving/streamoriginstore.h"
 
 #include <xxhash.h>
 
@@ -57,11 +58,56 @@
         self->onCallerDisconnected();
     });
     startDeadlineTimer();
+    if (isResumableStream() && m_requestInfo.lastEventId && m_state.streamOriginStore) {
+        resolveStreamVersion();
+        return;
+    }
     contain([this] {
         sendToEngine();
     });
 }
 
+bool ProxiedRequest::isResumableStream() const
+{
+    return route().kind == RouteKind::Streaming && route().resumable;
+}
+
+/*!
+    Returns the attempt that brought the first event of the stream of this request.
+*/
+const std::string &ProxiedRequest::streamId() const
+{
+    return m_requestInfo.lastEventId && !m_requestInfo.resumedId.empty() ? m_requestInfo.resumedId
+                                                                         : m_requestInfo.id;
+}
+
+/*!
+    Finds out which version began the stream that the caller takes up, and sends the request to an
+    engine of it. If that is not known, no engine may run the request.
+*/
+void ProxiedRequest::resolveStreamVersion()
+{
+    m_state.streamOriginStore->find(
+            selectService(), streamId(),
+            [self = shared_from_this()](const std::optional<std::string> &version) {
+                if (self->m_isFinished)
+                    return;
+                self->contain([&] {
+                    self->m_streamVersion = version;
+                    if (version) {
+                        self->sendToEngine();
+                        return;
+                    }
+                    logEvent(LogLevel::Warning, "request.version_unknown",
+                             {{"request", self->m_requestInfo.id},
+                              {"resumes", self->streamId()},
+                              {"service", self->selectService()}});
+                    self->refuseSend("the version that began the stream is not known",
+                                     EngineAssignment::randomRetryAfter(self->m_state));
+                });
+            });
+}
+
 /*!
     Runs \a step, which processes bytes from outside. An error that it throws ends this request, not
     the process.
@@ -133,7 +179,7 @@
     }
     const std::string &service = selectService();
     if (m_state.settings.rollout && !std::exchange(m_isVersionChosen, true))
-        m_prefersRolloutTarget = m_state.rollouts.choosesTarget(service);
+        m_prefersRolloutTarget = m_streamVersion || m_state.rollouts.choosesTarget(service);
     const auto refusal = m_assignment.assign(
             {.service = service,
              .spec = m_config->findService(service),
@@ -141,6 +187,7 @@
              .priority = requestPriority(),
              .isRepeatable = route().isRepeatable(),
              .prefersRolloutTarget = m_prefersRolloutTarget,
+             .isResumable = isResumableStream(),
              .version = m_streamVersion ? &*m_streamVersion : nullptr},
             [self = shared_from_this()](const boost::system::error_code &ec) {
                 self->contain([&] {
@@ -152,6 +199,8 @@
     // A request that the target has no room for can be sent to the other versions.
     if (std::exchange(m_prefersRolloutTarget, false))
         return assignEngine();
+    if (assignOtherVersion())
+        return true;
     if (refusal->isFull)
         return false;
     if (!m_mayHaveRun)
@@ -160,6 +209,31 @@
     return true;
 }
 
+/*!
+    Sends a stream that has not begun to an engine of another version than before, once the store
+    does not name the version of the earlier send any more: a caller could otherwise be led there if
+    this node is killed. Returns false if the request is not bound to a version.
+*/
+bool ProxiedRequest::assignOtherVersion()
+{
+    if (!m_streamVersion || !m_isVersionTentative)
+        return false;
+    m_streamVersion.reset();
+    m_state.streamOrigins.forget(streamId());
+    m_state.streamOriginStore->whenStored([self = shared_from_this()](bool isStored) {
+        if (self->m_isFinished)
+            return;
+        self->contain([&] {
+            if (isStored)
+                self->sendToEngine();
+            else
+                self->refuseSend("no engine of the version has room",
+                                 EngineAssignment::randomRetryAfter(self->m_state));
+        });
+    });
+    return true;
+}
+
 /*!
     Sends the request to an engine after it has waited. Returns false if all engines are full.
 */
@@ -252,6 +326,13 @@
     m_eventSplitter.dropPartial();
     const EngineState *engine = m_state.engines.find(m_assignment.engineId());
     m_engineVersion = engine ? engine->entry.version : std::string();
+    if (isResumableStream()) {
+        m_state.streamOrigins.begin(streamId(), selectService(), m_engineVersion, steadyNow());
+        // Until its first event, the stream can still begin at another version.
+        m_isVersionTentative = m_isVersionTentative || !m_streamVersion;
+        if (m_state.streamOrigins.hasSeveralVersions(selectService()))
+            m_streamVersion = m_engineVersion;
+    }
     m_assignment.recordSent(m_requestInfo.work);
     recordVersionSend();
     m_assignment.connection()->send(
@@ -534,6 +615,12 @@
 {
     m_isFinished = true;
     m_state.openRequests.erase(this);
+    if (m_sendCount > 0 && isResumableStream()) {
+        if (m_isVersionTentative)
+            m_state.streamOrigins.forget(streamId());
+        else
+            m_state.streamOrigins.end(streamId(), m_isStreamStarted && status != 0, steadyNow());
+    }
     if (m_waitingId != 0)
         m_state.waiting->withdraw(std::exchange(m_waitingId, 0));
     m_deadlineTimer.cancel();
--- a/Source/Serving/proxiedrequest.h
+++ b/Source/Serving/proxiedrequest.h
@@ -47,7 +47,11 @@
     void contain(Step step);
     void endUnanswered(std::string_view reason, unsigned status);
     void startDeadlineTimer();
+    bool isResumableStream() const;
+    const std::string &streamId() const;
     const std::string &selectService() const;
+    void resolveStreamVersion();
+    bool assignOtherVersion();
     void sendToEngine();
     bool assignEngine();
     bool resumeFromQueue();
@@ -117,8 +121,10 @@
     int m_sendCount = 0; //!< Number of times that the request was sent to an engine.
     int m_connectFailureCount = 0;
     std::string m_engineVersion; //!< Software version of the engine of the current send.
-    //! Version whose events the caller has received. What two versions write does not fit together.
+    //! Version whose events the caller has received, or may receive next. What two versions write
+    //! does not fit together.
     std::optional<std::string> m_streamVersion;
+    bool m_isVersionTentative = false; //!< The caller has no event of the stream yet.
     bool m_isVersionChosen = false; //!< m_prefersRolloutTarget has been decided.
     bool m_prefersRolloutTarget = false; //!< Chosen for the target of the service's roll-out.
     bool m_needsVersionOutcome = false; //!< The current send is no evidence of its version yet.
--- a/Source/Serving/proxiedrequestrelay.cpp
+++ b/Source/Serving/proxiedrequestrelay.cpp
@@ -114,6 +114,7 @@
     if (!m_isStreamStarted) {
         m_firstEventTime = steadyNow();
         m_streamVersion = m_engineVersion;
+        m_isVersionTentative = false;
         if (m_state.waiting)
             m_state.waiting->recordFirstEvent(selectService(), route(),
                                               m_firstEventTime - m_sendStartTime);
--- a/Source/Serving/proxiedrequestwaiting.cpp
+++ b/Source/Serving/proxiedrequestwaiting.cpp
@@ -17,7 +17,8 @@
 */
 bool ProxiedRequest::waitForEngine()
 {
-    if (!m_state.waiting || m_mayHaveRun || m_isStreamStarted || m_state.stop)
+    // A request that needs one version would hold those up that wait for any.
+    if (!m_state.waiting || m_mayHaveRun || m_streamVersion || m_state.stop)
         return false;
     Milliseconds retryAfter {0};
     const std::uint64_t id = m_state.waiting->offer(
--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -82,11 +82,13 @@
 ServingNode::ServingNode(asio::io_context &context, const ServingSettings &settings,
                          ServingEnvironment environment)
     : m_context(context), m_environment(std::move(environment)),
-      m_state(context, settings, *m_environment.format), m_stateExchange(context, m_state),
-      m_exchange(m_state, context,
-                 [this](const wire::Sender &sender) {
-                     m_stateExchange.compare(sender);
-                 }),
+      m_state(context, settings, *m_environment.format),
+      m_streamOriginStore(m_state, m_environment.makeStoreClient(),
+                          m_environment.makeStoreClient()),
+      m_stateExchange(context, m_state), m_exchange(m_state, context,
+                                                    [this](const wire::Sender &sender) {
+                                                        m_stateExchange.compare(sender);
+                                                    }),
       m_followPolicy(std::uniform_real_distribution<double>(0.0, 1.0)(m_state.random)),
       m_entryListener(
               context,
@@ -119,6 +121,7 @@
                     m_environment.rollouts),
       m_signals(context, SIGTERM, SIGINT, SIGHUP), m_tickTimer(context), m_stopTimer(context)
 {
+    m_state.streamOriginStore = &m_streamOriginStore;
 }
 
 std::optional<std::string> ServingNode::start()
@@ -474,6 +477,7 @@
     applyRollouts(m_state.rollouts.orderReplica.removeExpired(bootNow()));
     updateFollowing();
     m_state.refreshPeerState();
+    m_streamOriginStore.tick();
     if (m_state.waiting)
         m_state.waiting->tick();
     m_state.crashes.removeExpired(now);
--- a/Source/Serving/servingnode.h
+++ b/Source/Serving/servingnode.h
@@ -9,6 +9,7 @@
 #include "Serving/servingstate.h"
 #include "Serving/stateexchange.h"
 #include "Serving/storewatcher.h"
+#include "Serving/streamoriginstore.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -94,6 +95,7 @@
     asio::io_context &m_context;
     ServingEnvironment m_environment;
     ServingState m_state;
+    StreamOriginStore m_streamOriginStore;
     StateExchange m_stateExchange;
     NodeExchange m_exchange;
     FollowPolicy m_followPolicy;
--- a/Source/Serving/servingstate.h
+++ b/Source/Serving/servingstate.h
@@ -3,6 +3,7 @@
 #include "Core/Capacity/serviceratemeter.h"
 #include "Core/Placement/enginechooser.h"
 #include "Core/Placement/enginecostmodel.h"
+#include "Core/Streams/streamorigins.h"
 #include "Core/crashtable.h"
 #include "Core/deploymenttally.h"
 #include "Core/enginedirectory.h"
@@ -33,6 +34,7 @@
 namespace sesame {
 
 class ProxiedRequest;
+class StreamOriginStore;
 
 /*!
     State that the parts of a node share. Only one thread uses it, so it needs no locks.
@@ -121,6 +123,8 @@
     ServiceRateMeter refusals; //!< Requests that are refused for lack of capacity.
     ServiceRateMeter promptTokens; //!< Prompt tokens of the requests that callers send.
     RolloutRecord rollouts;
+    StreamOrigins streamOrigins;
+    StreamOriginStore *streamOriginStore = nullptr; //!< Set by the node, which owns it.
     //! Engines that the holder of the duties needs of each service, as its record tells.
     std::map<std::string, int> neededEngines;
     ServingMetrics metrics;
