Take a stream up at the service that began it

On a route that divides its requests between services, a caller that took a stream up got its rest from another service about half of the time: the service follows from the hash of the attempt, and taking up is a new attempt.

--- a/Source/Serving/proxiedrequest.cpp
+++ b/Source/Serving/proxiedrequest.cpp
@@ -141,11 +141,12 @@
 }
 
 /*!
-    Returns the service for the request. All sends of one request go to the same service.
+    Returns the service for the request. All sends of one request, and those that take its stream
+    up, go to the same service.
 */
 const std::string &ProxiedRequest::selectService() const
 {
-    return route().selectService(XXH3_64bits(m_requestInfo.id.data(), m_requestInfo.id.size()));
+    return route().selectService(XXH3_64bits(streamId().data(), streamId().size()));
 }
 
 void ProxiedRequest::sendToEngine()
--- a/Tests/streamversionsprocesstest.cpp
+++ b/Tests/streamversionsprocesstest.cpp
@@ -26,11 +26,11 @@
         runFor(500ms);
     }
 
-    void addEngines(const std::string &version, int count)
+    void addEngines(const std::string &version, int count, const std::string &service = "model")
     {
         if (count == 0)
             return;
-        m_firstNewEngine = platform.addEngines("model", version, count);
+        m_firstNewEngine = platform.addEngines(service, version, count);
         for (std::size_t i = m_firstNewEngine; i < platform.engines.size(); ++i)
             prepare(i);
     }
@@ -246,3 +246,32 @@
     deployment.expectSameVersion(2, "e-0");
     deployment.expectSameVersion(1, "e-1");
 }
+
+// Guards against a stream that is taken up at another service, because the route divides its
+// requests by the attempt.
+Test(streamversions, takenUpStreamsStayAtTheirService)
+{
+    VersionedDeployment deployment(29300, 0);
+    deployment.addEngines("v1", 3, "model-b");
+    deployment.platform.store.put(
+            "config", "main",
+            R"({"version":2,"routes":[{"name":"r","hostname":"app.example","pathPrefix":"/stream/",)"
+            R"("routeType":"streaming","timeoutMs":3000,"targetLatencyMs":200,"priority":1,)"
+            R"("trafficSplit":[{"service":"model","weight":1},{"service":"model-b","weight":1}],)"
+            R"("maxAttempts":2,"streamResume":true}],"services":[)"
+            R"({"name":"model","engine":{"slots":4,"kvCapacity":100000}},)"
+            R"({"name":"model-b","engine":{"slots":4,"kvCapacity":100000}}],)"
+            R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,)"
+            R"("idleTimeoutMs":15000}})");
+    deployment.runFor(3s);
+    int begunAtModel = 0;
+    constexpr int streams = 10;
+    for (int i = 0; i < streams; ++i) {
+        const std::string origin = "f-" + std::to_string(i);
+        deployment.beginStream(1, origin);
+        deployment.closeStreams();
+        deployment.expectSameVersion(2, origin);
+        begunAtModel += deployment.runCount(false, origin);
+    }
+    cr_expect(begunAtModel > 0 && begunAtModel < streams, "%d", begunAtModel);
+}
