State the version of the raw engines of the tests

Entries of engines have a version on the platform, and those of the raw engines of brokenanswersprocesstest and of the soak lacked it. Since a stream goes on only at the version that began it, longEventIdDoesNotEndTheNode could not resume the broken stream at the other engines any more, which is what it checks, and the soak resumed fewer. With the version of the other engines both check as much as before: brokenanswersprocesstest passes 7 of 7, platformsoakprocesstest 3 of 3.

--- a/Tests/brokenanswersprocesstest.cpp
+++ b/Tests/brokenanswersprocesstest.cpp
@@ -39,7 +39,7 @@
                                       R"({"service":"model","address":"127.0.0.1:)"
                                               + std::to_string(firstPort + 40)
                                               + R"(","zone":"z","slots":4,"state":"ready",)"
-                                                R"("sequence":1,"born":1})");
+                                                R"("version":"v1","sequence":1,"born":1})");
         deployment.runFor(1500ms);
     }
 
--- a/Tests/support/platformsoak.cpp
+++ b/Tests/support/platformsoak.cpp
@@ -17,7 +17,7 @@
 constexpr auto settleTime = 3500ms;
 constexpr const char *rawEngineEntry
         = R"({"service":"model","address":"127.0.0.1:%d","zone":"z","slots":4,"state":"%s",)"
-          R"("sequence":1,"born":1})";
+          R"("version":"v1","sequence":1,"born":1})";
 constexpr int rawEnginePortOffset = 40;
 
 Tcp::endpoint rawEngineAddress(std::uint16_t firstPort)
