Return the violation of a simulated run without a copy

The linter stopped at dutytermtest.cpp:244 (performance-no-automatic-move): the local variable that a lambda returns was const, so that it was copied instead of moved.

--- a/Tests/dutytermtest.cpp
+++ b/Tests/dutytermtest.cpp
@@ -238,7 +238,7 @@
     int restorations = 0;
     const auto play = [&](std::uint64_t seed) {
         DutyRun run(seed, true);
-        const std::string violation = run.run();
+        std::string violation = run.run();
         ++runs;
         restorations += run.restorationCount;
         return violation;
