Order the objects of the store by era and revision

After the store had come back from an older copy, a new configuration was not put in force at any of three nodes, and an engine that had reported that it was leaving went on receiving requests: objects are merged by their revisions, and a restored store gives revisions out again, so that what is written there was taken to be older than what the nodes knew. It is the same cause as that of two holders with one fencing token: a revision names one state only within one era.

StoreRevision::ordinal() is one number of era and revision. Replicas and the exchange between nodes use it instead of the revision. A watcher lists again when the era has changed, and treats answers of an earlier era as failures; a list with pages of two eras fails. For two seconds, missing objects are kept as after an outage, and objects with a revision that they had earlier do not replace what is known. A store that states no era is followed as before.

--- a/Emulator/emulatedstore.cpp
+++ b/Emulator/emulatedstore.cpp
@@ -131,7 +131,7 @@
     connection->sendResponse(status, fields, body);
 }
 
-void EmulatedStore::restoreCopy()
+void EmulatedStore::restoreCopy(Writers writers)
 {
     const Objects lost = std::exchange(m_objects, m_copy.objects);
     m_revision = m_copy.revision;
@@ -145,6 +145,8 @@
             sendJson(connection, 410, "{}");
         watch->connection.reset();
     }
+    if (writers == Writers::Late)
+        return;
     for (const std::string kind : {"config", "servers", "rollouts"}) {
         const auto found = lost.find(kind);
         const std::map<std::string, Object> objects = found == lost.end()
--- a/Emulator/emulatedstore.h
+++ b/Emulator/emulatedstore.h
@@ -21,6 +21,11 @@
         Unavailable, //!< Each call is answered with 503.
         NoAnswer //!< No call is answered.
     };
+    //! When the platform's own writers write again what a restored store lacks.
+    enum class Writers {
+        Prompt, //!< At once.
+        Late //!< When the test does it.
+    };
 
     EmulatedStore(asio::io_context &context, const Tcp::endpoint &address);
 
@@ -43,10 +48,10 @@
 
     /*!
         Goes back to the copy and raises the era. Revisions after it are given out again. What the
-        platform's own writers put or erased since the copy is written again, so that only the
-        objects of the system go back.
+        platform's own writers put or erased since the copy is written again as \a writers says, so
+        that only the objects of the system go back in the end.
     */
-    void restoreCopy();
+    void restoreCopy(Writers writers = Writers::Prompt);
 
     /*!
         Leaves the newest waiting watch of \a kind open without ever answering it. Returns false if
--- a/Source/Core/dutyterm.cpp
+++ b/Source/Core/dutyterm.cpp
@@ -4,15 +4,6 @@
 
 namespace sesame {
 
-namespace {
-
-//! Bits of a token that count revisions: 21 years at 1,600 changes a second.
-constexpr int revisionBits = 40;
-//! Latest era that fits into a token.
-constexpr std::uint64_t maxEra = (1ULL << 22U) - 1;
-
-} // namespace
-
 void DutyTerm::observe(const std::optional<DutyRecord> &record, StoreRevision revision,
                        Timestamp now)
 {
@@ -31,7 +22,7 @@
 
 std::optional<DutyRecord> DutyTerm::proposeTakeover(Timestamp now) const
 {
-    if (!m_hasObserved || m_revision.era > maxEra)
+    if (!m_hasObserved || m_revision.era > StoreRevision::maxEra)
         return std::nullopt;
     // An earlier process of this node has ended, so its term need not expire first.
     const bool isOther = m_observedRecord && !m_observedRecord->holder.empty()
@@ -41,9 +32,7 @@
         return std::nullopt;
     std::int64_t last = m_observedRecord ? m_observedRecord->term : 0;
     if (m_revision.era != 0)
-        last = std::max(
-                last,
-                static_cast<std::int64_t>((m_revision.era << revisionBits) + m_revision.number));
+        last = std::max(last, m_revision.ordinal());
     return DutyRecord {.holder = m_holder,
                        .incarnation = m_incarnation,
                        .term = last + 1,
--- a/Source/Core/objectreplica.cpp
+++ b/Source/Core/objectreplica.cpp
@@ -1,10 +1,21 @@
 #include "Core/objectreplica.h"
 
+#include "Core/storerevision.h"
+
 #include <algorithm>
 #include <unordered_map>
+#include <utility>
 
 namespace sesame {
 
+namespace {
+
+//! Earlier revisions that are remembered of each object. Entries of engines change a few times in
+//! the seconds by which a copy is older.
+constexpr std::size_t maxEarlierRevisions = 8;
+
+} // namespace
+
 std::vector<ReplicaObject> ObjectReplica::applyListing(std::span<const ReplicaObject> objects,
                                                        std::int64_t revision, Timestamp knownAt,
                                                        std::optional<Timestamp> graceEnd)
@@ -16,7 +27,11 @@
         if (object.removed)
             continue;
         listed.push_back(object.name);
-        if (store(object, knownAt))
+        if (graceEnd && isOfOlderCopy(object)) {
+            Entry &entry = m_entries[object.name];
+            keepForGrace(entry, *graceEnd, revisionBefore);
+            entry.copiedContent = object.content;
+        } else if (store(object, knownAt))
             changed.push_back(object);
         else if (m_entries[object.name].object.revision == object.revision)
             endGrace(m_entries[object.name]);
@@ -105,17 +120,20 @@
     std::vector<ReplicaObject> changed;
     for (auto it = m_entries.begin(); it != m_entries.end();) {
         Entry &entry = it->second;
-        if (entry.removeAt && now >= *entry.removeAt) {
+        if (entry.graceEnd && now >= *entry.graceEnd) {
             // The state that lacked the object is the newest one that is known.
-            entry.object.revision = std::max(m_stateRevision, entry.object.revision);
-            entry.object.removed = true;
-            entry.object.content.clear();
+            replace(entry,
+                    {.name = it->first,
+                     .revision = std::max(m_stateRevision, entry.object.revision),
+                     .removed = !entry.copiedContent,
+                     .content = entry.copiedContent.value_or("")},
+                    now);
             endGrace(entry);
-            entry.removedAt = now;
             m_revision = std::max(m_revision, entry.object.revision);
             changed.push_back(entry.object);
         }
-        if (entry.object.removed && now - entry.removedAt >= m_removalRetention) {
+        if (entry.object.removed && !entry.graceEnd
+            && now - entry.removedAt >= m_removalRetention) {
             m_removalsSince = std::max(m_removalsSince, entry.object.revision);
             it = m_entries.erase(it);
         } else {
@@ -160,22 +178,23 @@
 }
 
 /*!
-    Keeps the missing object of \a entry until \a graceEnd.
+    Keeps the object of \a entry, which is missing or of an older copy, until \a graceEnd.
 */
 void ObjectReplica::keepForGrace(Entry &entry, Timestamp graceEnd, std::int64_t revisionBefore)
 {
-    if (entry.removeAt)
+    if (entry.graceEnd)
         return;
-    entry.removeAt = graceEnd;
+    entry.graceEnd = graceEnd;
     if (m_missingObjects++ == 0)
         m_revisionBeforeGrace = revisionBefore;
 }
 
 void ObjectReplica::endGrace(Entry &entry)
 {
-    if (!entry.removeAt)
+    if (!entry.graceEnd)
         return;
-    entry.removeAt.reset();
+    entry.graceEnd.reset();
+    entry.copiedContent.reset();
     --m_missingObjects;
 }
 
@@ -196,13 +215,40 @@
     if (!added && object.revision <= entry.object.revision)
         return false;
     const bool wasPresent = !added && !entry.object.removed;
-    entry.object = object;
+    replace(entry, object, now);
     endGrace(entry);
-    entry.removedAt = now;
     m_revision = std::max(m_revision, object.revision);
     return wasPresent || !object.removed;
 }
 
+void ObjectReplica::replace(Entry &entry, ReplicaObject object, Timestamp now)
+{
+    entry.earlierRevisions.push_back(entry.object.revision);
+    if (entry.earlierRevisions.size() > maxEarlierRevisions)
+        entry.earlierRevisions.pop_front();
+    entry.object = std::move(object);
+    entry.removedAt = now;
+}
+
+/*!
+    Returns whether \a object is a version from before the known one, which a store that was
+    restored has again. What was written since the restoration has another revision than the
+    versions before, but for a rare coincidence.
+*/
+bool ObjectReplica::isOfOlderCopy(const ReplicaObject &object) const
+{
+    const auto found = m_entries.find(object.name);
+    if (found == m_entries.end())
+        return false;
+    const StoreRevision revision = StoreRevision::fromOrdinal(object.revision);
+    const Entry &entry = found->second;
+    return StoreRevision::fromOrdinal(entry.object.revision).era < revision.era
+            && std::any_of(entry.earlierRevisions.begin(), entry.earlierRevisions.end(),
+                           [&](std::int64_t earlier) {
+                               return StoreRevision::fromOrdinal(earlier).number == revision.number;
+                           });
+}
+
 /*!
     Removes the objects that a complete state at \a revision lacks.
 */
@@ -220,11 +266,10 @@
             keepForGrace(entry, *graceEnd, revisionBefore);
             continue;
         }
-        if (entry.removeAt)
+        if (entry.graceEnd)
             continue;
         const ReplicaObject removal {.name = name, .revision = revision, .removed = true};
-        entry.object = removal;
-        entry.removedAt = now;
+        replace(entry, removal, now);
         m_revision = std::max(m_revision, revision);
         changed.push_back(removal);
     }
--- a/Source/Core/objectreplica.h
+++ b/Source/Core/objectreplica.h
@@ -5,6 +5,7 @@
 #include <exchange_types.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -19,7 +20,8 @@
 struct ReplicaObject
 {
     std::string name;
-    std::int64_t revision = 0; //!< Revision of the store at which the object changed last.
+    //! StoreRevision::ordinal() of the last change.
+    std::int64_t revision = 0;
     bool removed = false;
     std::string content; //!< JSON; empty if the object was removed.
 };
@@ -28,9 +30,13 @@
     Copy of all objects of one kind in the store. It is filled from the store itself or from the
     copy of another node, and tells how old its knowledge is.
 
-    The revisions of the store order all changes, so the newer version of each object wins no matter
-    in which order and from where the versions arrive. Removed objects are remembered for a time, so
-    that a copy that lags behind cannot bring them back.
+    The revisions of the store, as StoreRevision::ordinal() gives them, order all changes, so the
+    newer version of each object wins no matter in which order and from where the versions arrive.
+    Removed objects are remembered for a time, so that a copy that lags behind cannot bring them
+    back.
+
+    A store that was restored from an older copy lists earlier versions of some objects at first,
+    until their writers write them again. Until the end of the grace time, the later ones count.
 
     Times are those of a clock that also advances while the machine is suspended.
 */
@@ -49,7 +55,8 @@
     /*!
         Replaces the state by the complete list \a objects, which the store returned at \a revision
         and which was the current one at \a knownAt. Objects that are missing in the list are
-       removed, or at \a graceEnd if that is set. Returns the objects that changed.
+        removed, and those of an older copy replaced, or at \a graceEnd if that is set. Returns the
+        objects that changed.
     */
     std::vector<ReplicaObject> applyListing(std::span<const ReplicaObject> objects,
                                             std::int64_t revision, Timestamp knownAt,
@@ -75,8 +82,8 @@
     void confirm(const wire::StateVersion &version, Timestamp now);
 
     /*!
-        Removes the objects whose grace time has ended, and forgets old removals. Returns the
-        objects that changed.
+        Removes or replaces the objects whose grace time has ended, and forgets old removals.
+        Returns the objects that changed.
     */
     std::vector<ReplicaObject> removeExpired(Timestamp now);
 
@@ -112,11 +119,17 @@
     struct Entry
     {
         ReplicaObject object;
-        std::optional<Timestamp> removeAt; //!< End of the grace time of a missing object.
+        //! End of the grace time of an object that is missing or of an older copy.
+        std::optional<Timestamp> graceEnd;
+        //! Content in the older copy, which replaces the object at the end of the grace time.
+        std::optional<std::string> copiedContent;
         Timestamp removedAt {}; //!< Time at which the removal was recorded.
+        std::deque<std::int64_t> earlierRevisions; //!< The latest of them.
     };
 
     bool store(const ReplicaObject &object, Timestamp now);
+    static void replace(Entry &entry, ReplicaObject object, Timestamp now);
+    bool isOfOlderCopy(const ReplicaObject &object) const;
     void keepForGrace(Entry &entry, Timestamp graceEnd, std::int64_t revisionBefore);
     void endGrace(Entry &entry);
     void removeMissing(std::span<const std::string> listed, std::int64_t revision, Timestamp now,
--- a/Source/Serving/servingnode.cpp
+++ b/Source/Serving/servingnode.cpp
@@ -45,7 +45,11 @@
 //! Time after the start within which a node waits for its peers' state before it follows the store.
 constexpr Duration startupWait = 1500ms;
 
-std::vector<ReplicaObject> toReplicaObjects(std::span<const StoredObject> objects)
+/*!
+    Converts \a objects, which the store returned in the era \a era.
+*/
+std::vector<ReplicaObject> toReplicaObjects(std::span<const StoredObject> objects,
+                                            std::uint64_t era)
 {
     std::vector<ReplicaObject> converted;
     converted.reserve(objects.size());
@@ -54,13 +58,26 @@
         if (hasContent && object.status)
             json_object_set(object.content.get(), "status", object.status.get());
         converted.push_back({.name = object.name,
-                             .revision = static_cast<std::int64_t>(object.revision),
+                             .revision = StoreRevision {era, object.revision}.ordinal(),
                              .removed = object.removed,
                              .content = hasContent ? dumpJson(object.content.get()) : ""});
     }
     return converted;
 }
 
+/*!
+    Returns the revision of \a object as the store gives it, without its era.
+*/
+std::int64_t revisionNumber(const ReplicaObject &object)
+{
+    return static_cast<std::int64_t>(StoreRevision::fromOrdinal(object.revision).number);
+}
+
+std::uint64_t eraOf(const ObjectReplica &replica)
+{
+    return StoreRevision::fromOrdinal(replica.stateRevision()).era;
+}
+
 /*!
     Runs \a apply, which reads \a object. Objects may come from other writers, so an error that one
     causes ends neither the process nor the processing of the others.
@@ -71,9 +88,10 @@
     try {
         apply();
     } catch (const std::exception &error) {
-        logEvent(
-                LogLevel::Error, "store.object_failed",
-                {{"object", object.name}, {"revision", object.revision}, {"reason", error.what()}});
+        logEvent(LogLevel::Error, "store.object_failed",
+                 {{"object", object.name},
+                  {"revision", revisionNumber(object)},
+                  {"reason", error.what()}});
     }
 }
 
@@ -197,15 +215,13 @@
                  {{"kind", kind},
                   {"objects", static_cast<std::int64_t>(objects.size())},
                   {"after_outage", read.graceEnd.has_value()}});
-        apply(replica.applyListing(toReplicaObjects(objects),
-                                   static_cast<std::int64_t>(read.revision), read.knownAt,
-                                   read.graceEnd));
+        apply(replica.applyListing(toReplicaObjects(objects, read.revision.era),
+                                   read.revision.ordinal(), read.knownAt, read.graceEnd));
     };
     handlers.changed = [&replica, apply](const std::vector<StoredObject> &objects,
                                          const StoreReadContext &read) {
-        apply(replica.applyChanges(toReplicaObjects(objects),
-                                   static_cast<std::int64_t>(read.revision), read.knownAt,
-                                   read.graceEnd));
+        apply(replica.applyChanges(toReplicaObjects(objects, read.revision.era),
+                                   read.revision.ordinal(), read.knownAt, read.graceEnd));
     };
     return std::make_unique<StoreWatcher>(
             m_context, m_environment.makeStoreClient(), kind, wait,
@@ -264,10 +280,10 @@
               {"hears_peers", inputs.hearsPeers},
               {"age_ms",
                inputs.age ? std::chrono::duration_cast<Milliseconds>(*inputs.age).count() : -1}});
-    m_configWatcher->start();
-    m_engineWatcher->start();
+    m_configWatcher->start(eraOf(m_state.configReplica));
+    m_engineWatcher->start(eraOf(m_state.engineReplica));
     if (m_rolloutWatcher)
-        m_rolloutWatcher->start();
+        m_rolloutWatcher->start(eraOf(m_state.rollouts.orderReplica));
 }
 
 void ServingNode::applyConfig(std::span<const ReplicaObject> objects)
@@ -285,7 +301,7 @@
 {
     const auto config = m_environment.readConfig(parseJson(object.content).get());
     if (!config) {
-        logEvent(LogLevel::Error, "config.unreadable", {{"revision", object.revision}});
+        logEvent(LogLevel::Error, "config.unreadable", {{"revision", revisionNumber(object)}});
         return;
     }
     m_state.adoptConfig(config);
@@ -312,7 +328,7 @@
     if (!order) {
         if (!object.removed)
             logEvent(LogLevel::Warning, "rollout.unreadable",
-                     {{"object", object.name}, {"revision", object.revision}});
+                     {{"object", object.name}, {"revision", revisionNumber(object)}});
         m_state.rollouts.book.removeOrder(object.name);
         return;
     }
@@ -322,7 +338,7 @@
              {{"service", order->service},
               {"target", order->target},
               {"duration_ms", static_cast<std::int64_t>(order->duration.count())},
-              {"revision", object.revision}});
+              {"revision", revisionNumber(object)}});
 }
 
 void ServingNode::applyEngines(std::span<const ReplicaObject> objects)
@@ -355,7 +371,9 @@
     else if (m_state.waiting)
         m_state.waiting->scheduleDispatch();
     logEvent(LogLevel::Info, isUsable ? "engine.joined" : "engine.left",
-             {{"engine", object.name}, {"removed", object.removed}, {"revision", object.revision}});
+             {{"engine", object.name},
+              {"removed", object.removed},
+              {"revision", revisionNumber(object)}});
 }
 
 void ServingNode::serveRequest(const CallerConnection &connection, RequestMessage &&request)
--- a/Source/Serving/stateexchange.cpp
+++ b/Source/Serving/stateexchange.cpp
@@ -1,6 +1,7 @@
 #include "Serving/stateexchange.h"
 
 #include "Adapter/log.h"
+#include "Core/storerevision.h"
 #include "Core/wireformat.h"
 #include "Serving/clocks.h"
 
@@ -149,10 +150,12 @@
                 }
                 // The age is as of the response; the start of the call is before that.
                 const auto changed = fetched.replica->applyUpdate(*update, start);
+                const auto revision = StoreRevision::fromOrdinal(update->version.revision);
                 logEvent(LogLevel::Info, "state.fetched",
                          {{"kind", name},
                           {"peer", peer},
-                          {"revision", update->version.revision},
+                          {"era", static_cast<std::int64_t>(revision.era)},
+                          {"revision", static_cast<std::int64_t>(revision.number)},
                           {"age_ms", update->version.ageMillis},
                           {"changed", static_cast<std::int64_t>(changed.size())}});
                 fetched.handler(changed);
--- a/Source/Serving/storewatcher.cpp
+++ b/Source/Serving/storewatcher.cpp
@@ -33,11 +33,12 @@
 {
 }
 
-void StoreWatcher::start()
+void StoreWatcher::start(std::uint64_t knownEra)
 {
     if (m_isStarted)
         return;
     m_isStarted = true;
+    m_revision.era = std::max(m_revision.era, knownEra);
     m_mustRelist = true;
     relist();
 }
@@ -61,7 +62,7 @@
 void StoreWatcher::watch()
 {
     m_callStart = bootNow();
-    m_store->watch(m_kind, m_revision, m_watchWait,
+    m_store->watch(m_kind, m_revision.number, m_watchWait,
                    [this, call = ++m_callNumber](const StoreReadResult &result) {
                        if (isCurrentCall(call))
                            onWatched(result);
@@ -70,14 +71,15 @@
 
 void StoreWatcher::onListed(const StoreReadResult &result)
 {
-    if (result.status != StoreCallStatus::Ok) {
+    if (result.status != StoreCallStatus::Ok || result.era < m_revision.era) {
         onFailure();
         return;
     }
     onSuccess();
-    noteEra(result);
+    if (m_revision.era != 0 && result.era > m_revision.era)
+        noteRestoration(result);
     m_mustRelist = false;
-    m_revision = result.revision;
+    m_revision = {.era = result.era, .number = result.revision};
     if (m_isListComplete != result.isComplete)
         logEvent(result.isComplete ? LogLevel::Info : LogLevel::Warning,
                  result.isComplete ? "store.list_completed" : "store.list_incomplete",
@@ -91,18 +93,19 @@
 
 void StoreWatcher::onWatched(const StoreReadResult &result)
 {
-    if (result.status == StoreCallStatus::HistoryGone) {
+    // The revision after which the watch began may belong to another change in a later era.
+    const bool isRestored = result.status == StoreCallStatus::Ok && result.era > m_revision.era;
+    if (result.status == StoreCallStatus::HistoryGone || isRestored) {
         m_mustRelist = true;
         relist();
         return;
     }
-    if (result.status != StoreCallStatus::Ok) {
+    if (result.status != StoreCallStatus::Ok || result.era < m_revision.era) {
         onFailure();
         return;
     }
     onSuccess();
-    noteEra(result);
-    m_revision = std::max(m_revision, result.revision);
+    m_revision.number = std::max(m_revision.number, result.revision);
     // Without changes, the store has answered only after the whole wait.
     const Timestamp waitEnd = m_callStart + m_watchWait;
     const bool hasWaited = result.objects.empty() && bootNow() >= waitEnd;
@@ -157,20 +160,18 @@
 }
 
 /*!
-    Logs that the store was restored from an older copy since the previous answer.
+    Records that the store was restored from an older copy since the previous answer. What the copy
+    lacks is written again within the same time as after an outage.
 */
-void StoreWatcher::noteEra(const StoreReadResult &result)
+void StoreWatcher::noteRestoration(const StoreReadResult &result)
 {
-    if (result.era == m_era)
-        return;
-    if (m_era != 0)
-        logEvent(LogLevel::Warning, "store.restored",
-                 {{"kind", m_kind},
-                  {"era", static_cast<std::int64_t>(result.era)},
-                  {"previous_era", static_cast<std::int64_t>(m_era)},
-                  {"revision", static_cast<std::int64_t>(result.revision)},
-                  {"previous_revision", static_cast<std::int64_t>(m_revision)}});
-    m_era = result.era;
+    logEvent(LogLevel::Warning, "store.restored",
+             {{"kind", m_kind},
+              {"era", static_cast<std::int64_t>(result.era)},
+              {"previous_era", static_cast<std::int64_t>(m_revision.era)},
+              {"revision", static_cast<std::int64_t>(result.revision)},
+              {"previous_revision", static_cast<std::int64_t>(m_revision.number)}});
+    m_lastOutageEnd = bootNow();
 }
 
 StoreReadContext StoreWatcher::readContext(Timestamp knownAt) const
--- a/Source/Serving/storewatcher.h
+++ b/Source/Serving/storewatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/ports.h"
+#include "Core/storerevision.h"
 #include "Serving/objectstoreclient.h"
 
 #include <boost/asio/io_context.hpp>
@@ -16,10 +17,10 @@
 */
 struct StoreReadContext
 {
-    std::uint64_t revision = 0; //!< Revision of the store that the state reflects after the call.
+    StoreRevision revision; //!< Revision of the store that the state reflects after the call.
     Timestamp knownAt; //!< The state was the current one at this time or later.
-    //! Set shortly after an outage of the store: until then, a missing object may be one that
-    //! lapsed during the outage and will return.
+    //! Set shortly after an outage of the store, or its restoration from an older copy: until then,
+    //! a missing object may be one that lapsed during the outage or was lost, and will return.
     std::optional<Timestamp> graceEnd {};
 };
 
@@ -37,7 +38,8 @@
 };
 
 /*!
-    Follows all objects of one kind in the object store: lists them, then watches for changes.
+    Follows all objects of one kind in the object store: lists them, then watches for changes. If
+    the store was restored from an older copy, it lists them again.
 
     A connection may stop delivering data without an error. A watch on it ends at the time limit of
     the call.
@@ -56,9 +58,10 @@
                  DurationProvider maxRetryDelay, StoreWatchHandlers handlers);
 
     /*!
-        Starts with listing the objects. Has no effect if the watcher has started already.
+        Starts with listing the objects. \a knownEra is the latest era of the store of which other
+        nodes have told, or 0. Has no effect if the watcher has started already.
     */
-    void start();
+    void start(std::uint64_t knownEra);
 
     /*!
         Ignores the call in progress and sends no further ones.
@@ -78,7 +81,7 @@
     void onWatched(const StoreReadResult &result);
     void onFailure();
     void onSuccess();
-    void noteEra(const StoreReadResult &result);
+    void noteRestoration(const StoreReadResult &result);
     StoreReadContext readContext(Timestamp knownAt) const;
 
     boost::asio::steady_timer m_timer;
@@ -89,8 +92,7 @@
     StoreWatchHandlers m_handlers;
     //! Number of the latest call. Results of earlier calls are discarded.
     std::uint64_t m_callNumber = 0;
-    std::uint64_t m_revision = 0;
-    std::uint64_t m_era = 0; //!< Era of the latest answer; 0 if the store has stated none.
+    StoreRevision m_revision;
     bool m_isReachable = true;
     bool m_mustRelist = true;
     //! Whether the last list was complete. If not, lists alternate with watches.
@@ -99,7 +101,7 @@
     Timestamp m_callStart {}; //!< Start of the call in progress.
     int m_failureCount = 0; //!< Consecutive failures.
     Timestamp m_outageStart {};
-    //! End of the last outage in which entries may have lapsed.
+    //! End of the last outage in which entries may have lapsed, or the last restoration.
     std::optional<Timestamp> m_lastOutageEnd;
     std::minstd_rand m_random {std::random_device {}()};
 };
--- a/Tests/objectreplicatest.cpp
+++ b/Tests/objectreplicatest.cpp
@@ -1,4 +1,5 @@
 #include "Core/objectreplica.h"
+#include "Core/storerevision.h"
 
 #include <criterion/criterion.h>
 
@@ -67,6 +68,47 @@
     cr_expect(contains(replica, "a"));
 }
 
+// Guards against a replica that ignores what is written after the store was restored, and against
+// an older copy that takes the place of what is known before its writers wrote it again.
+Test(objectreplica, changesOfALaterEraCount)
+{
+    const auto inEra = [](std::uint64_t era, std::uint64_t number) {
+        return StoreRevision {era, number}.ordinal();
+    };
+    const Timestamp now {1h};
+    ObjectReplica replica;
+    const std::vector<ReplicaObject> first {makeObject("a", inEra(1, 3)),
+                                            makeObject("b", inEra(1, 4)),
+                                            makeObject("c", inEra(1, 5))};
+    replica.applyListing(first, inEra(1, 6), now, std::nullopt);
+    const std::vector<ReplicaObject> later {makeObject("a", inEra(1, 7)),
+                                            makeObject("b", inEra(1, 8)), makeRemoval("c")};
+    replica.applyChanges(later, inEra(1, 9), now, std::nullopt);
+    ObjectReplica other;
+    other.applyUpdate(replica.changesSince(-1, now), now);
+
+    // The copy has the first version of "a" and "c"; "b" was written again meanwhile.
+    const std::vector<ReplicaObject> copy {makeObject("a", inEra(2, 3)),
+                                           makeObject("b", inEra(2, 7)),
+                                           makeObject("c", inEra(2, 5))};
+    const auto changed = replica.applyListing(copy, inEra(2, 7), now, now + 2s);
+    cr_assert_eq(changed.size(), 1U);
+    cr_expect_str_eq(changed[0].name.c_str(), "b");
+    cr_expect_not(contains(replica, "c"));
+    cr_expect_eq(replica.revision(), inEra(1, 9), "others must not believe that they know all");
+    const std::vector<ReplicaObject> again {makeObject("a", inEra(2, 8))};
+    cr_expect_eq(replica.applyChanges(again, inEra(2, 8), now, now + 2s).size(), 1U);
+    cr_expect(replica.removeExpired(now + 1900ms).empty());
+    const auto copied = replica.removeExpired(now + 2s);
+    cr_assert_eq(copied.size(), 1U);
+    cr_expect_str_eq(copied[0].name.c_str(), "c");
+    cr_expect_not(copied[0].removed);
+    other.applyUpdate(replica.changesSince(other.revision(), now), now);
+    for (const char *name : {"a", "b", "c"})
+        cr_expect(contains(other, name), "%s", name);
+    cr_expect_eq(other.revision(), replica.revision());
+}
+
 // Guards against a node that takes over changes from a replica which withholds a removal for the
 // grace time, believes itself complete, and never learns of the removal.
 Test(objectreplica, withheldRemovalLimitsTheRevision)
--- a/Tests/platformstoreclienttest.cpp
+++ b/Tests/platformstoreclienttest.cpp
@@ -55,6 +55,24 @@
         return waitFor(*listed);
     }
 
+    /*!
+        Returns the same for a store that is restored after the first page.
+    */
+    std::optional<StoreReadResult> listDuringRestoration(const std::string &kind)
+    {
+        const auto listed = std::make_shared<std::optional<StoreReadResult>>();
+        const std::int64_t before = store.callCount();
+        store.takeCopy();
+        client.list(kind, false, [listed](StoreReadResult result) {
+            *listed = std::move(result);
+        });
+        m_context.restart();
+        while (store.callCount() == before)
+            m_context.run_one();
+        store.restoreCopy(EmulatedStore::Writers::Late);
+        return waitFor(*listed);
+    }
+
     /*!
         Returns the status of the write that \a send starts with a completion handler, or
         std::nullopt if it does not end.
@@ -111,6 +129,20 @@
 
 } // namespace
 
+// Guards against a list with pages from before and after the store was restored.
+Test(platformstoreclient, listsOfTwoErasFail)
+{
+    StoreCalls calls;
+    putSoundObjects(calls.store);
+    const auto mixed = calls.listDuringRestoration("k");
+    cr_assert(mixed);
+    cr_expect(mixed->status == StoreCallStatus::Unknown);
+    const auto listed = calls.list("k");
+    cr_assert(listed);
+    cr_expect(listed->status == StoreCallStatus::Ok);
+    cr_expect_eq(listed->era, 2U);
+}
+
 // Guards against a list that ends at an object, or never ends, because of the object's name.
 Test(platformstoreclient, listsContinueAfterOddNames)
 {
--- a/Tests/restoredstoreprocesstest.cpp
+++ b/Tests/restoredstoreprocesstest.cpp
@@ -135,3 +135,62 @@
     }
     expectNoViolations(deployment);
 }
+
+// Guards against nodes that ignore what the operator and the engines write after the store was
+// restored, because its revisions are lower than those of before.
+Test(restoredstore, changesAfterARestorationAreFollowed)
+{
+    PlatformDeployment deployment(28800, nodeCount);
+    EmulatedPlatform &platform = deployment.platform;
+    platform.store.takeCopy();
+    for (int i = 0; i < 500; ++i)
+        platform.store.put("other", "o", "{}");
+    platform.putConfig(2);
+    platform.putEngine(*platform.engines[3], "ready");
+    platform.putEngine(*platform.engines[4], "ready");
+    deployment.runFor(1500ms);
+    platform.store.restoreCopy();
+    deployment.runFor(1500ms);
+    platform.putConfig(3, true);
+    platform.putEngine(*platform.engines[3], "draining");
+    deployment.runFor(1900ms);
+    const int before = platform.engines[3]->totalRunCount();
+    for (int node = 1; node <= nodeCount; ++node) {
+        const std::string id = "n-" + std::to_string(node);
+        cr_expect_eq(deployment.sendRequest(node, "GET", "/extra/x", id).status, 200U, "node %d",
+                     node);
+        for (int i = 0; i < 10; ++i)
+            deployment.sendRequest(node, "GET", "/read/x", id + "-" + std::to_string(i));
+    }
+    cr_expect_eq(platform.engines[3]->totalRunCount(), before);
+}
+
+// Guards against sending requests to an engine that is about to leave, because the copy from which
+// the store was restored says that it is ready. The engine writes its entry again soon.
+Test(restoredstore, leavingEnginesStayUnused)
+{
+    PlatformDeployment deployment(28900, nodeCount);
+    EmulatedPlatform &platform = deployment.platform;
+    const auto sendTo = [&](const std::string &id) {
+        const int before = platform.engines[3]->totalRunCount();
+        for (int node = 1; node <= nodeCount; ++node) {
+            for (int i = 0; i < 10; ++i)
+                deployment.sendRequest(node, "GET", "/read/x",
+                                       id + std::to_string(node) + "-" + std::to_string(i));
+        }
+        return platform.engines[3]->totalRunCount() - before;
+    };
+    platform.store.takeCopy();
+    platform.putEngine(*platform.engines[3], "draining");
+    deployment.runFor(1500ms);
+    platform.store.restoreCopy(EmulatedStore::Writers::Late);
+    deployment.runFor(900ms);
+    cr_expect_eq(sendTo("copy-"), 0);
+    platform.putEngine(*platform.engines[3], "draining");
+    deployment.runFor(2500ms);
+    cr_expect_eq(sendTo("again-"), 0);
+    // What is not written again after that counts as the store has it.
+    platform.store.restoreCopy(EmulatedStore::Writers::Late);
+    deployment.runFor(4000ms);
+    cr_expect_gt(sendTo("kept-"), 0);
+}
