Keep completed roll-outs completed after the store was restored

Two seconds after the store had come back from an older copy, a completed roll-out began again: the order in the copy lacks the status that was reported, which is how an order is told that the operator has written again.

A missing status now tells a rewritten order only in the era in which the status was seen. A record of the steps whose condition was of another era is read again.

rolloutprocesstest completedOrderStaysSoAfterARestoration failed before (ordered twice); 8 of 8 tests of rolloutprocesstest pass.

--- a/Source/Core/Rollout/rolloutbook.h
+++ b/Source/Core/Rollout/rolloutbook.h
@@ -48,7 +48,8 @@
     std::string service;
     std::string target; //!< The version.
     Milliseconds duration {0}; //!< Time within which the requests are to move.
-    std::int64_t revision = 0; //!< Revision of the store of the object, status included.
+    //! StoreRevision::ordinal() of the object, status included.
+    std::int64_t revision = 0;
     //! State that the object's status reports for this target; unset if it reports none.
     std::optional<RolloutState> reported {};
 };
--- a/Source/Serving/rolloutduty.cpp
+++ b/Source/Serving/rolloutduty.cpp
@@ -52,6 +52,11 @@
             .logTimeSquareSum = item.logTimeSquareSum};
 }
 
+std::uint64_t eraOf(const RolloutOrder &order)
+{
+    return StoreRevision::fromOrdinal(order.revision).era;
+}
+
 bool isSameStatus(std::optional<RolloutState> reported, RolloutState state)
 {
     return reported && (*reported == state || (!isFinal(*reported) && !isFinal(state)));
@@ -114,9 +119,10 @@
     if (order.target != latest->target)
         return true;
     // The revision also grows with the status, so the same order is told by its content. An order
-    // that was written again lacks the status that was reported.
-    const bool isRewritten = isFinal(stateOf(*latest)) && service.wasReportedFinal
-            && !order.reported;
+    // that was written again lacks the status that was reported, and so does one in a store that
+    // was restored.
+    const bool isRewritten = isFinal(stateOf(*latest)) && !order.reported
+            && service.finalReportEra == eraOf(order);
     return isRewritten || (service.duration.count() != 0 && service.duration != order.duration);
 }
 
@@ -150,7 +156,9 @@
     }
     if (!order || order->target != step->target)
         return false;
-    service.wasReportedFinal = order->reported && isFinal(*order->reported);
+    service.finalReportEra.reset();
+    if (order->reported && isFinal(*order->reported))
+        service.finalReportEra = eraOf(*order);
     if (!isSameStatus(order->reported, stateOf(*step)))
         writeStatus(name, *step);
     return false;
@@ -162,7 +170,7 @@
     service.decision.reset();
     service.startMillis = m_state.commonMillis();
     service.duration = order.duration;
-    service.wasReportedFinal = false;
+    service.finalReportEra.reset();
     wire::RolloutStep step;
     step.serviceName = order.service;
     step.order = order.revision;
@@ -273,21 +281,21 @@
         if (result.status != StoreCallStatus::Ok || term != m_term)
             return;
         for (auto &[name, service] : m_services) {
-            service.recordRevision = 0;
+            service.recordRevision = {};
             service.recorded.reset();
         }
         for (const StoredObject &object : result.objects)
-            adoptRecord(object);
+            adoptRecord(object, result.era);
         m_recordsRead = true;
     });
 }
 
-void RolloutDuty::adoptRecord(const StoredObject &object)
+void RolloutDuty::adoptRecord(const StoredObject &object, std::uint64_t era)
 {
     if (object.removed || !object.content)
         return;
     Service &service = m_services[object.name];
-    service.recordRevision = object.revision;
+    service.recordRevision = {.era = era, .number = object.revision};
     service.recorded = object.content;
     service.startMillis = jsonInteger(object.content.get(), "startMillis");
     service.duration = Milliseconds(jsonInteger(object.content.get(), "durationMs"));
@@ -322,10 +330,14 @@
 {
     m_callPending = true;
     const std::shared_ptr<json_t> content = formatRecord(name, step);
-    const auto done = [this, name, step, term = m_term, content](const StoreWriteResult &result) {
+    const StoreRevision expected = m_services[name].recordRevision;
+    const auto done = [this, name, step, term = m_term, content,
+                       expected](const StoreWriteResult &result) {
         m_callPending = false;
-        if (result.status == StoreCallStatus::Ok) {
-            m_services[name].recordRevision = result.revision;
+        // In another era, the condition of the write refers to another revision.
+        const bool isSameEra = expected.number == 0 || result.era == expected.era;
+        if (result.status == StoreCallStatus::Ok && isSameEra) {
+            m_services[name].recordRevision = {.era = result.era, .number = result.revision};
             m_services[name].recorded = content;
             if (m_duties.isHolder() && term == m_duties.term())
                 m_state.rollouts.adoptStep(step, "holder");
@@ -337,9 +349,8 @@
         m_recordsRead = false;
         m_nextCallTime = steadyNow() + retryDelay;
     };
-    const std::uint64_t revision = m_services[name].recordRevision;
-    if (revision != 0)
-        m_store->replace(recordKind, name, content.get(), revision, done);
+    if (expected.number != 0)
+        m_store->replace(recordKind, name, content.get(), expected.number, done);
     else
         m_store->create(recordKind, name, content.get(), done);
 }
--- a/Source/Serving/rolloutduty.h
+++ b/Source/Serving/rolloutduty.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace sesame {
@@ -51,8 +52,9 @@
         Milliseconds duration {0}; //!< Duration of the latest order; 0 if unknown.
         //! Content of the record, as it was read or written last; null if there is none.
         std::shared_ptr<json_t> recorded;
-        std::uint64_t recordRevision = 0; //!< 0 if there is no record.
-        bool wasReportedFinal = false; //!< The status of the order has been seen to be final.
+        StoreRevision recordRevision; //!< Number 0 if there is no record.
+        //! Era of the store in which the status of the order has been seen to be final.
+        std::optional<std::uint64_t> finalReportEra;
         Timestamp nextStatusTime {};
         std::int64_t loggedMillis = 0; //!< Time at which the evidence was logged.
     };
@@ -66,7 +68,7 @@
     void beginOrder(const RolloutOrder &order);
     bool synchronize(const std::string &name);
     void readRecords();
-    void adoptRecord(const StoredObject &object);
+    void adoptRecord(const StoredObject &object, std::uint64_t era);
     std::shared_ptr<json_t> formatRecord(const std::string &name,
                                          const wire::RolloutStep &step) const;
     void writeRecord(const std::string &name, const wire::RolloutStep &step);
--- a/Source/Serving/rolloutrecord.h
+++ b/Source/Serving/rolloutrecord.h
@@ -45,7 +45,7 @@
     bool choosesTarget(const std::string &service);
 
     /*!
-        Records that the store lists the engine of \a entry at \a revision.
+        Records that the store lists the engine of \a entry at \a revision, an ordinal.
     */
     void noteEngine(const EngineEntry &entry, std::int64_t revision);
 
@@ -85,7 +85,8 @@
     struct SeenVersion
     {
         Timestamp seenAt; //!< Time at which an engine of the version was first seen.
-        std::int64_t revision = 0; //!< Revision of the store of that engine's entry; 0 if unknown.
+        //! StoreRevision::ordinal() of that engine's entry; 0 if unknown.
+        std::int64_t revision = 0;
         bool isCleared = false; //!< The orders of that time or a later one are known.
         bool wasInUse = false; //!< The version got requests without an order that names it.
     };
--- a/Tests/rolloutprocesstest.cpp
+++ b/Tests/rolloutprocesstest.cpp
@@ -267,3 +267,40 @@
     cr_expect_eq(run.targetRequests(), 0);
     cr_expect_eq(run.failed, 0);
 }
+
+// Guards against a roll-out that begins again because the store lost the status of its order.
+Test(rollout, completedOrderStaysSoAfterARestoration)
+{
+    RolloutRun run(25800);
+    run.deployment.platform.orderRollout("plain", "v2", 12.0);
+    run.deployment.platform.store.takeCopy();
+    run.runFor(300ms);
+    run.deployment.platform.addEngines("plain", "v2", targetEngineCount);
+    cr_assert(run.runUntil(
+                      [&] {
+                          return run.hasStatus("completed");
+                      },
+                      12s),
+              "status %s", run.status().c_str());
+    run.deployment.platform.stopOtherEngines("plain", "v2");
+    run.runFor(1s);
+    run.deployment.platform.store.restoreCopy();
+    cr_expect_not(run.hasStatus("completed"));
+    cr_expect(run.runUntil(
+                      [&] {
+                          return run.hasStatus("completed");
+                      },
+                      5s),
+              "status %s", run.status().c_str());
+    run.runFor(2s);
+    cr_expect(run.hasStatus("completed"), "status %s", run.status().c_str());
+    int ordered = 0;
+    for (int node = 1; node <= nodeCount; ++node) {
+        std::ifstream log(run.deployment.logFile(node));
+        for (std::string line; std::getline(log, line);)
+            ordered += line.find("rollout.ordered") != std::string::npos ? 1 : 0;
+    }
+    cr_expect_eq(ordered, 1);
+    cr_expect_eq(run.failed, 0, "%d of %d, the last with status %d", run.failed, run.sent,
+                 run.lastFailure);
+}
