Give the tests of restorations ports of their own

Three of the new tests used the ports of tests in other programs, which run at the same time: 28800, 28900 (streamversionsprocesstest) and 25800 (brokenanswersprocesstest).

--- a/Tests/restoredstoreprocesstest.cpp
+++ b/Tests/restoredstoreprocesstest.cpp
@@ -140,7 +140,7 @@
 // restored, because its revisions are lower than those of before.
 Test(restoredstore, changesAfterARestorationAreFollowed)
 {
-    PlatformDeployment deployment(28800, nodeCount);
+    PlatformDeployment deployment(29700, nodeCount);
     EmulatedPlatform &platform = deployment.platform;
     platform.store.takeCopy();
     for (int i = 0; i < 500; ++i)
@@ -169,7 +169,7 @@
 // the store was restored says that it is ready. The engine writes its entry again soon.
 Test(restoredstore, leavingEnginesStayUnused)
 {
-    PlatformDeployment deployment(28900, nodeCount);
+    PlatformDeployment deployment(29800, nodeCount);
     EmulatedPlatform &platform = deployment.platform;
     const auto sendTo = [&](const std::string &id) {
         const int before = platform.engines[3]->totalRunCount();
--- a/Tests/rolloutprocesstest.cpp
+++ b/Tests/rolloutprocesstest.cpp
@@ -271,7 +271,7 @@
 // Guards against a roll-out that begins again because the store lost the status of its order.
 Test(rollout, completedOrderStaysSoAfterARestoration)
 {
-    RolloutRun run(25800);
+    RolloutRun run(26000);
     run.deployment.platform.orderRollout("plain", "v2", 12.0);
     run.deployment.platform.store.takeCopy();
     run.runFor(300ms);
