Write the versions of streams again after the store was restored

After the store had come back from an older copy, all nodes were killed and came back; streams that the second version had begun went on at the first one. The copy named the first version only, and running nodes write their records again only when they change, or after 20 s.

A node whose replicas know of a later era takes its record for lost, and writes it again within the interval of its writes, so that the nodes of a large deployment do not write at once. An answer from before the restoration confirms nothing.

streamversionsprocesstest versionsAreRecordedAgainAfterARestoration failed before and passes; 8 of 8 tests of the program passed twice.

--- a/Source/Serving/streamoriginstore.cpp
+++ b/Source/Serving/streamoriginstore.cpp
@@ -1,6 +1,7 @@
 #include "Serving/streamoriginstore.h"
 
 #include "Adapter/log.h"
+#include "Core/storerevision.h"
 #include "Serving/clocks.h"
 
 #include <algorithm>
@@ -89,6 +90,7 @@
 {
     const Timestamp now = steadyNow();
     noteVersions();
+    noteRestoration();
     m_state.streamOrigins.removeExpired(now);
     if (!m_isAdopted)
         scheduleRead();
@@ -111,6 +113,23 @@
     }
 }
 
+/*!
+    Has the record written again after the store was restored from an older copy, which may lack it.
+    The nodes write at different times within the interval of their writes.
+*/
+void StreamOriginStore::noteRestoration()
+{
+    const std::uint64_t era = StoreRevision::fromOrdinal(m_state.engineReplica.stateRevision()).era;
+    if (era <= m_era)
+        return;
+    if (std::exchange(m_era, era) == 0)
+        return;
+    m_state.streamOrigins.confirm({});
+    std::uniform_real_distribution<double> part(0.0, 1.0);
+    m_retryTime = steadyNow()
+            + std::chrono::duration_cast<Duration>(writeInterval() * part(m_state.random));
+}
+
 void StreamOriginStore::write()
 {
     const StreamOriginRecord record = m_state.streamOrigins.makeRecord(m_state.commonMillis());
@@ -124,7 +143,7 @@
     const JsonPtr content = formatRecord(record);
     const auto done = [this, record](const StoreWriteResult &result) {
         m_isWriting = false;
-        if (result.status == StoreCallStatus::Ok) {
+        if (result.status == StoreCallStatus::Ok && result.era >= m_era) {
             m_exists = true;
             m_state.streamOrigins.confirm(record);
             completeStoredWaits(true);
--- a/Source/Serving/streamoriginstore.h
+++ b/Source/Serving/streamoriginstore.h
@@ -59,6 +59,7 @@
     };
 
     void noteVersions();
+    void noteRestoration();
     void read();
     void scheduleRead();
     void onRead(const StoreReadResult &result, Timestamp start);
@@ -77,6 +78,7 @@
     std::vector<StoredWait> m_storedWaits;
     std::uint64_t m_readCount = 0; //!< Reads that have begun.
     std::uint64_t m_writeCount = 0; //!< Writes that have begun.
+    std::uint64_t m_era = 0; //!< Latest era of the store that this node knows; 0 if none.
     bool m_isReading = false;
     bool m_isReadScheduled = false;
     bool m_isAdopted = false; //!< The record of an earlier process was taken over.
--- a/Tests/streamversionsprocesstest.cpp
+++ b/Tests/streamversionsprocesstest.cpp
@@ -297,3 +297,33 @@
     }
     cr_expect(begunAtModel > 0 && begunAtModel < streams, "%d", begunAtModel);
 }
+
+// Guards against a record of the versions that is missing after the store was restored, so that
+// restarted nodes take the only version in service for the one that began a stream.
+Test(streamversions, versionsAreRecordedAgainAfterARestoration)
+{
+    VersionedDeployment deployment(29600, 0);
+    deployment.platform.store.takeCopy();
+    deployment.addEngines("v2", 3);
+    deployment.runFor(500ms);
+    constexpr int streams = 10;
+    for (int i = 0; i < streams; ++i)
+        deployment.beginStream(1, "g-" + std::to_string(i));
+    deployment.closeStreams();
+    deployment.platform.stopOtherEngines("model", "v1");
+    deployment.runFor(2500ms);
+    deployment.platform.store.restoreCopy();
+    deployment.runFor(1500ms);
+    deployment.killNodes(1, nodeCount);
+    deployment.restartNodes();
+    int begunAtNew = 0;
+    for (int i = 0; i < streams; ++i) {
+        const std::string origin = "g-" + std::to_string(i);
+        const std::string id = "up-" + origin;
+        deployment.takeUp(2, id, origin);
+        const bool isNew = deployment.runCount(true, origin) > 0;
+        cr_expect(!isNew || deployment.runCount(false, id) == 0, "%s", origin.c_str());
+        begunAtNew += isNew ? 1 : 0;
+    }
+    cr_expect_gt(begunAtNew, 0);
+}
