Keep objects of an older copy removed if they were removed since

An object that a restored store had listed with an earlier revision was put back two seconds later, even if it had been removed in the store meanwhile.

--- a/Source/Core/objectreplica.cpp
+++ b/Source/Core/objectreplica.cpp
@@ -182,6 +182,8 @@
 */
 void ObjectReplica::keepForGrace(Entry &entry, Timestamp graceEnd, std::int64_t revisionBefore)
 {
+    // What a copy had may be missing by now.
+    entry.copiedContent.reset();
     if (entry.graceEnd)
         return;
     entry.graceEnd = graceEnd;
@@ -259,9 +261,13 @@
     std::vector<std::string> present(listed.begin(), listed.end());
     std::sort(present.begin(), present.end());
     for (auto &[name, entry] : m_entries) {
-        if (entry.object.removed || entry.object.revision > revision
+        if (entry.object.revision > revision
             || std::binary_search(present.begin(), present.end(), name))
             continue;
+        if (entry.object.removed) {
+            endGrace(entry);
+            continue;
+        }
         if (graceEnd) {
             keepForGrace(entry, *graceEnd, revisionBefore);
             continue;
--- a/Source/Serving/streamoriginstore.cpp
+++ b/Source/Serving/streamoriginstore.cpp
@@ -5,6 +5,7 @@
 #include "Serving/clocks.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace sesame {
--- a/Tests/objectreplicatest.cpp
+++ b/Tests/objectreplicatest.cpp
@@ -109,6 +109,31 @@
     cr_expect_eq(other.revision(), replica.revision());
 }
 
+// Guards against objects of an older copy that come back although they were removed from it.
+Test(objectreplica, removedObjectsOfACopyStayRemoved)
+{
+    const auto inEra = [](std::uint64_t era, std::uint64_t number) {
+        return StoreRevision {era, number}.ordinal();
+    };
+    const Timestamp now {1h};
+    ObjectReplica replica;
+    const std::vector<ReplicaObject> first {makeObject("a", inEra(1, 3)),
+                                            makeObject("b", inEra(1, 4))};
+    replica.applyListing(first, inEra(1, 6), now, std::nullopt);
+    const std::vector<ReplicaObject> later {makeObject("a", inEra(1, 7)), makeRemoval("b")};
+    replica.applyChanges(later, inEra(1, 8), now, std::nullopt);
+    const std::vector<ReplicaObject> copy {makeObject("a", inEra(2, 3)),
+                                           makeObject("b", inEra(2, 4))};
+    cr_expect(replica.applyListing(copy, inEra(2, 6), now, now + 2s).empty());
+    const std::vector<ReplicaObject> removal {makeRemoval("a")};
+    replica.applyChanges(removal, inEra(2, 7), now, now + 2s);
+    replica.applyListing({}, inEra(2, 8), now, now + 2s);
+    replica.removeExpired(now + 2s);
+    cr_expect_not(contains(replica, "a"));
+    cr_expect_not(contains(replica, "b"));
+    cr_expect_geq(replica.revision(), inEra(2, 7));
+}
+
 // Guards against a node that takes over changes from a replica which withholds a removal for the
 // grace time, believes itself complete, and never learns of the removal.
 Test(objectreplica, withheldRemovalLimitsTheRevision)
