--- a/Emulator/emulatedstore.cpp
+++ b/Emulator/emulatedstore.cpp
@@ -133,8 +133,10 @@
 
 void EmulatedStore::restoreCopy(Writers writers)
 {
-    const Objects lost = std::exchange(m_objects, m_copy.objects);
+    m_lostObjects = std::exchange(m_objects, m_copy.objects);
     m_revision = m_copy.revision;
+    m_restoredRevision = m_revision;
+    m_oldestRevision = std::min(m_oldestRevision, m_revision);
     ++m_era;
     std::erase_if(m_history, [this](const Change &change) {
         return change.revision > m_revision;
@@ -145,21 +147,30 @@
             sendJson(connection, 410, "{}");
         watch->connection.reset();
     }
-    if (writers == Writers::Late)
+    if (writers == Writers::Prompt)
+        writeLostObjects();
+}
+
+void EmulatedStore::writeLostObjects()
+{
+    const std::optional<Objects> lost = std::exchange(m_lostObjects, {});
+    if (!lost)
         return;
     for (const std::string kind : {"config", "servers", "rollouts"}) {
-        const auto found = lost.find(kind);
-        const std::map<std::string, Object> objects = found == lost.end()
+        const auto found = lost->find(kind);
+        const std::map<std::string, Object> objects = found == lost->end()
                 ? std::map<std::string, Object>()
                 : found->second;
         for (const auto &[name, object] : std::map(m_objects[kind])) {
-            if (!objects.contains(name))
+            if (!objects.contains(name) && object.revision <= m_restoredRevision)
                 erase(kind, name);
         }
         for (const auto &[name, object] : objects) {
             const auto known = m_objects[kind].find(name);
-            if (known != m_objects[kind].end() && known->second.spec == object.spec
-                && known->second.text == object.text)
+            const bool isKnown = known != m_objects[kind].end();
+            const bool isSame = isKnown && known->second.spec == object.spec
+                    && known->second.text == object.text;
+            if (isSame || (isKnown && known->second.revision > m_restoredRevision))
                 continue;
             m_objects[kind][name] = object;
             record(kind, name, false);
--- a/Emulator/emulatedstore.h
+++ b/Emulator/emulatedstore.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace sesame {
@@ -24,7 +25,7 @@
     //! When the platform's own writers write again what a restored store lacks.
     enum class Writers {
         Prompt, //!< At once.
-        Late //!< When the test does it.
+        Late //!< When writeLostObjects() is called, or the test does it.
     };
 
     EmulatedStore(asio::io_context &context, const Tcp::endpoint &address);
@@ -53,6 +54,12 @@
     */
     void restoreCopy(Writers writers = Writers::Prompt);
 
+    /*!
+        Writes again what the platform's own writers had written between the copy and its last
+        restoration, unless they have written something else since.
+    */
+    void writeLostObjects();
+
     /*!
         Leaves the newest waiting watch of \a kind open without ever answering it. Returns false if
         there is none.
@@ -134,6 +141,9 @@
     std::uint64_t m_era = 1;
     Objects m_objects;
     Copy m_copy;
+    //! Objects before the last restoration, until its writers have written them again.
+    std::optional<Objects> m_lostObjects;
+    std::uint64_t m_restoredRevision = 0; //!< Revision after the last restoration.
     std::deque<Change> m_history;
     std::vector<std::shared_ptr<Watch>> m_watches;
     std::vector<ConnectionPtr> m_unanswered; //!< Calls that are never answered.
--- a/Tests/support/platformsoak.cpp
+++ b/Tests/support/platformsoak.cpp
@@ -58,12 +58,11 @@
             disrupt();
             m_nextDisruption = Clock::now() + std::chrono::milliseconds(50 + randomBelow(600));
         }
-        if (m_storeFaultEnd != Clock::time_point {} && Clock::now() >= m_storeFaultEnd) {
-            m_deployment.platform.store.setFault(EmulatedStore::Fault::None);
-            m_storeFaultEnd = {};
-        }
+        driveStore();
     }
     checkRuns();
+    for (const std::string &violation : m_deployment.platform.duties.violations())
+        report(violation);
     return m_violation;
 }
 
@@ -153,10 +152,8 @@
         platform.engines[engine]->setFault(faults[fault], 1 + randomBelow(5));
         return;
     }
-    if (chance(0.3)) {
-        platform.store.setFault(chance(0.5) ? EmulatedStore::Fault::Unavailable
-                                            : EmulatedStore::Fault::NoAnswer);
-        m_storeFaultEnd = Clock::now() + std::chrono::milliseconds(200 + randomBelow(3000));
+    if (chance(0.4)) {
+        disruptStore();
         return;
     }
     const std::string head = "HTTP/1.1 200 OK\r\nSesameproxy-Attempt-Id: ID\r\n"
@@ -185,6 +182,43 @@
     platform.store.put("servers", "i-raw", entry);
 }
 
+void PlatformSoak::disruptStore()
+{
+    EmulatedStore &store = m_deployment.platform.store;
+    if (chance(0.7)) {
+        store.setFault(chance(0.5) ? EmulatedStore::Fault::Unavailable
+                                   : EmulatedStore::Fault::NoAnswer);
+        m_storeFaultEnd = Clock::now() + std::chrono::milliseconds(200 + randomBelow(3000));
+        return;
+    }
+    store.writeLostObjects();
+    store.restoreCopy(EmulatedStore::Writers::Late);
+    m_rewriteTime = Clock::now() + std::chrono::milliseconds(randomBelow(1500));
+}
+
+/*!
+    Ends faults of the store, copies it every few seconds, and has its writers write again what it
+    lost.
+*/
+void PlatformSoak::driveStore()
+{
+    constexpr int maxCopyAge = 4000;
+    EmulatedStore &store = m_deployment.platform.store;
+    const auto now = Clock::now();
+    if (m_storeFaultEnd != Clock::time_point {} && now >= m_storeFaultEnd) {
+        store.setFault(EmulatedStore::Fault::None);
+        m_storeFaultEnd = {};
+    }
+    if (m_rewriteTime != Clock::time_point {} && now >= m_rewriteTime) {
+        store.writeLostObjects();
+        m_rewriteTime = {};
+    }
+    if (m_rewriteTime == Clock::time_point {} && now >= m_nextCopy) {
+        store.takeCopy();
+        m_nextCopy = now + std::chrono::milliseconds(randomBelow(maxCopyAge));
+    }
+}
+
 void PlatformSoak::watchProcesses()
 {
     for (const auto &[node, state] : m_nodes)
--- a/Tests/support/platformsoak.h
+++ b/Tests/support/platformsoak.h
@@ -23,7 +23,7 @@
     //! SIGTERM with a restart, SIGHUP at any moment, and new versions of the configuration.
     bool hasPlannedWork = true;
     //! Engines that refuse, break off, stay silent or send bytes that are no answer, and a store
-    //! that is unavailable.
+    //! that is unavailable or comes back from an older copy.
     bool hasBackendTrouble = false;
     bool hasKills = false; //!< SIGKILL with a restart, and processes that are suspended for a time.
 };
@@ -87,6 +87,8 @@
     void changeSpeed();
     void disruptNode(int node);
     void disruptBackends();
+    void disruptStore();
+    void driveStore();
     void watchProcesses();
     void watchProcess(int node);
     void driveClients();
@@ -110,6 +112,8 @@
     std::int64_t m_configVersion = 1;
     Clock::time_point m_nextDisruption;
     Clock::time_point m_storeFaultEnd;
+    Clock::time_point m_nextCopy; //!< Next copy of the store.
+    Clock::time_point m_rewriteTime; //!< Writers write again what a restored store lacks.
     int m_requestCount = 0;
     int m_answeredCount = 0;
 };
