--- a/Source/Serving/rolloutduty.h
+++ b/Source/Serving/rolloutduty.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Rollout/rolloutdecision.h"
+#include "Core/storerevision.h"
 #include "Serving/dutycoordinator.h"
 #include "Serving/objectstoreclient.h"
 #include "Serving/servingstate.h"
