--- a/Source/Serving/proxiedrequest.h
+++ b/Source/Serving/proxiedrequest.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <exception>
 #include <vector>
 
 namespace sesame {
@@ -43,8 +44,20 @@
 
     const ServingRoute &route() const { return *m_admitted.route; }
     const ClientAccount *account() const { return m_admitted.account; }
+    /*!
+        Runs \a step, which processes bytes from outside. An error that it throws ends this request,
+        not the process.
+    */
     template <typename Step>
-    void contain(Step step);
+    void contain(Step step)
+    {
+        try {
+            step();
+        } catch (const std::exception &error) {
+            endForError(error.what());
+        }
+    }
+    void endForError(std::string_view reason);
     void endUnanswered(std::string_view reason, unsigned status);
     void startDeadlineTimer();
     bool isResumableStream() const;
