Review case 15: a part behind the 32nd crashes engines for good

Cause: the search for parts of prompts that crash engines looks at the first 32 parts of a prompt only.

--- a/review/standins-3/casekit.cpp
+++ b/review/standins-3/casekit.cpp
@@ -233,6 +233,7 @@
     job->request.id = sesame::fieldValue(request, "Sesameproxy-Attempt-Id");
     job->request.path = sesame::toStd(request.target());
     job->request.resumes = sesame::fieldValue(request, "Resumes");
+    job->request.prefix = sesame::fieldValue(request, "Sesameproxy-Prefix-Hash");
     job->request.arrival = Clock::now();
     job->isStream = job->request.path.find("/stream") == 0;
     const std::string after(sesame::fieldValue(request, "Last-Event-Id"));
@@ -297,6 +298,10 @@
     job->timer->async_wait([this, job](const auto &ec) {
         if (ec || job->isEnded)
             return;
+        if (!job->hasHead && m_options.isDeadly && m_options.isDeadly(job->request)) {
+            m_options.onDeadly();
+            return;
+        }
         if (!job->hasHead) {
             sesame::HttpFields fields = answerFields(job->request.id);
             fields.set("Sesameproxy-Response-Seal", "seal-" + m_options.id);
@@ -305,9 +310,9 @@
             job->hasHead = true;
         }
         if (job->next <= m_options.events)
-            job->connection->sendChunk(absl::StrCat("id: ", job->next, "\ndata: ",
-                                                    m_options.version, " piece ", job->next,
-                                                    "\n\n"));
+            job->connection->sendChunk(absl::StrCat("id: ", job->next,
+                                                    "\ndata: ", m_options.version, " piece ",
+                                                    job->next, "\n\n"));
         if (++job->next <= m_options.events) {
             sendNext(job);
             return;
@@ -392,16 +397,15 @@
     for (const std::string &service : options.services)
         absl::StrAppend(&services, services.empty() ? "" : ",", R"({"name":")", service,
                         R"(","healthPath":"/healthz","maxConnections":300})");
-    store->put("config", "main",
-               absl::StrCat(R"({"version":)", m_version, R"(,"routes":[)", routes,
-                            R"(],"services":[)", services,
-                            R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,)",
-                            R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},)",
-                            R"("tenants":[)",
-                            options.hasTenant ? absl::StrCat(R"({"name":"tenant","apiKeys":[")",
-                                                             key, R"("]})")
-                                              : "",
-                            "]}"));
+    store->put(
+            "config", "main",
+            absl::StrCat(R"({"version":)", m_version, R"(,"routes":[)", routes, R"(],"services":[)",
+                         services, R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,)",
+                         R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},)", R"("tenants":[)",
+                         options.hasTenant
+                                 ? absl::StrCat(R"({"name":"tenant","apiKeys":[")", key, R"("]})")
+                                 : "",
+                         "]}"));
     m_record.write("the store acknowledges manifest %d, with %s", m_version,
                    options.hasTenant ? "one tenant" : "no tenant");
 }
@@ -448,7 +452,8 @@
             portOr(options.storePorts, node, m_firstPort),
             "\"\n  form: \"objects\"\n  writesPerS: 400\n  readsPerS: 2000\n  historyS: 20\n"
             "  valueBytes: 1048576\ncloud:\n  address: \"127.0.0.1:",
-            portOr(options.dutyPorts, node, m_firstPort + 1), "\"\n  ratePerS: 50.0\n  duties: [\"metering\"]\n  dutyPerS: 50.0\n");
+            portOr(options.dutyPorts, node, m_firstPort + 1),
+            "\"\n  ratePerS: 50.0\n  duties: [\"metering\"]\n  dutyPerS: 50.0\n");
 }
 
 void Deployment::startNode(int node, bool isFirstStart)
@@ -549,8 +554,7 @@
 
 Millis Stream::timeLeft() const
 {
-    return m_options.deadline
-            - std::chrono::duration_cast<Millis>(Clock::now() - m_startedAt);
+    return m_options.deadline - std::chrono::duration_cast<Millis>(Clock::now() - m_startedAt);
 }
 
 void Stream::attempt()
@@ -570,6 +574,8 @@
     fields.set("Sesameproxy-Attempt-Id", m_attempt);
     fields.set("Authorization", std::string("Token ") + key);
     fields.set("Sesameproxy-Deadline-Ms", std::to_string(timeLeft().count()));
+    for (const auto &[name, value] : m_options.fields)
+        fields.set(name, value);
     if (m_lastEvent > 0) {
         fields.set("Last-Event-Id", std::to_string(m_lastEvent));
         fields.set("Resumes", m_firstAttempt);
@@ -677,8 +683,8 @@
         return;
     }
     // Clients follow Retry-After up to a third of the time that they have left.
-    const auto asked = Millis(static_cast<std::int64_t>(1000.0
-                                                        * std::atof(m_retryAfterText.c_str())));
+    const auto asked = Millis(
+            static_cast<std::int64_t>(1000.0 * std::atof(m_retryAfterText.c_str())));
     retryAfter(std::min(asked, timeLeft() / 3));
 }
 
--- a/review/standins-3/casekit.h
+++ b/review/standins-3/casekit.h
@@ -58,6 +58,7 @@
     std::string id;
     std::string path;
     std::string resumes; //!< Attempt that brought the first event, if the stream is taken up.
+    std::string prefix; //!< The parts of the prompt, as the client lists them.
     int firstEvent = 1; //!< Number of the first event that the engine sends.
     Clock::time_point arrival;
 };
@@ -75,6 +76,9 @@
     bool statesLoad = false; //!< Adds the header with the load to all answers.
     //! Returns a longer pause before an event of a request, or std::nullopt.
     std::function<std::optional<Millis>(const EngineRequest &, int event)> pause {};
+    //! Tells of a stream that crashes the engine when it begins to write the answer.
+    std::function<bool(const EngineRequest &)> isDeadly {};
+    std::function<void()> onDeadly {}; //!< Called when such a stream crashes the engine.
 };
 
 /*!
@@ -105,7 +109,8 @@
     void crash(Millis downtime);
 
     /*!
-        Crashes and starts again after \a downtime under the same id, with the software \a version. Calls \a started then, before the engine accepts channels.
+        Crashes and starts again after \a downtime under the same id, with the software \a version.
+       Calls \a started then, before the engine accepts channels.
     */
     void upgrade(const std::string &version, Millis downtime, std::function<void()> started);
 
@@ -157,12 +162,14 @@
 struct DeploymentOptions
 {
     int nodes = 3;
-    std::vector<std::string> contracts {"base",   "drain",   "config", "cost",   "retry",  "recover",
-                                        "engine", "stream",  "tenants", "quota", "leader", "platform"};
+    std::vector<std::string> contracts {"base",    "drain",   "config", "cost",
+                                        "retry",   "recover", "engine", "stream",
+                                        "tenants", "quota",   "leader", "platform"};
     std::vector<RouteOptions> routes;
     std::vector<std::string> services;
     int slots = 48;
-    bool hasTenant = true; //!< The manifest has a tenant with one key; else an empty list of tenants.
+    bool hasTenant
+            = true; //!< The manifest has a tenant with one key; else an empty list of tenants.
     //! Ports on 127.0.0.1 at which the nodes find the store and the duties, by node; 0 for those of
     //! the stand-ins themselves.
     std::map<int, int> storePorts {};
@@ -243,6 +250,7 @@
     std::function<int(int)> chooseNode;
     std::string body = "prompt";
     std::string method = "POST";
+    std::map<std::string, std::string> fields {}; //!< More fields of the head.
 };
 
 class Stream : public std::enable_shared_from_this<Stream>
@@ -255,6 +263,7 @@
     const std::string &name() const { return m_name; }
     int node() const { return m_node; } //!< Node of the current attempt.
     int lastEvent() const { return m_lastEvent; }
+    int attempts() const { return m_attempts; }
     bool isEnded() const { return m_isEnded; }
     bool isComplete() const { return m_isComplete; }
     bool wasTakenUp() const { return m_takeUps > 0; }
--- a/review/standins-3/caselasttenant.cpp
+++ b/review/standins-3/caselasttenant.cpp
@@ -36,7 +36,11 @@
                 [&](const sesame::CallResponse &answer) {
                     status = answer.status;
                 });
-    deployment.runUntil([&] { return status.has_value(); }, 4s);
+    deployment.runUntil(
+            [&] {
+                return status.has_value();
+            },
+            4s);
     record.write("client sends %s to node %d with %s: answered %u", id.c_str(), node,
                  credentials.empty() ? "no key" : ("the key " + credentials).c_str(),
                  status.value_or(0));
@@ -45,19 +49,24 @@
 
 int runCase(Record &record)
 {
-    Deployment deployment(record, {.nodes = nodes,
-                                   .routes = {{.prefix = "/book/",
-                                               .kind = "unsafe",
-                                               .service = "app",
-                                               .timeoutMs = 2500,
-                                               .targetLatencyMs = 150}},
-                                   .services = {"app"}});
+    Deployment deployment(record,
+                          {.nodes = nodes,
+                           .routes = {{.prefix = "/book/",
+                                       .kind = "unsafe",
+                                       .service = "app",
+                                       .timeoutMs = 2500,
+                                       .targetLatencyMs = 150}},
+                           .services = {"app"}});
     for (int i = 0; i < 2; ++i)
         deployment.addEngine({.id = "i-" + std::to_string(i), .service = "app"});
     for (int node = 1; node <= nodes; ++node)
         deployment.startNode(node, true);
     for (int node = 1; node <= nodes; ++node) {
-        if (!deployment.runUntil([&] { return deployment.isReady(node); }, 15s))
+        if (!deployment.runUntil(
+                    [&] {
+                        return deployment.isReady(node);
+                    },
+                    15s))
             return CaseFailed;
     }
     deployment.runFor(4s);
--- a/review/standins-3/casemalformed.cpp
+++ b/review/standins-3/casemalformed.cpp
@@ -1,5 +1,5 @@
-// Another writer's entry, in which documented fields are missing, takes the place of an engine's own
-// entry until the engine writes again.
+// Another writer's entry, in which documented fields are missing, takes the place of an engine's
+// own entry until the engine writes again.
 #include "casekit.h"
 
 #include "Http/httpcaller.h"
@@ -21,18 +21,19 @@
     int count = 0;
 
     explicit Run(Record &log)
-        : record(log), deployment(log, {.nodes = nodes,
-                                        .routes = {{.prefix = "/ask/",
-                                                    .kind = "safe",
-                                                    .service = "model",
-                                                    .timeoutMs = 2500,
-                                                    .targetLatencyMs = 500},
-                                                   {.prefix = "/book/",
-                                                    .kind = "unsafe",
-                                                    .service = "app",
-                                                    .timeoutMs = 2500,
-                                                    .targetLatencyMs = 150}},
-                                        .services = {"model", "app"}})
+        : record(log), deployment(log,
+                                  {.nodes = nodes,
+                                   .routes = {{.prefix = "/ask/",
+                                               .kind = "safe",
+                                               .service = "model",
+                                               .timeoutMs = 2500,
+                                               .targetLatencyMs = 500},
+                                              {.prefix = "/book/",
+                                               .kind = "unsafe",
+                                               .service = "app",
+                                               .timeoutMs = 2500,
+                                               .targetLatencyMs = 150}},
+                                   .services = {"model", "app"}})
     {
     }
 
@@ -52,11 +53,9 @@
         record.write("client sends %s, for the service model, to node %d", id.c_str(), node);
         caller->call("POST", "/ask/x", fields, "question " + id, 3s,
                      [this, caller, id](const sesame::CallResponse &answer) {
-                         record.write("%s: answered %u with the seal %s", id.c_str(),
-                                      answer.status,
-                                      std::string(sesame::fieldValue(
-                                                          answer.fields,
-                                                          "Sesameproxy-Response-Seal"))
+                         record.write("%s: answered %u with the seal %s", id.c_str(), answer.status,
+                                      std::string(sesame::fieldValue(answer.fields,
+                                                                     "Sesameproxy-Response-Seal"))
                                               .c_str());
                      });
     }
@@ -83,7 +82,11 @@
     for (int node = 1; node <= nodes; ++node)
         deployment.startNode(node, true);
     for (int node = 1; node <= nodes; ++node) {
-        if (!deployment.runUntil([&] { return deployment.isReady(node); }, 15s))
+        if (!deployment.runUntil(
+                    [&] {
+                        return deployment.isReady(node);
+                    },
+                    15s))
             return CaseFailed;
     }
     deployment.runFor(4s);
--- a/review/standins-3/casereleasefreeze.cpp
+++ b/review/standins-3/casereleasefreeze.cpp
@@ -26,13 +26,14 @@
     int count = 0;
 
     explicit Run(Record &log)
-        : record(log), deployment(log, {.nodes = nodes,
-                                        .routes = {{.prefix = "/stream/",
-                                                    .kind = "streaming",
-                                                    .service = "model",
-                                                    .maxAttempts = 2,
-                                                    .resumable = true}},
-                                        .services = {"model"}})
+        : record(log), deployment(log,
+                                  {.nodes = nodes,
+                                   .routes = {{.prefix = "/stream/",
+                                               .kind = "streaming",
+                                               .service = "model",
+                                               .maxAttempts = 2,
+                                               .resumable = true}},
+                                   .services = {"model"}})
     {
     }
 
@@ -88,7 +89,11 @@
     for (int node = 1; node <= nodes; ++node)
         deployment.startNode(node, true);
     for (int node = 1; node <= nodes; ++node) {
-        if (!deployment.runUntil([&] { return deployment.isReady(node); }, 15s))
+        if (!deployment.runUntil(
+                    [&] {
+                        return deployment.isReady(node);
+                    },
+                    15s))
             return CaseFailed;
     }
     run.drive(6s);
--- a/review/standins-3/caseupgrade.cpp
+++ b/review/standins-3/caseupgrade.cpp
@@ -19,13 +19,14 @@
 
 int runCase(Record &record)
 {
-    Deployment deployment(record, {.nodes = nodes,
-                                   .routes = {{.prefix = "/stream/",
-                                               .kind = "streaming",
-                                               .service = "model",
-                                               .maxAttempts = 2,
-                                               .resumable = true}},
-                                   .services = {"model"}});
+    Deployment deployment(record,
+                          {.nodes = nodes,
+                           .routes = {{.prefix = "/stream/",
+                                       .kind = "streaming",
+                                       .service = "model",
+                                       .maxAttempts = 2,
+                                       .resumable = true}},
+                           .services = {"model"}});
     for (int i = 0; i < engines; ++i)
         deployment.addEngine({.id = "i-" + std::to_string(i),
                               .service = "model",
@@ -36,7 +37,11 @@
     for (int node = 1; node <= nodes; ++node)
         deployment.startNode(node, true);
     for (int node = 1; node <= nodes; ++node) {
-        if (!deployment.runUntil([&] { return deployment.isReady(node); }, 15s))
+        if (!deployment.runUntil(
+                    [&] {
+                        return deployment.isReady(node);
+                    },
+                    15s))
             return CaseFailed;
     }
     deployment.runFor(4s);
