--- a/review/standins-3/casekit.cpp
+++ b/review/standins-3/casekit.cpp
@@ -40,12 +40,6 @@
     return {asio::ip::make_address_v4(address), static_cast<std::uint16_t>(port)};
 }
 
-int portOr(const std::map<int, int> &ports, int node, int usual)
-{
-    const auto found = ports.find(node);
-    return found == ports.end() || found->second == 0 ? usual : found->second;
-}
-
 bool isFree(const Tcp::endpoint &address)
 {
     asio::io_context context;
@@ -171,20 +165,6 @@
     m_running = 0;
 }
 
-void Engine::crash(Millis downtime)
-{
-    m_record.write("engine %s crashes", m_options.id.c_str());
-    stop();
-    const auto timer = std::make_shared<asio::steady_timer>(m_context, downtime);
-    timer->async_wait([this, timer](const auto &ec) {
-        if (ec)
-            return;
-        m_born = wallMillis();
-        open();
-        m_record.write("engine %s is back", m_options.id.c_str());
-    });
-}
-
 void Engine::upgrade(const std::string &version, Millis downtime, std::function<void()> started)
 {
     m_record.write("engine %s crashes", m_options.id.c_str());
@@ -220,9 +200,6 @@
     sesame::HttpFields fields;
     fields.set("Sesameproxy-Attempt-Id", id);
     fields.set("Keep-Alive", "timeout=5");
-    if (m_options.statesLoad)
-        fields.set("Sesameproxy-Instance-Load",
-                   absl::StrCat(m_running, ",", m_waiting.size(), ",", m_options.slots, ",100"));
     return fields;
 }
 
@@ -291,10 +268,7 @@
 
 void Engine::sendNext(const std::shared_ptr<Job> &job)
 {
-    Millis pause = m_options.eventInterval;
-    if (m_options.pause)
-        pause = m_options.pause(job->request, job->next).value_or(pause);
-    job->timer->expires_after(pause);
+    job->timer->expires_after(m_options.eventInterval);
     job->timer->async_wait([this, job](const auto &ec) {
         if (ec || job->isEnded)
             return;
@@ -445,15 +419,13 @@
             "  lossSlackMs: 200\n  configApplyMs: 2000\n  partitionMs: 5000\n"
             "  revokeFailClosed: false\n  revokeMs: 5000\n  retryBudgetRatio: 0.2\n"
             "  retryWindowS: 10\n  retrySlack: 54\n  quotaWindowS: 8\n  fencingRequired: false\n"
-            "  leaseMs: 3000\n  thawMs: 300\n  usageDelayS: 10\n  reportWindowS: ",
-            options.reportWindowS,
-            "\n  exposureShare: 0.1\n  exposureSlack: 50\n  rollbackMs: 5000\n  recoveryS: 12\n"
+            "  leaseMs: 3000\n  thawMs: 300\n  usageDelayS: 10\n  reportWindowS: 5\n"
+            "  exposureShare: 0.1\n  exposureSlack: 50\n  rollbackMs: 5000\n  recoveryS: 12\n"
             "platform:\n  address: \"127.0.0.1:",
-            portOr(options.storePorts, node, m_firstPort),
+            m_firstPort,
             "\"\n  form: \"objects\"\n  writesPerS: 400\n  readsPerS: 2000\n  historyS: 20\n"
             "  valueBytes: 1048576\ncloud:\n  address: \"127.0.0.1:",
-            portOr(options.dutyPorts, node, m_firstPort + 1),
-            "\"\n  ratePerS: 50.0\n  duties: [\"metering\"]\n  dutyPerS: 50.0\n");
+            m_firstPort + 1, "\"\n  ratePerS: 50.0\n  duties: [\"metering\"]\n  dutyPerS: 50.0\n");
 }
 
 void Deployment::startNode(int node, bool isFirstStart)
@@ -525,16 +497,6 @@
     return status == 200;
 }
 
-std::optional<double> Deployment::metric(int node, const std::string &series)
-{
-    unsigned status = 0;
-    const std::string text = get(nodeAddress(node, 9), "/metrics", status);
-    const std::size_t at = text.find("\n" + series + " ");
-    if (status != 200 || at == std::string::npos)
-        return std::nullopt;
-    return std::atof(text.c_str() + at + series.size() + 2);
-}
-
 std::string Deployment::log(int node) const
 {
     return sesame::test::readFile(nodeFile(node, ".log"));
@@ -646,10 +608,8 @@
         const std::string event = m_partial.substr(0, at);
         m_partial.erase(0, at + 2);
         const int number = event.starts_with("id: ") ? std::atoi(event.c_str() + 4) : 0;
-        if (number != m_lastEvent + 1) {
-            m_isGapless = false;
+        if (number != m_lastEvent + 1)
             m_record.write("%s: event %d after event %d", m_attempt.c_str(), number, m_lastEvent);
-        }
         if (m_lastEvent == 0) {
             m_firstAttempt = m_attempt;
             m_record.write("%s: first event: %s", m_attempt.c_str(),
@@ -675,7 +635,6 @@
         end("complete");
         return;
     }
-    m_lastRefusal = status;
     m_record.write("%s: answered %u, Retry-After %s", m_attempt.c_str(), status,
                    m_retryAfterText.empty() ? "none" : m_retryAfterText.c_str());
     if (status < 408) {
@@ -692,24 +651,11 @@
 {
     m_isChannelOpen = false;
     m_gapTimer.cancel();
-    ++m_cuts;
-    m_cutAt = Clock::now();
     m_record.write("%s: the channel ends without a complete answer, after event %d",
                    m_attempt.c_str(), m_lastEvent);
     retryAfter(0ms);
 }
 
-void Stream::resetChannel()
-{
-    if (!isOpen())
-        return;
-    m_connection->close();
-    m_record.write("%s: the channel is reset on the way", m_attempt.c_str());
-    m_isChannelOpen = false;
-    m_gapTimer.cancel();
-    retryAfter(0ms);
-}
-
 void Stream::retryAfter(Millis wait)
 {
     if (m_attempts > m_options.retries) {
--- a/review/standins-3/casekit.h
+++ b/review/standins-3/casekit.h
@@ -73,9 +73,6 @@
     int events = 20; //!< Events of a stream.
     Millis eventInterval {100}; //!< Pause between two events, also before the first one.
     Millis workTime {30}; //!< Time of a request that is no stream.
-    bool statesLoad = false; //!< Adds the header with the load to all answers.
-    //! Returns a longer pause before an event of a request, or std::nullopt.
-    std::function<std::optional<Millis>(const EngineRequest &, int event)> pause {};
     //! Tells of a stream that crashes the engine when it begins to write the answer.
     std::function<bool(const EngineRequest &)> isDeadly {};
     std::function<void()> onDeadly {}; //!< Called when such a stream crashes the engine.
@@ -103,11 +100,6 @@
     */
     void stop();
 
-    /*!
-        Ends the process and starts it again after \a downtime, as another boot with the same id.
-    */
-    void crash(Millis downtime);
-
     /*!
         Crashes and starts again after \a downtime under the same id, with the software \a version.
        Calls \a started then, before the engine accepts channels.
@@ -170,11 +162,6 @@
     int slots = 48;
     bool hasTenant
             = true; //!< The manifest has a tenant with one key; else an empty list of tenants.
-    //! Ports on 127.0.0.1 at which the nodes find the store and the duties, by node; 0 for those of
-    //! the stand-ins themselves.
-    std::map<int, int> storePorts {};
-    std::map<int, int> dutyPorts {};
-    int reportWindowS = 5;
     std::string program = "target/Source/sesameproxy"; //!< The command of the deploy file.
 };
 
@@ -210,10 +197,7 @@
     bool runUntil(const std::function<bool()> &condition, Millis limit);
 
     Tcp::endpoint entryAddress(int node) const { return nodeAddress(node, 0); }
-    std::uint16_t firstPort() const { return m_firstPort; }
     std::string get(const Tcp::endpoint &address, const std::string &target, unsigned &status);
-    //! Returns a metric of \a node, or std::nullopt if the node does not answer or lacks it.
-    std::optional<double> metric(int node, const std::string &series);
     //! Returns what the log of \a node contains.
     std::string log(int node) const;
 
@@ -258,27 +242,18 @@
 public:
     Stream(Deployment &deployment, Record &record, std::string name, StreamOptions options);
     void start();
-    void resetChannel(); //!< Breaks the channel off, as a reset on the way does.
 
     const std::string &name() const { return m_name; }
     int node() const { return m_node; } //!< Node of the current attempt.
     int lastEvent() const { return m_lastEvent; }
-    int attempts() const { return m_attempts; }
     bool isEnded() const { return m_isEnded; }
     bool isComplete() const { return m_isComplete; }
     bool wasTakenUp() const { return m_takeUps > 0; }
     bool wentOn() const { return m_wentOn; } //!< An attempt that took the stream up got an event.
-    bool isGapless() const { return m_isGapless; }
     //! Versions of the engines that made the events.
     const std::set<std::string> &versions() const { return m_versions; }
-    //! Status of the last final answer that is no success; 0 if there was none.
-    unsigned lastRefusal() const { return m_lastRefusal; }
     Clock::time_point startedAt() const { return m_startedAt; }
     Clock::time_point takenUpAt() const { return m_takenUpAt; }
-    const std::string &firstAttempt() const { return m_firstAttempt; }
-    bool isOpen() const { return !m_isEnded && m_isChannelOpen; }
-    bool wasCut() const { return m_cuts > 0; } //!< A channel ended inside an answer.
-    Clock::time_point cutAt() const { return m_cutAt; }
 
 private:
     void attempt();
@@ -299,7 +274,6 @@
     sesame::asio::steady_timer m_gapTimer;
     Clock::time_point m_startedAt;
     Clock::time_point m_takenUpAt {};
-    Clock::time_point m_cutAt {};
     std::string m_firstAttempt; //!< Attempt that brought the first event.
     std::string m_attempt;
     std::set<std::string> m_versions;
@@ -307,16 +281,13 @@
     std::string m_retryAfterText;
     int m_attempts = 0;
     int m_takeUps = 0;
-    int m_cuts = 0;
     int m_node = 0;
     int m_lastEvent = 0;
     int m_eventBefore = 0; //!< Last event when the current attempt began.
     unsigned m_status = 0;
-    unsigned m_lastRefusal = 0;
     bool m_isEnded = false;
     bool m_isComplete = false;
     bool m_wentOn = false;
-    bool m_isGapless = true;
     bool m_isChannelOpen = false;
 };
 
